--- /dev/null
+++ b/ctl/src/main.rs
@@ -0,0 +1,19 @@
+//! The operators' command: checks, applies, compares and reports configuration.
+
+mod cmd;
+mod error;
+mod lists;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let cli: cmd::Cli = argh::from_env();
+    match cli.run() {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("clemctl: {e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/host/src/host.rs
@@ -0,0 +1,152 @@
+//! Runs one entry host: starts its controllers, waits for SIGTERM, stops as planned.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use clementinearch_platform::{HostSource, Store};
+use parking_lot::Mutex;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use tokio::{net::TcpListener, runtime::Builder, sync::oneshot};
+
+use crate::{
+    admin,
+    board::Board,
+    callers::{self, App},
+    claims::Claims,
+    clock,
+    error::Error,
+    gossip, keeper,
+    ledger::Ledger,
+    listing,
+    peers::{self, PeerClients, PeerServer},
+    probe,
+    sessions::{self, Sessions},
+    settings::Settings,
+    telemetry::Telemetry,
+};
+
+/// Threads that serve callers and peers.
+const WORKER_THREADS: usize = 4;
+
+/// Time that the runtime gets to end its tasks.
+const RUNTIME_STOP: Duration = Duration::from_secs(1);
+
+/// Runs the host until a planned stop has ended.
+pub(crate) fn run(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    hosts: Arc<dyn HostSource>,
+    telemetry: &Telemetry,
+) -> Result<(), Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build();
+    let runtime = runtime.map_err(Error::io("start the runtime"))?;
+    let board = Arc::new(Board::new(settings, clock::now()));
+    let clients = Arc::new(PeerClients::default());
+    let keeper = (board.clone(), store.clone());
+    spawn("keeper", move || keeper::run(&keeper.0, &*keeper.1))?;
+    let listed = board.clone();
+    spawn("listing", move || listing::run(&listed, &*hosts))?;
+    let _admin = admin::serve(
+        board.clone(),
+        clients.clone(),
+        telemetry.metrics.clone(),
+        runtime.handle().clone(),
+    )?;
+    let stop = stop_signal()?;
+    let ledger = Arc::new(Ledger::new(board.clone(), clients.clone()));
+    let writer = (ledger.clone(), store.clone(), runtime.handle().clone());
+    spawn("ledger", move || writer.0.run(&*writer.1, &writer.2))?;
+    let app = Arc::new(App {
+        sessions: Arc::new(Sessions::new(board.clone(), clients.clone())),
+        claims: Claims::new(store.clone()),
+        retries: Mutex::default(),
+        ledger,
+        board,
+    });
+    runtime.block_on(serve(app.clone(), clients.clone(), stop))?;
+    // What no peer took over is written now, whether or not this host should be first.
+    app.ledger.write_due(&*store, runtime.handle(), true);
+    runtime.block_on(leave(&app, &clients));
+    runtime.shutdown_timeout(RUNTIME_STOP);
+    Ok(())
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(run);
+    spawned
+        .map(drop)
+        .map_err(Error::io(format!("start the {name} thread")))
+}
+
+/// Resolves on SIGTERM or SIGINT.
+fn stop_signal() -> Result<oneshot::Receiver<()>, Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::io("wait for signals"))?;
+    let (tx, rx) = oneshot::channel();
+    spawn("signals", move || {
+        signals.forever().next();
+        let _ = tx.send(());
+    })?;
+    Ok(rx)
+}
+
+async fn serve(
+    app: Arc<App>,
+    clients: Arc<PeerClients>,
+    stop: oneshot::Receiver<()>,
+) -> Result<(), Error> {
+    let board = app.board.clone();
+    let peers_at = board.settings.peers;
+    let server = PeerServer {
+        board: board.clone(),
+        sessions: app.sessions.clone(),
+        ledger: app.ledger.clone(),
+    };
+    let peers = peers::serve(server)
+        .await
+        .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
+    tokio::spawn(peers);
+    tokio::spawn(gossip::run(board.clone(), clients));
+    tokio::spawn(sweep_sessions(app.sessions.clone()));
+    tokio::spawn(probe::run(board.clone()));
+    let callers_at = board.settings.callers;
+    let bound = TcpListener::bind(callers_at).await;
+    let listener = bound.map_err(Error::io(format!("listen for callers at {callers_at}")))?;
+    log::info!(
+        "entry host {} serves callers at {callers_at}",
+        board.settings.name
+    );
+    let stopping = board.clone();
+    let stop = async move {
+        let _ = stop.await;
+        log::info!("planned stop: no longer ready");
+        stopping.stop();
+        // The balancer goes on sending until it notices; those requests are served.
+        tokio::time::sleep(stopping.settings.drain_notice).await;
+    };
+    callers::serve(app, listener, stop)
+        .await
+        .map_err(Error::io("serve callers"))
+}
+
+async fn sweep_sessions(sessions: Arc<Sessions>) {
+    loop {
+        tokio::time::sleep(sessions::SWEEP_PERIOD).await;
+        sessions.sweep(clock::now());
+    }
+}
+
+/// Hands over what this host remembers and tells its peers that it is gone.
+async fn leave(app: &App, clients: &Arc<PeerClients>) {
+    app.sessions.hand_over().await;
+    let left = app.ledger.hand_over().await;
+    if left > 0 {
+        log::error!("planned stop: no other host took {left} bills and the store did not either");
+    }
+    gossip::say_goodbye(&app.board, clients).await;
+    log::info!("planned stop: done");
+}
--- /dev/null
+++ b/host/src/keeper.rs
@@ -0,0 +1,103 @@
+//! Keeps the configuration: relays read the store, every host applies only newer revisions.
+
+use std::{sync::Arc, time::Duration};
+
+use clementinearch_border::Head;
+use clementinearch_platform::{Purpose, Store, StoreError};
+use clementinearch_policy::{
+    catalogue::{Bodies, Catalogue},
+    head::{HEAD_KEY, body_key},
+    names::rendezvous,
+};
+
+use crate::{board::Board, clock};
+
+/// Hosts of a zone that read the store for the others.
+const RELAYS_PER_ZONE: usize = 2;
+
+/// Time that a watch waits for a change.
+const WATCH: Duration = Duration::from_secs(5);
+
+/// Pause after a call that the store did not answer.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which a host that is no relay looks whether it has become one.
+const RELAY_CHECK: Duration = Duration::from_secs(1);
+
+/// Runs the controller.
+pub(crate) fn run(board: &Board, store: &dyn Store) {
+    while !board.is_stopping() {
+        if !must_read_store(board) {
+            board.wait_for_change(RELAY_CHECK);
+            continue;
+        }
+        let outcome = read_head(board, store);
+        board.note_store_asked();
+        let watched =
+            outcome.and_then(|version| store.watch(HEAD_KEY, version, WATCH, Purpose::Config));
+        if let Err(e) = watched {
+            metrics::counter!("clementinearch_store_failures_total", "purpose" => "config")
+                .increment(1);
+            log::debug!("configuration: {e}");
+            std::thread::sleep(RETRY);
+        }
+    }
+}
+
+/// Whether this host is a relay of its zone, or has no configuration yet.
+fn must_read_store(board: &Board) -> bool {
+    if board.in_force().is_none() {
+        return true;
+    }
+    let members = board.members.lock();
+    let zone = &board.settings.zone;
+    let relays = rendezvous(
+        "config-relay",
+        members.in_zone(zone).iter(),
+        RELAYS_PER_ZONE,
+    );
+    relays.contains(&board.settings.name)
+}
+
+/// Reads the head and the bodies that are missing here. Returns the head's version in the store.
+fn read_head(board: &Board, store: &dyn Store) -> Result<u64, StoreError> {
+    let asked_at = clock::now();
+    let Some(found) = store.get(HEAD_KEY, Purpose::Config)? else {
+        return Ok(0);
+    };
+    let head: Head = match serde_json::from_str(&found.value) {
+        Ok(head) => head,
+        Err(e) => {
+            board.set_store_finding(Some(format!("{HEAD_KEY}: {e}")));
+            return Ok(found.version);
+        }
+    };
+    let current = board.in_force();
+    let current = current.as_ref().map(|in_force| &*in_force.catalogue);
+    let revision = board.revision();
+    if head.revision < revision {
+        let message = format!(
+            "{HEAD_KEY}: the store says revision {}, lower than {revision} in force",
+            head.revision
+        );
+        board.set_store_finding(Some(message));
+        return Ok(found.version);
+    }
+    if head.revision == revision && current.is_some_and(|current| *current.head().as_ref() != head)
+    {
+        let message =
+            format!("{HEAD_KEY}: revision {revision} was written again with another content");
+        board.set_store_finding(Some(message));
+        return Ok(found.version);
+    }
+    board.set_store_finding(None);
+    let mut bodies = Bodies::default();
+    for (item, digest) in Catalogue::missing_bodies(current, &head) {
+        if let Some(body) = store.get(&body_key(&item, &digest), Purpose::Config)? {
+            bodies.insert(digest, body.value.into());
+        }
+    }
+    board.offer(Arc::new(head), &bodies, &[], clock::now());
+    board.confirm(asked_at);
+    Ok(found.version)
+}
--- /dev/null
+++ b/host/src/ledger.rs
@@ -0,0 +1,295 @@
+//! Bills: held by two hosts before an answer ends, then merged into pages in the store.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use clementinearch_border::{BillRecord, LedgerPage};
+use clementinearch_platform::{Purpose, PutOutcome, Store, StoreError};
+use clementinearch_policy::{
+    ledger::{PageId, merge},
+    names::{Name, rendezvous},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+use std::sync::atomic::AtomicU64;
+use tokio::runtime::Handle;
+
+use crate::{
+    board::Board,
+    clock,
+    peers::{PeerClients, call_context},
+    sharded::Sharded,
+};
+
+/// Hosts that hold a bill until it is in the store.
+const COPIES: usize = 2;
+
+/// Periods after which a host writes a bill that another one should have written.
+const HEIR_PERIODS: u32 = 4;
+
+/// A bill with the time of its request id, which tells its page.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Bill {
+    pub(crate) record: BillRecord,
+    pub(crate) id_time_ms: u64,
+}
+
+impl Bill {
+    fn page(&self) -> PageId {
+        PageId::with_time(
+            &self.record.account,
+            &self.record.id,
+            Millis(self.id_time_ms),
+        )
+    }
+}
+
+struct Held {
+    bill: Bill,
+    since: Millis,
+}
+
+/// The bills that this host holds.
+pub(crate) struct Ledger {
+    board: Arc<Board>,
+    clients: Arc<PeerClients>,
+    held: Sharded<PageId, Vec<Held>>,
+    written: AtomicU64,
+}
+
+impl Ledger {
+    /// A ledger that holds nothing.
+    pub(crate) fn new(board: Arc<Board>, clients: Arc<PeerClients>) -> Self {
+        Self {
+            board,
+            clients,
+            held: Sharded::default(),
+            written: AtomicU64::default(),
+        }
+    }
+
+    /// Hosts that hold the bills of `page`, the one that writes them first.
+    fn owners(&self, page: &PageId) -> Vec<Name> {
+        let members = self.board.members.lock();
+        let zone = members.in_zone(&self.board.settings.zone);
+        rendezvous(&format!("ledger-{}", page.shard), zone.iter(), COPIES)
+    }
+
+    /// Has the bill held by its owners. Returns when each of them has it or failed to take it;
+    /// without any, this host holds it alone.
+    pub(crate) async fn hold(&self, record: BillRecord, id_time: Millis) {
+        let bill = Bill {
+            record,
+            id_time_ms: id_time.0,
+        };
+        let owners = self.owners(&bill.page());
+        let copies = owners.iter().map(|owner| self.hold_at(owner, &bill));
+        let taken = futures::future::join_all(copies).await;
+        let copies = taken.iter().filter(|taken| **taken).count();
+        if copies < COPIES && !owners.contains(&self.board.settings.name) {
+            self.take(vec![bill]);
+        }
+        if copies < COPIES {
+            metrics::counter!("clementinearch_bills_held_once_total").increment(1);
+        }
+    }
+
+    async fn hold_at(&self, owner: &Name, bill: &Bill) -> bool {
+        if *owner == self.board.settings.name {
+            self.take(vec![bill.clone()]);
+            return true;
+        }
+        self.send_to(owner, vec![bill.clone()]).await
+    }
+
+    async fn send_to(&self, owner: &Name, bills: Vec<Bill>) -> bool {
+        let Some(address) = self
+            .board
+            .members
+            .lock()
+            .get(owner)
+            .map(|row| row.address.clone())
+        else {
+            return false;
+        };
+        let call = self.clients.call(&address, |peer| async move {
+            peer.hold_bills(call_context(), bills).await
+        });
+        call.await.is_ok()
+    }
+
+    /// Takes bills into memory, each once.
+    pub(crate) fn take(&self, bills: Vec<Bill>) {
+        let now = clock::now();
+        for bill in bills {
+            let page = bill.page();
+            let mut shard = self.held.lock(&page);
+            let held = shard.entry(page).or_default();
+            let same = |held: &&Held| {
+                held.bill.record.id == bill.record.id
+                    && held.bill.record.account == bill.record.account
+            };
+            if held.iter().find(same).is_none() {
+                held.push(Held { bill, since: now });
+            }
+        }
+    }
+
+    /// Forgets bills that another host wrote.
+    pub(crate) fn forget(&self, page: PageId, ids: &[String]) {
+        let mut shard = self.held.lock(&page);
+        if let Some(held) = shard.get_mut(&page) {
+            held.retain(|held| !ids.contains(&held.bill.record.id));
+            if held.is_empty() {
+                shard.remove(&page);
+            }
+        }
+    }
+
+    /// Writes what is due, period after period.
+    pub(crate) fn run(&self, store: &dyn Store, runtime: &Handle) {
+        loop {
+            std::thread::sleep(self.board.settings.ledger_period);
+            self.write_due(store, runtime, false);
+            metrics::gauge!("clementinearch_ledger_pages_held").set(self.held.len() as f64);
+        }
+    }
+
+    /// Writes the pages that this host is first to write, and those that waited too long;
+    /// with `all`, every page.
+    pub(crate) fn write_due(&self, store: &dyn Store, runtime: &Handle, all: bool) {
+        let now = clock::now();
+        let patience = self.board.settings.ledger_period * HEIR_PERIODS;
+        for page in self.pages_due(now, patience, all) {
+            if let Err(e) = self.write_page(store, runtime, page) {
+                metrics::counter!("clementinearch_store_failures_total", "purpose" => "ledger")
+                    .increment(1);
+                log::debug!("ledger: {e}");
+                // The others wait for the next period: the store gives no answers now.
+                return;
+            }
+        }
+    }
+
+    fn pages_due(&self, now: Millis, patience: Duration, all: bool) -> Vec<PageId> {
+        let mut pages = Vec::new();
+        for shard in self.held.shards() {
+            for (page, held) in shard.lock().iter() {
+                let oldest = held.iter().map(|held| held.since).min().unwrap_or(now);
+                pages.push((*page, all || now.since(oldest) > patience));
+            }
+        }
+        pages.retain(|(page, is_due)| {
+            *is_due || self.owners(page).first() == Some(&self.board.settings.name)
+        });
+        pages.sort();
+        pages.into_iter().map(|(page, _)| page).collect()
+    }
+
+    /// Merges this host's bills into the page in the store.
+    fn write_page(
+        &self,
+        store: &dyn Store,
+        runtime: &Handle,
+        page: PageId,
+    ) -> Result<(), StoreError> {
+        let records: Vec<BillRecord> = {
+            let shard = self.held.lock(&page);
+            let held = shard.get(&page).map(Vec::as_slice).unwrap_or_default();
+            held.iter().map(|held| held.bill.record.clone()).collect()
+        };
+        let key = page.key();
+        loop {
+            let found = store.get(&key, Purpose::Ledger)?;
+            let version = found.as_ref().map_or(0, |found| found.version);
+            let empty = LedgerPage {
+                records: Vec::new(),
+            };
+            let mut merged = match &found {
+                None => empty,
+                Some(found) => {
+                    serde_json::from_str(&found.value).map_err(|e| StoreError::Refused {
+                        reason: format!("{key} cannot be read: {e}"),
+                    })?
+                }
+            };
+            let added = merge(&mut merged, &records);
+            if added > 0 {
+                let value = serde_json::to_string(&merged).map_err(|e| StoreError::Refused {
+                    reason: e.to_string(),
+                })?;
+                match store.put(&key, version, &value, None, Purpose::Ledger)? {
+                    PutOutcome::Written { .. } => {}
+                    PutOutcome::Conflict(_) => {
+                        metrics::counter!("clementinearch_ledger_conflicts_total").increment(1);
+                        continue;
+                    }
+                }
+            }
+            self.written.fetch_add(added as u64, Ordering::Relaxed);
+            metrics::counter!("clementinearch_bills_written_total").increment(added as u64);
+            break;
+        }
+        let ids: Vec<String> = records.into_iter().map(|record| record.id).collect();
+        self.forget(page, &ids);
+        self.tell_other_owners(runtime, page, ids);
+        Ok(())
+    }
+
+    /// Lets the other holders forget what is written. If the word is lost they write it again, to no effect.
+    fn tell_other_owners(&self, runtime: &Handle, page: PageId, ids: Vec<String>) {
+        for owner in self.owners(&page) {
+            if owner == self.board.settings.name {
+                continue;
+            }
+            let Some(address) = self
+                .board
+                .members
+                .lock()
+                .get(&owner)
+                .map(|row| row.address.clone())
+            else {
+                continue;
+            };
+            let (clients, ids) = (self.clients.clone(), ids.clone());
+            runtime.spawn(async move {
+                let call = clients.call(&address, |peer| async move {
+                    peer.forget_bills(call_context(), page.epoch, page.shard, ids)
+                        .await
+                });
+                let _ = call.await;
+            });
+        }
+    }
+
+    /// Hands all held bills to other hosts of the zone, at a planned stop. Returns how many found no taker.
+    pub(crate) async fn hand_over(&self) -> usize {
+        let mut left = 0;
+        for shard in self.held.shards() {
+            let pages: Vec<(PageId, Vec<Bill>)> = {
+                let shard = shard.lock();
+                shard
+                    .iter()
+                    .map(|(page, held)| {
+                        (*page, held.iter().map(|held| held.bill.clone()).collect())
+                    })
+                    .collect()
+            };
+            for (page, bills) in pages {
+                let count = bills.len();
+                let heirs = self.owners(&page);
+                let mut taken = false;
+                for heir in heirs
+                    .iter()
+                    .filter(|heir| **heir != self.board.settings.name)
+                {
+                    taken |= self.send_to(heir, bills.clone()).await;
+                }
+                left += if taken { 0 } else { count };
+            }
+        }
+        left
+    }
+}
--- /dev/null
+++ b/host/src/listing.rs
@@ -0,0 +1,40 @@
+//! Keeps the platform's host list: backend servers and entry hosts.
+
+use std::time::Duration;
+
+use clementinearch_border::HostRole;
+use clementinearch_platform::HostSource;
+use clementinearch_policy::names::Name;
+
+use crate::{board::Board, clock};
+
+/// Time between two readings of the list. The list itself lags longer.
+const PERIOD: Duration = Duration::from_secs(2);
+
+/// Runs the controller.
+pub(crate) fn run(board: &Board, source: &dyn HostSource) {
+    while !board.is_stopping() {
+        match source.hosts() {
+            Ok(list) => {
+                let now = clock::now();
+                board.servers.set_listed(&list.hosts, now);
+                let mut members = board.members.lock();
+                for host in list
+                    .hosts
+                    .iter()
+                    .filter(|host| host.role == HostRole::Entry)
+                {
+                    let [name, zone, address]: [Name; 3] =
+                        [&host.name, &host.zone, &host.address].map(|text| text.as_str().into());
+                    members.add_listed(&name, &zone, &address, now);
+                }
+            }
+            Err(e) => {
+                metrics::counter!("clementinearch_store_failures_total", "purpose" => "hosts")
+                    .increment(1);
+                log::debug!("host list: {e}");
+            }
+        }
+        std::thread::sleep(PERIOD);
+    }
+}
--- /dev/null
+++ b/host/src/main.rs
@@ -0,0 +1,39 @@
+//! The entry host: takes callers' requests and sends each where its plan allows.
+
+mod admin;
+mod board;
+mod callers;
+mod chat;
+mod claims;
+mod clock;
+mod cmd;
+mod error;
+mod gossip;
+mod host;
+mod keeper;
+mod ledger;
+mod listing;
+mod peers;
+mod probe;
+mod refusal;
+mod relay_answer;
+mod servers;
+mod services;
+mod sessions;
+mod settings;
+mod sharded;
+mod telemetry;
+mod upstream;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let cli: cmd::Cli = argh::from_env();
+    match cli.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("clementinearch: {e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/host/src/peers.rs
@@ -0,0 +1,379 @@
+//! The protocol between entry hosts: a tarpc service, its implementation and a cache of clients.
+
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use clementinearch_border::{Head, HostStatus};
+use clementinearch_policy::{
+    catalogue::{Bodies, Fallback},
+    ledger::PageId,
+    member::Member,
+    names::{FastMap, Name},
+};
+use derive_more::{Display, Error, From};
+use futures::StreamExt;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tarpc::{
+    client::RpcError,
+    context::{self, Context},
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+
+use crate::{
+    board::Board,
+    clock,
+    ledger::{Bill, Ledger},
+    sessions::{Pin, Sessions},
+};
+
+/// Longest wait for a peer's answer.
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest message between peers, bytes: a configuration of many items.
+const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// A configuration on its way between hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    head: Head,
+    bodies: Vec<(String, Name)>,
+    fallbacks: Vec<Fallback>,
+}
+
+/// What a host says of itself in an exchange.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub(crate) from: Member,
+    pub(crate) table_hash: u64,
+    pub(crate) revision: u64,
+    pub(crate) has_findings: bool,
+    /// Age of the moment when the revision was known to be the newest one.
+    pub(crate) confirmed_age: Option<Duration>,
+    /// Backend servers that told the sender they leave, and how long ago.
+    pub(crate) leaving: Vec<(Name, Duration)>,
+}
+
+/// Answer to a digest.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Reply {
+    pub(crate) digest: Digest,
+    /// The whole table, if the sender's differs.
+    pub(crate) rows: Vec<Member>,
+    /// The configuration, if the sender's is older.
+    pub(crate) snapshot: Option<Snapshot>,
+}
+
+/// What one entry host asks of another.
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Compares views and returns what the sender lacks.
+    async fn exchange(digest: Digest) -> Reply;
+    /// Hands over rows that the receiver lacks.
+    async fn tell(rows: Vec<Member>);
+    /// Hands over a configuration that the receiver lacks.
+    async fn offer(snapshot: Snapshot);
+    /// What the host says of its configuration.
+    async fn status() -> StatusReport;
+    /// Remembers sessions; answers the version of each.
+    async fn pin(pins: Vec<Pin>) -> Vec<Name>;
+    /// Holds bills until they are in the store.
+    async fn hold_bills(bills: Vec<Bill>);
+    /// Forgets bills of a page that are in the store.
+    async fn forget_bills(epoch: u64, shard: u64, ids: Vec<String>);
+}
+
+/// A host's own word on its configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StatusReport {
+    pub(crate) revision: u64,
+    pub(crate) since_ms: u64,
+    pub(crate) newest_heard: u64,
+    pub(crate) findings: Vec<String>,
+    pub(crate) readiness: Result<(), String>,
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum PeerError {
+    /// No connection.
+    #[display("peer not reached: {_0}")]
+    Connect(io::Error),
+    /// The call failed.
+    #[display("peer did not answer: {_0}")]
+    Call(RpcError),
+    /// No connection in time.
+    #[display("peer not reached in time")]
+    Timeout,
+}
+
+/// This host's side of the protocol.
+#[derive(Clone)]
+pub(crate) struct PeerServer {
+    pub(crate) board: Arc<Board>,
+    pub(crate) sessions: Arc<Sessions>,
+    pub(crate) ledger: Arc<Ledger>,
+}
+
+/// Serves peers at the host's peer address.
+pub(crate) async fn serve(server: PeerServer) -> io::Result<impl Future<Output = ()>> {
+    let mut listener = tcp::listen(server.board.settings.peers, Bincode::default).await?;
+    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    Ok(async move {
+        while let Some(connection) = listener.next().await {
+            let Ok(transport) = connection else { continue };
+            let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+            tokio::spawn(calls.for_each(|call| async {
+                tokio::spawn(call);
+            }));
+        }
+    })
+}
+
+impl Peer for PeerServer {
+    async fn exchange(self, _: Context, digest: Digest) -> Reply {
+        metrics::counter!("clementinearch_peer_exchanges_total", "side" => "answered").increment(1);
+        let differs = take_in(&self.board, &digest);
+        Reply {
+            digest: own_digest(&self.board),
+            rows: if differs {
+                self.board.members.lock().rows()
+            } else {
+                Vec::new()
+            },
+            snapshot: snapshot_for(&self.board, &digest),
+        }
+    }
+
+    async fn tell(self, _: Context, rows: Vec<Member>) {
+        self.board.members.lock().merge(&rows, clock::now());
+    }
+
+    async fn offer(self, _: Context, snapshot: Snapshot) {
+        apply_snapshot(&self.board, snapshot);
+    }
+
+    async fn status(self, _: Context) -> StatusReport {
+        own_status(&self.board)
+    }
+
+    async fn pin(self, _: Context, pins: Vec<Pin>) -> Vec<Name> {
+        pins.into_iter()
+            .map(|pin| self.sessions.remember(pin))
+            .collect()
+    }
+
+    async fn hold_bills(self, _: Context, bills: Vec<Bill>) {
+        self.ledger.take(bills);
+    }
+
+    async fn forget_bills(self, _: Context, epoch: u64, shard: u64, ids: Vec<String>) {
+        self.ledger.forget(PageId { epoch, shard }, &ids);
+    }
+}
+
+/// This host's own word on its configuration.
+pub(crate) fn own_status(board: &Board) -> StatusReport {
+    let in_force = board.in_force();
+    StatusReport {
+        revision: board.revision(),
+        since_ms: in_force.map_or(0, |in_force| in_force.since.0),
+        newest_heard: board.newest_heard(),
+        findings: board.findings(),
+        readiness: board.readiness().map_err(str::to_owned),
+    }
+}
+
+/// This host's digest.
+pub(crate) fn own_digest(board: &Board) -> Digest {
+    let now = clock::now();
+    let (from, table_hash) = {
+        let members = board.members.lock();
+        (members.me().clone(), members.table_hash())
+    };
+    let confirmed_at = board.confirmed_at();
+    Digest {
+        from,
+        table_hash,
+        revision: board.revision(),
+        has_findings: !board.findings().is_empty(),
+        confirmed_age: (confirmed_at.0 > 0).then(|| now.since(confirmed_at)),
+        leaving: board.servers.leaving(now),
+    }
+}
+
+/// Takes in a peer's digest. Returns whether the two membership tables differ.
+pub(crate) fn take_in(board: &Board, digest: &Digest) -> bool {
+    let now = clock::now();
+    board.hear_of(digest.revision);
+    board.servers.hear_leaving(&digest.leaving, now);
+    // A peer with a revision that is not newer than ours confirms ours as far as its own was confirmed.
+    if let Some(age) = digest.confirmed_age
+        && digest.revision == board.revision()
+        && digest.revision > 0
+    {
+        let age_ms = age.as_millis() as u64;
+        board.confirm(clementinearch_policy::time::Millis(
+            now.0.saturating_sub(age_ms),
+        ));
+    }
+    let mut members = board.members.lock();
+    members.merge(std::slice::from_ref(&digest.from), now);
+    members.table_hash() != digest.table_hash
+}
+
+/// The configuration, if the host that sent `digest` lacks it.
+pub(crate) fn snapshot_for(board: &Board, digest: &Digest) -> Option<Snapshot> {
+    let in_force = board.in_force()?;
+    let catalogue = &in_force.catalogue;
+    let repairs = digest.has_findings && catalogue.findings().0.is_empty();
+    if catalogue.revision() < digest.revision
+        || (catalogue.revision() == digest.revision && !repairs)
+    {
+        return None;
+    }
+    let known_revision = if digest.has_findings {
+        0
+    } else {
+        digest.revision
+    };
+    let (bodies, fallbacks) = catalogue.bodies_since(known_revision);
+    Some(Snapshot {
+        head: (**catalogue.head()).clone(),
+        bodies: bodies.into_iter().collect(),
+        fallbacks,
+    })
+}
+
+/// Applies a configuration from a peer if it is newer.
+pub(crate) fn apply_snapshot(board: &Board, snapshot: Snapshot) {
+    let bodies: Bodies = snapshot.bodies.into_iter().collect();
+    board.offer(
+        Arc::new(snapshot.head),
+        &bodies,
+        &snapshot.fallbacks,
+        clock::now(),
+    );
+}
+
+/// Clients of other hosts, one connection each.
+#[derive(Default)]
+pub(crate) struct PeerClients {
+    clients: Mutex<FastMap<Name, PeerClient>>,
+}
+
+/// A call's context with the deadline for peers.
+pub(crate) fn call_context() -> Context {
+    let mut cx = context::current();
+    cx.deadline = std::time::Instant::now() + PEER_TIMEOUT;
+    cx
+}
+
+impl PeerClients {
+    /// Calls the peer at `address`; a failed call closes the connection.
+    pub(crate) async fn call<T, F>(
+        &self,
+        address: &Name,
+        call: impl FnOnce(PeerClient) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.connect(address).await?;
+        let answer = call(client).await;
+        if answer.is_err() {
+            self.clients.lock().remove(address);
+        }
+        answer.map_err(PeerError::from)
+    }
+
+    async fn connect(&self, address: &Name) -> Result<PeerClient, PeerError> {
+        if let Some(client) = self.clients.lock().get(address) {
+            return Ok(client.clone());
+        }
+        let target: SocketAddr = address
+            .parse()
+            .map_err(|_| io::Error::other("malformed peer address"))?;
+        let mut connecting = tcp::connect(target, Bincode::default);
+        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = tokio::time::timeout(PEER_TIMEOUT, connecting)
+            .await
+            .map_err(|_| PeerError::Timeout)??;
+        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        self.clients.lock().insert(address.clone(), client.clone());
+        Ok(client)
+    }
+}
+
+/// Asks each host that is listed or known for its own word and compares it with the newest revision.
+pub(crate) async fn fleet_status(
+    board: &Arc<Board>,
+    clients: &PeerClients,
+) -> clementinearch_border::FleetStatus {
+    let members = board.members.lock().rows();
+    let asked = members.iter().map(|member| async move {
+        if member.name == board.settings.name {
+            return (member, Ok(own_status(board)));
+        }
+        let call = |client: PeerClient| async move { client.status(call_context()).await };
+        (member, clients.call(&member.address, call).await)
+    });
+    let answers = futures::future::join_all(asked).await;
+    let said = answers
+        .iter()
+        .filter_map(|(_, answer)| answer.as_ref().ok());
+    let newest = said
+        .map(|report| report.newest_heard.max(report.revision))
+        .max()
+        .unwrap_or(0);
+    let mut hosts: Vec<HostStatus> = answers
+        .iter()
+        .map(|(member, answer)| host_status(member, answer, newest))
+        .collect();
+    hosts.sort_by(|left, right| (&left.zone, &left.host).cmp(&(&right.zone, &right.host)));
+    clementinearch_border::FleetStatus {
+        answered_by: board.settings.name.to_string(),
+        newest_revision: newest,
+        in_force_everywhere: hosts.iter().all(|host| host.in_force),
+        hosts,
+    }
+}
+
+fn host_status(
+    member: &Member,
+    answer: &Result<StatusReport, PeerError>,
+    newest: u64,
+) -> HostStatus {
+    let mut status = HostStatus {
+        host: member.name.to_string(),
+        zone: member.zone.to_string(),
+        in_force: false,
+        revision: None,
+        since_ms: None,
+        why_not: None,
+        findings: Vec::new(),
+    };
+    let report = match answer {
+        Ok(report) => report,
+        Err(e) => {
+            status.why_not = Some(e.to_string());
+            return status;
+        }
+    };
+    status.revision = Some(report.revision);
+    status.since_ms = Some(report.since_ms);
+    status.findings = report.findings.clone();
+    status.why_not = if report.revision < newest {
+        Some(format!(
+            "applies revision {}, newest is {newest}",
+            report.revision
+        ))
+    } else if !report.findings.is_empty() {
+        Some("has findings".to_owned())
+    } else {
+        None
+    };
+    status.in_force = status.why_not.is_none();
+    status
+}
--- /dev/null
+++ b/host/src/probe.rs
@@ -0,0 +1,61 @@
+//! Collects the load reports of backend servers.
+
+use std::{sync::Arc, time::Duration};
+
+use clementinearch_border::LoadReport;
+use hyper::{Method, StatusCode};
+
+use crate::{board::Board, clock, servers::Server, upstream};
+
+/// Time between two rounds of probes.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Servers probed in one round: those with the oldest reports.
+const PROBES_PER_ROUND: usize = 2;
+
+/// Longest wait for a report.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs the controller.
+pub(crate) async fn run(board: Arc<Board>) {
+    loop {
+        for server in board.servers.oldest_reports(PROBES_PER_ROUND) {
+            server.note_probed(clock::now());
+            tokio::spawn(probe(board.clone(), server));
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+/// Asks one server for its load and takes the report in.
+pub(crate) async fn probe(board: Arc<Board>, server: Arc<Server>) {
+    metrics::counter!("clementinearch_probes_total").increment(1);
+    let report = tokio::time::timeout(PROBE_TIMEOUT, fetch_report(&server)).await;
+    let now = clock::now();
+    match report {
+        Ok(Ok(report)) => {
+            if board.servers.set_report(&server, &report, now) {
+                log::info!("backend server {} leaves", server.name);
+                board.news.notify_one();
+            }
+        }
+        _ => server.avoid(now.after(crate::servers::AVOID_UNREACHABLE)),
+    }
+}
+
+async fn fetch_report(server: &Server) -> std::io::Result<LoadReport> {
+    let connection = upstream::connect(server.address).await?;
+    let req = upstream::request(
+        Method::GET,
+        server.address,
+        "/load",
+        &[],
+        Default::default(),
+    )?;
+    let answer = connection.send(req).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(std::io::Error::other(answer.status().to_string()));
+    }
+    let body = answer.whole_body().await?;
+    serde_json::from_slice(&body).map_err(std::io::Error::other)
+}
--- /dev/null
+++ b/host/src/refusal.rs
@@ -0,0 +1,135 @@
+//! Refusals: typed answers that say truthfully whether the work was run.
+
+use std::{convert::Infallible, time::Duration};
+
+use clementinearch_border::{ErrorBody, ErrorDetail, RunState};
+use clementinearch_policy::{choose::ChooseError, request_id::RequestIdError};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::Bytes,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+
+/// Body of an answer to a caller.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Answer to a caller.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// Why a request gets no success.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// HTTP status.
+    pub(crate) status: StatusCode,
+    /// Stable machine-readable code.
+    pub(crate) code: &'static str,
+    /// Explanation for a person.
+    pub(crate) message: String,
+    /// What is known about the work.
+    pub(crate) run: RunState,
+    /// When to come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of work that was not run.
+    pub(crate) fn not_run(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            run: RunState::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A failure after which the work may have been run.
+    pub(crate) fn may_have_run(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            run: RunState::MayHaveRun,
+            ..Self::not_run(status, code, message)
+        }
+    }
+
+    /// Tells the caller when to come back. Half of `after` is random, so that callers do not come back together.
+    pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
+        let spread = after.mul_f64(0.5 + fastrand::f64() / 2.0);
+        self.retry_after = Some(spread);
+        self
+    }
+
+    /// The typed body of the refusal.
+    pub(crate) fn body(&self) -> ErrorBody {
+        ErrorBody {
+            error: ErrorDetail {
+                code: self.code.to_owned(),
+                message: self.message.clone(),
+                run: self.run,
+                retry_after_ms: self.retry_after.map(|after| after.as_millis() as u64),
+            },
+        }
+    }
+
+    /// The answer for the caller.
+    pub(crate) fn answer(&self) -> Answer {
+        metrics::counter!("clementinearch_refusals_total", "code" => self.code).increment(1);
+        let json = serde_json::to_string(&self.body()).unwrap_or_default();
+        let mut answer = json_answer(self.status, json);
+        if let Some(after) = self.retry_after {
+            let seconds = after.as_millis().div_ceil(1000) as u64;
+            answer.headers_mut().insert(RETRY_AFTER, seconds.into());
+        }
+        answer
+    }
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json_answer(status: StatusCode, json: impl Into<Bytes>) -> Answer {
+    let body = Full::new(json.into()).map_err(|e: Infallible| match e {});
+    let mut answer = Response::new(body.boxed_unsync());
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// Time after which a host that lacks a fresh view is worth another try.
+const STALE_VIEW_RETRY: Duration = Duration::from_secs(5);
+
+impl From<ChooseError> for Refusal {
+    fn from(e: ChooseError) -> Self {
+        let message = e.to_string();
+        match e {
+            ChooseError::NotInPlan => Self::not_run(StatusCode::FORBIDDEN, "not_in_plan", message),
+            ChooseError::NoVersion => Self::not_run(StatusCode::CONFLICT, "no_version", message),
+            ChooseError::SessionWithdrawn => {
+                Self::not_run(StatusCode::CONFLICT, "session_version_withdrawn", message)
+            }
+            ChooseError::StaleView => {
+                Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "stale_view", message)
+                    .with_retry_after(STALE_VIEW_RETRY)
+            }
+        }
+    }
+}
+
+impl From<RequestIdError> for Refusal {
+    fn from(e: RequestIdError) -> Self {
+        let code = match e {
+            RequestIdError::Malformed => "bad_request_id",
+            RequestIdError::Expired => "request_id_expired",
+            RequestIdError::Ahead => "request_id_ahead",
+        };
+        Self::not_run(StatusCode::BAD_REQUEST, code, format!("request id {e}"))
+    }
+}
--- /dev/null
+++ b/host/src/servers.rs
@@ -0,0 +1,273 @@
+//! Backend servers as this host knows them, indexed by what they run.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use clementinearch_border::{HostEntry, HostRole, HostState, LoadReport};
+use clementinearch_policy::{
+    backend::{self, Candidate, LoadView},
+    names::{FastMap, Name},
+    time::Millis,
+};
+use parking_lot::{Mutex, RwLock};
+
+/// How long a server that could not be reached is left alone.
+pub(crate) const AVOID_UNREACHABLE: Duration = Duration::from_secs(2);
+
+/// How long a server that said it leaves is left alone, unless it says otherwise.
+pub(crate) const AVOID_LEAVING: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Default)]
+struct ServerState {
+    load: LoadView,
+    versions: Vec<Name>,
+    avoid_until: Millis,
+    leaving_since: Option<Millis>,
+    probed_at: Millis,
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) name: Name,
+    pub(crate) pool: Name,
+    pub(crate) address: SocketAddr,
+    zone: Name,
+    in_flight: AtomicU32,
+    state: Mutex<ServerState>,
+}
+
+impl Candidate for Server {
+    fn is_usable(&self, now: Millis) -> bool {
+        self.state.lock().avoid_until <= now
+    }
+
+    fn load(&self, now: Millis) -> f64 {
+        let own_in_flight = self.in_flight.load(Ordering::Relaxed);
+        LoadView {
+            own_in_flight,
+            ..self.state.lock().load
+        }
+        .load(now)
+    }
+}
+
+impl Server {
+    /// Leaves the server alone until `until`.
+    pub(crate) fn avoid(&self, until: Millis) {
+        let mut state = self.state.lock();
+        state.avoid_until = state.avoid_until.max(until);
+    }
+
+    /// When the server was last asked for a report.
+    fn probed_at(&self) -> Millis {
+        self.state.lock().probed_at
+    }
+
+    /// Notes that the server is being asked for a report.
+    pub(crate) fn note_probed(&self, now: Millis) {
+        self.state.lock().probed_at = now;
+    }
+
+    /// Counts a request of this host until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.state.lock().load.sent_since_report += 1;
+        InFlight(self.clone())
+    }
+}
+
+/// Counts one request towards its server's load.
+pub(crate) struct InFlight(Arc<Server>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Servers that run one version, or one pool of a plain service.
+#[derive(Debug, Default)]
+struct Group {
+    local: Vec<Arc<Server>>,
+    remote: Vec<Arc<Server>>,
+}
+
+#[derive(Debug, Default)]
+struct Index {
+    by_name: FastMap<Name, Arc<Server>>,
+    /// By pool and `model@version`; the version is empty for the whole pool.
+    groups: FastMap<(Name, Name), Group>,
+}
+
+/// All backend servers.
+#[derive(Debug)]
+pub(crate) struct Servers {
+    zone: Name,
+    index: RwLock<Index>,
+}
+
+impl Servers {
+    /// No server yet; `zone` is the host's own.
+    pub(crate) fn new(zone: Name) -> Self {
+        Self {
+            zone,
+            index: RwLock::default(),
+        }
+    }
+
+    /// Takes in the platform's host list: the list goes by name, state and address.
+    pub(crate) fn set_listed(&self, hosts: &[HostEntry], now: Millis) {
+        let mut index = self.index.write();
+        let mut by_name = FastMap::default();
+        for host in hosts.iter().filter(|host| host.role == HostRole::Backend) {
+            let Ok(address) = host.address.parse() else {
+                continue;
+            };
+            let name: Name = host.name.as_str().into();
+            let known = index
+                .by_name
+                .get(&name)
+                .filter(|known| known.address == address);
+            let server = known.cloned().unwrap_or_else(|| {
+                Arc::new(Server {
+                    name: name.clone(),
+                    pool: host.pool.as_str().into(),
+                    address,
+                    zone: host.zone.as_str().into(),
+                    in_flight: AtomicU32::default(),
+                    state: Mutex::default(),
+                })
+            });
+            if host.state == HostState::Leaving {
+                server.avoid(now.after(AVOID_LEAVING));
+            }
+            by_name.insert(name, server);
+        }
+        index.by_name = by_name;
+        self.rebuild(&mut index);
+    }
+
+    /// Takes in a server's own report. Returns whether it says for the first time that it leaves.
+    pub(crate) fn set_report(
+        &self,
+        server: &Arc<Server>,
+        report: &LoadReport,
+        now: Millis,
+    ) -> bool {
+        let versions: Vec<Name> = report
+            .versions
+            .iter()
+            .map(|version| version.as_str().into())
+            .collect();
+        let (changed, began_leaving) = {
+            let mut state = server.state.lock();
+            state.load = LoadView {
+                reported: report.running + report.queued,
+                slots: report.slots,
+                reported_at: now,
+                own_in_flight: 0,
+                sent_since_report: 0,
+            };
+            let began_leaving = report.leaving && state.leaving_since.is_none();
+            state.avoid_until = if report.leaving {
+                now.after(AVOID_LEAVING)
+            } else {
+                Millis(0)
+            };
+            state.leaving_since = report.leaving.then_some(now);
+            let changed = state.versions != versions;
+            state.versions = versions;
+            (changed, began_leaving)
+        };
+        if changed {
+            self.rebuild(&mut self.index.write());
+        }
+        began_leaving
+    }
+
+    fn rebuild(&self, index: &mut Index) {
+        let mut groups: FastMap<(Name, Name), Group> = FastMap::default();
+        for server in index.by_name.values() {
+            let versions = server.state.lock().versions.clone();
+            let whole_pool: Name = "".into();
+            for version in versions.into_iter().chain([whole_pool]) {
+                let group = groups.entry((server.pool.clone(), version)).or_default();
+                let side = if server.zone == self.zone {
+                    &mut group.local
+                } else {
+                    &mut group.remote
+                };
+                side.push(server.clone());
+            }
+        }
+        index.groups = groups;
+    }
+
+    /// The server for a request of `pool`; `version` is `model@version`, or empty for a plain service.
+    pub(crate) fn pick(&self, pool: &Name, version: &Name, now: Millis) -> Option<Arc<Server>> {
+        let index = self.index.read();
+        let group = index.groups.get(&(pool.clone(), version.clone()))?;
+        let mut rng = fastrand::Rng::new();
+        backend::pick(&group.local, &group.remote, now, &mut rng).cloned()
+    }
+
+    /// All servers of a pool.
+    pub(crate) fn of_pool(&self, pool: &Name) -> Vec<Arc<Server>> {
+        let index = self.index.read();
+        let group = index.groups.get(&(pool.clone(), "".into()));
+        group.map_or_else(Vec::new, |group| {
+            group.local.iter().chain(&group.remote).cloned().collect()
+        })
+    }
+
+    /// Servers that are left alone because they leave, and how long ago that was known.
+    pub(crate) fn leaving(&self, now: Millis) -> Vec<(Name, Duration)> {
+        let index = self.index.read();
+        let since = |server: &Server| {
+            server
+                .state
+                .lock()
+                .leaving_since
+                .map(|since| now.since(since))
+        };
+        index
+            .by_name
+            .values()
+            .filter_map(|server| Some((server.name.clone(), since(server)?)))
+            .collect()
+    }
+
+    /// Takes in which servers told a peer that they leave.
+    pub(crate) fn hear_leaving(&self, leaving: &[(Name, Duration)], now: Millis) {
+        let index = self.index.read();
+        for (name, age) in leaving {
+            let Some(server) = index.by_name.get(name) else {
+                continue;
+            };
+            let said_at = Millis(now.0.saturating_sub(age.as_millis() as u64));
+            let mut state = server.state.lock();
+            // A report that this host took in later goes before a peer's word.
+            if said_at > state.load.reported_at
+                && state.leaving_since.is_none_or(|since| since < said_at)
+            {
+                state.leaving_since = Some(said_at);
+                state.avoid_until = state.avoid_until.max(said_at.after(AVOID_LEAVING));
+            }
+        }
+    }
+
+    /// The servers that were not asked for a report for the longest time.
+    pub(crate) fn oldest_reports(&self, count: usize) -> Vec<Arc<Server>> {
+        let mut servers: Vec<Arc<Server>> = self.index.read().by_name.values().cloned().collect();
+        servers.sort_by_cached_key(|server| server.probed_at());
+        servers.truncate(count);
+        servers
+    }
+}
--- /dev/null
+++ b/host/src/settings.rs
@@ -0,0 +1,198 @@
+//! Settings of an entry host: TOML, checked as a whole.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use clementinearch_policy::{
+    findings::Findings,
+    names::Name,
+    toml_reader::{Table, read_document},
+};
+
+use crate::error::Error;
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LogFormat {
+    /// One line of text an event.
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Settings of one entry host.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    /// Name of this host, unique in the fleet.
+    pub(crate) name: Name,
+    /// Availability zone of this host.
+    pub(crate) zone: Name,
+    /// Address for callers.
+    pub(crate) callers: SocketAddr,
+    /// Address for other entry hosts.
+    pub(crate) peers: SocketAddr,
+    /// Address for operators, probes and scrapes.
+    pub(crate) admin: SocketAddr,
+    /// Peer addresses to ask while the platform's host list is out of reach.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Address of the platform's key-value service and host list.
+    pub(crate) store: SocketAddr,
+    /// Longest wait for an answer of the store.
+    pub(crate) store_timeout: Duration,
+    /// Secret that all entry hosts share for session tokens.
+    pub(crate) session_secret: Name,
+    /// Pools whose servers check request ids, so that no claim is needed while the store is down.
+    pub(crate) pools_checking_ids: Vec<Name>,
+    /// Time between two exchanges with a peer.
+    pub(crate) gossip_period: Duration,
+    /// Age of the configuration above which versions in roll-out are not served.
+    pub(crate) view_lifetime: Duration,
+    /// Time between two writes of bills.
+    pub(crate) ledger_period: Duration,
+    /// Time that the balancer takes to notice that this host is not ready.
+    pub(crate) drain_notice: Duration,
+    /// Longest wait for running requests at a planned stop.
+    pub(crate) drain_limit: Duration,
+    /// Largest request body, bytes.
+    pub(crate) max_body: u64,
+    /// Longest silence of a caller that sends its request.
+    pub(crate) caller_timeout: Duration,
+    /// Longest silence of a model engine before its stream counts as broken.
+    pub(crate) token_timeout: Duration,
+    /// Deadline of a request that names none.
+    pub(crate) default_deadline: Duration,
+    /// Format of the logs.
+    pub(crate) log_format: LogFormat,
+    /// Whether spans are written to standard output.
+    pub(crate) export_traces: bool,
+}
+
+const DAY_MS: u64 = 24 * 3600 * 1000;
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub(crate) fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(&path.display().to_string(), &text).map_err(Error::Settings)
+    }
+
+    /// Checks settings in TOML; `source` names the file in findings.
+    pub(crate) fn parse(source: &str, text: &str) -> Result<Self, Findings> {
+        read_document(source, text, |table| {
+            let (callers, peers, admin) = table.table("listen", |listen| {
+                (
+                    address(listen, "callers"),
+                    address(listen, "peers"),
+                    address(listen, "admin"),
+                )
+            });
+            let (store, store_timeout) = table.table("store", |store| {
+                (
+                    address(store, "address"),
+                    store.millis("timeout_ms", 1..=60_000, Duration::from_secs(2)),
+                )
+            });
+            let pools_checking_ids =
+                table.table("pools", |pools| pools.names("checking_request_ids"));
+            let limits = table.table("limits", Limits::read);
+            let (log_format, export_traces) = table.table("telemetry", |telemetry| {
+                let format = telemetry.parsed("log_format", parse_log_format);
+                (
+                    format.unwrap_or(LogFormat::Text),
+                    telemetry.flag("export_traces", false),
+                )
+            });
+            Self {
+                name: table.required_name("name"),
+                zone: table.required_name("zone"),
+                callers,
+                peers,
+                admin,
+                seeds: table.list("seeds", parse_address),
+                store,
+                store_timeout,
+                session_secret: table
+                    .required("session_secret", parse_secret)
+                    .unwrap_or_else(|| "".into()),
+                pools_checking_ids,
+                gossip_period: limits.gossip_period,
+                view_lifetime: limits.view_lifetime,
+                ledger_period: limits.ledger_period,
+                drain_notice: limits.drain_notice,
+                drain_limit: limits.drain_limit,
+                max_body: limits.max_body,
+                caller_timeout: limits.caller_timeout,
+                token_timeout: limits.token_timeout,
+                default_deadline: limits.default_deadline,
+                log_format,
+                export_traces,
+            }
+        })
+    }
+}
+
+/// The `[limits]` table.
+struct Limits {
+    gossip_period: Duration,
+    view_lifetime: Duration,
+    ledger_period: Duration,
+    drain_notice: Duration,
+    drain_limit: Duration,
+    max_body: u64,
+    caller_timeout: Duration,
+    token_timeout: Duration,
+    default_deadline: Duration,
+}
+
+impl Limits {
+    fn read(table: &mut Table<'_>) -> Self {
+        Self {
+            gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_secs(1)),
+            view_lifetime: table.millis("view_lifetime_ms", 100..=DAY_MS, Duration::from_secs(30)),
+            ledger_period: table.millis("ledger_period_ms", 10..=600_000, Duration::from_secs(30)),
+            drain_notice: table.millis("drain_notice_ms", 0..=600_000, Duration::from_secs(5)),
+            drain_limit: table.millis("drain_limit_ms", 0..=DAY_MS, Duration::from_secs(600)),
+            max_body: table.number("max_body_bytes", 1..=1 << 30, 1 << 20),
+            caller_timeout: table.millis(
+                "caller_timeout_ms",
+                10..=600_000,
+                Duration::from_secs(10),
+            ),
+            token_timeout: table.millis("token_timeout_ms", 10..=600_000, Duration::from_secs(10)),
+            default_deadline: table.millis(
+                "default_deadline_ms",
+                10..=DAY_MS,
+                Duration::from_secs(300),
+            ),
+        }
+    }
+}
+
+fn address(table: &mut Table<'_>, key: &str) -> SocketAddr {
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    table.required(key, parse_address).unwrap_or(unset)
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_| format!("`{text}` is not an IP address and port"))
+}
+
+fn parse_secret(text: &str) -> Result<Name, String> {
+    const SHORTEST_SECRET_BYTES: usize = 16;
+    if text.len() < SHORTEST_SECRET_BYTES {
+        // The text is left out: it is a secret.
+        return Err(format!("needs at least {SHORTEST_SECRET_BYTES} bytes"));
+    }
+    Ok(text.into())
+}
+
+fn parse_log_format(text: &str) -> Result<LogFormat, String> {
+    match text {
+        "text" => Ok(LogFormat::Text),
+        "json" => Ok(LogFormat::Json),
+        _ => Err(format!("`{text}` is neither text nor json")),
+    }
+}
--- /dev/null
+++ b/host/src/telemetry.rs
@@ -0,0 +1,124 @@
+//! Logs, metrics and traces.
+
+use flexi_logger::{Logger, LoggerHandle};
+use hyper::HeaderMap;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use opentelemetry::{
+    Context, KeyValue, global,
+    propagation::{Extractor, Injector, TextMapPropagator},
+    trace::{SpanKind, TraceContextExt, Tracer},
+};
+use opentelemetry_sdk::{propagation::TraceContextPropagator, trace::SdkTracerProvider};
+
+use crate::{
+    error::Error,
+    settings::{LogFormat, Settings},
+};
+
+/// Handles that keep telemetry running.
+pub(crate) struct Telemetry {
+    /// Renders the metrics.
+    pub(crate) metrics: PrometheusHandle,
+    _logger: LoggerHandle,
+    traces: Option<SdkTracerProvider>,
+}
+
+impl Drop for Telemetry {
+    fn drop(&mut self) {
+        if let Some(traces) = &self.traces {
+            let _ = traces.shutdown();
+        }
+    }
+}
+
+/// Starts logs, metrics and, if the settings ask for it, the export of traces.
+pub(crate) fn start(settings: &Settings) -> Result<Telemetry, Error> {
+    let failed = |e: &dyn std::fmt::Display| Error::Telemetry(e.to_string());
+    let logger = Logger::try_with_env_or_str("info").map_err(|e| failed(&e))?;
+    let logger = match settings.log_format {
+        LogFormat::Text => logger.format(flexi_logger::detailed_format),
+        LogFormat::Json => logger.format(flexi_logger::json_format),
+    };
+    let logger = logger.log_to_stderr().start().map_err(|e| failed(&e))?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| failed(&e))?;
+    let traces = settings.export_traces.then(|| {
+        let exporter = opentelemetry_stdout::SpanExporter::default();
+        let provider = SdkTracerProvider::builder()
+            .with_batch_exporter(exporter)
+            .build();
+        global::set_tracer_provider(provider.clone());
+        provider
+    });
+    Ok(Telemetry {
+        metrics,
+        _logger: logger,
+        traces,
+    })
+}
+
+/// A span of one hop; it ends when the last clone of its context is dropped.
+#[derive(Clone)]
+pub(crate) struct Span(Context);
+
+struct Headers<'a>(&'a HeaderMap);
+
+impl Extractor for Headers<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key).and_then(|value| value.to_str().ok())
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(|name| name.as_str()).collect()
+    }
+}
+
+#[derive(Default)]
+struct Pairs(Vec<(&'static str, String)>);
+
+impl Injector for Pairs {
+    fn set(&mut self, key: &str, value: String) {
+        match key {
+            "traceparent" => self.0.push(("traceparent", value)),
+            "tracestate" if !value.is_empty() => self.0.push(("tracestate", value)),
+            _ => {}
+        }
+    }
+}
+
+const TRACER: &str = "clementinearch";
+
+impl Span {
+    /// The span of a caller's request, a child of the span in its W3C headers.
+    pub(crate) fn start_server(name: &'static str, headers: &HeaderMap) -> Self {
+        let parent = TraceContextPropagator::new().extract(&Headers(headers));
+        Self::start(name, SpanKind::Server, &parent)
+    }
+
+    fn start(name: &'static str, kind: SpanKind, parent: &Context) -> Self {
+        let tracer = global::tracer(TRACER);
+        let span = tracer
+            .span_builder(name)
+            .with_kind(kind)
+            .start_with_context(&tracer, parent);
+        Self(parent.with_span(span))
+    }
+
+    /// The span of a hop within this one.
+    pub(crate) fn child(&self, name: &'static str) -> Self {
+        Self::start(name, SpanKind::Client, &self.0)
+    }
+
+    /// Sets an attribute.
+    pub(crate) fn set(&self, key: &'static str, value: String) {
+        self.0.span().set_attribute(KeyValue::new(key, value));
+    }
+
+    /// W3C headers that carry the span to the next hop.
+    pub(crate) fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut pairs = Pairs::default();
+        TraceContextPropagator::new().inject_context(&self.0, &mut pairs);
+        pairs.0
+    }
+}
--- /dev/null
+++ b/host/src/upstream.rs
@@ -0,0 +1,131 @@
+//! Calls to backend servers over fresh connections, so that "no byte was sent" is certain.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    client::conn::http1::{self, SendRequest},
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection on which no byte was sent yet.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+}
+
+/// Drives the connection; dropping it closes the connection and so cancels the call.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An answer whose body is still to come.
+pub(crate) struct UpstreamAnswer {
+    response: Response<Incoming>,
+    driver: Driver,
+}
+
+/// A stream of body bytes that keeps its connection open.
+pub(crate) type BodyStream = http_body_util::BodyDataStream<Incoming>;
+
+/// Connects to a backend server.
+///
+/// # Errors
+///
+/// Returns why there is no connection; no byte of a request was sent.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let driver = Driver(tokio::spawn(async move {
+        // The caller of `send` meets the error too.
+        let _ = connection.await;
+    }));
+    Ok(Connection { sender, driver })
+}
+
+/// Builds a request with a JSON body.
+///
+/// # Errors
+///
+/// Returns an error if a header value or the path cannot be sent.
+pub(crate) fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, String)],
+    body: Bytes,
+) -> io::Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string());
+    builder = builder.header(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    for (name, value) in headers {
+        builder = builder.header(*name, value);
+    }
+    builder.body(Full::new(body)).map_err(io::Error::other)
+}
+
+impl Connection {
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer; the request may have reached the server.
+    pub(crate) async fn send(mut self, req: Request<Full<Bytes>>) -> io::Result<UpstreamAnswer> {
+        let response = self
+            .sender
+            .send_request(req)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(UpstreamAnswer {
+            response,
+            driver: self.driver,
+        })
+    }
+}
+
+impl UpstreamAnswer {
+    /// HTTP status of the answer.
+    pub(crate) fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// The body as it comes, and the guard that keeps its connection open.
+    pub(crate) fn into_stream(self) -> (BodyStream, impl Drop) {
+        (self.response.into_body().into_data_stream(), self.driver)
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends before the body does.
+    pub(crate) async fn whole_body(self) -> io::Result<Bytes> {
+        let collected = self
+            .response
+            .into_body()
+            .collect()
+            .await
+            .map_err(io::Error::other)?;
+        drop(self.driver);
+        Ok(collected.to_bytes())
+    }
+}
--- /dev/null
+++ b/host/tests/fleet/mod.rs
@@ -0,0 +1,585 @@
+//! A fleet on loopback for tests: each entry host is a process of its own, on an IP of its own.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    missing_docs,
+    reason = "each test file uses its own part of the fleet"
+)]
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use clementinearch_border::{ErrorBody, FleetStatus, HostEntry, HostList, HostRole, HostState};
+use clementinearch_platform::{ItemWrite, write_edit};
+use clementinearch_policy::{names::digest_hex, time::Millis};
+use clementinearch_standins::{memory_store::MemoryStore, store_server};
+use oxhttp::{
+    Client,
+    model::{Body, Request, Response},
+};
+
+/// A hang guard, not a bound: every wait ends long before.
+const HANG_GUARD: Duration = Duration::from_secs(60);
+
+const CALLERS_PORT: u16 = 8080;
+const PEERS_PORT: u16 = 7070;
+const ADMIN_PORT: u16 = 9090;
+const STORE_PORT: u16 = 2379;
+const BACKEND_PORT: u16 = 8000;
+
+/// IPs of the store and of the first host and backend server within a fleet's network.
+const STORE_IP: u8 = 1;
+const FIRST_HOST_IP: u8 = 10;
+const FIRST_BACKEND_IP: u8 = 100;
+
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
+
+/// Waits until `condition` holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < HANG_GUARD, "gave up waiting until {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The present time.
+pub fn now() -> Millis {
+    let elapsed = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap();
+    Millis(elapsed.as_millis() as u64)
+}
+
+/// Path of a program of the workspace that `cargo test --workspace` builds.
+fn program(name: &str) -> PathBuf {
+    let dir = Path::new(env!("CARGO_BIN_EXE_clementinearch"))
+        .parent()
+        .unwrap();
+    let path = dir.join(name);
+    assert!(
+        path.exists(),
+        "{} is not built; run the tests with `cargo test --workspace`",
+        path.display()
+    );
+    path
+}
+
+/// A process that is killed when it goes out of scope.
+pub struct Process(pub Child);
+
+impl Process {
+    fn start(name: &str, args: &[String]) -> Self {
+        let log = std::env::var_os("SHOW_LOGS").map_or_else(Stdio::null, |_| Stdio::inherit());
+        let child = Command::new(program(name))
+            .args(args)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        Self(child.unwrap())
+    }
+
+    /// Sends a signal by name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.0.id().to_string()])
+            .status();
+        assert!(status.unwrap().success(), "cannot send {name}");
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> bool {
+        self.0.wait().unwrap().success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// An entry host process.
+pub struct EntryHost {
+    pub process: Process,
+    pub name: String,
+    pub zone: String,
+    pub ip: IpAddr,
+}
+
+impl EntryHost {
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    pub fn admin(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, ADMIN_PORT)
+    }
+
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEERS_PORT)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        try_get(self.admin(), "/readyz").is_some_and(|(status, _)| status == 200)
+    }
+
+    pub fn status(&self) -> Option<FleetStatus> {
+        let (_, text) = try_get(self.admin(), "/status")?;
+        serde_json::from_str(&text).ok()
+    }
+
+    /// Revision that the host says it applies.
+    pub fn revision(&self) -> Option<u64> {
+        let status = self.status()?;
+        status
+            .hosts
+            .iter()
+            .find(|host| host.host == self.name)?
+            .revision
+    }
+
+    /// A counter's value summed over its labels.
+    pub fn counter(&self, name: &str) -> u64 {
+        let (_, text) = try_get(self.admin(), "/metrics").unwrap_or_default();
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum::<f64>() as u64
+    }
+}
+
+/// An answer read to its end.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
+    }
+
+    pub fn error(&self) -> clementinearch_border::ErrorDetail {
+        let body: ErrorBody =
+            serde_json::from_str(&self.text).unwrap_or_else(|e| panic!("{e}: {self:?}"));
+        body.error
+    }
+
+    /// The concatenated content of a whole or streamed answer.
+    pub fn content(&self) -> String {
+        if let Ok(answer) = serde_json::from_str::<clementinearch_border::ChatAnswer>(&self.text) {
+            return answer.choices[0].message.content.clone();
+        }
+        let data = self
+            .text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let chunks = data
+            .filter_map(|data| serde_json::from_str::<clementinearch_border::ChatChunk>(data).ok());
+        chunks
+            .map(|chunk| chunk.choices[0].delta.content.clone())
+            .collect()
+    }
+
+    /// Whether a streamed answer has its end marker.
+    pub fn is_whole(&self) -> bool {
+        self.status == 200 && self.text.ends_with("data: [DONE]\n\n")
+    }
+}
+
+/// Sends a request and returns the answer with its body still to come.
+pub fn open(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<Response<Body>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let req = builder.body(Body::from(body.to_owned())).unwrap();
+    Client::new().with_global_timeout(HANG_GUARD).request(req)
+}
+
+/// Sends a request and reads the whole answer.
+pub fn send(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<Answer> {
+    let response = open(method, address, path, headers, body)?;
+    let status = response.status().as_u16();
+    let pair = |(name, value): (&oxhttp::model::HeaderName, &oxhttp::model::HeaderValue)| {
+        (
+            name.to_string(),
+            value.to_str().unwrap_or_default().to_owned(),
+        )
+    };
+    let headers = response.headers().iter().map(pair).collect();
+    let text = response.into_body().to_string()?;
+    Ok(Answer {
+        status,
+        headers,
+        text,
+    })
+}
+
+pub fn try_get(address: SocketAddr, path: &str) -> Option<(u16, String)> {
+    TcpStream::connect_timeout(&address, HANG_GUARD).ok()?;
+    let answer = send("GET", address, path, &[], "").ok()?;
+    Some((answer.status, answer.text))
+}
+
+/// A chat request of `tokens` tokens.
+pub fn chat_body(prompt: &str, tokens: u32, stream: bool) -> String {
+    format!(
+        r#"{{"model":"review","stream":{stream},"max_tokens":{tokens},"messages":[{{"role":"user","content":"{prompt}"}}]}}"#
+    )
+}
+
+/// Sends a chat request.
+pub fn chat(host: &EntryHost, key: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    let authorization = format!("Bearer {key}");
+    let mut all = vec![("authorization", authorization.as_str())];
+    all.extend_from_slice(headers);
+    send("POST", host.callers(), "/v1/chat/completions", &all, body).unwrap()
+}
+
+/// Calls a plain service.
+pub fn call(
+    host: &EntryHost,
+    key: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let authorization = format!("Bearer {key}");
+    let mut all = vec![("authorization", authorization.as_str())];
+    all.extend_from_slice(headers);
+    send(
+        "POST",
+        host.callers(),
+        &format!("/services/{path}"),
+        &all,
+        body,
+    )
+    .unwrap()
+}
+
+/// A plan with one account, named like its key.
+pub fn plan(key: &str, versions: &[&str]) -> String {
+    let digest = digest_hex(key.as_bytes());
+    let versions: Vec<String> = versions
+        .iter()
+        .map(|version| format!("\"{version}\""))
+        .collect();
+    format!(
+        "services = [\"queue\"]\n[[account]]\nname = \"{key}\"\nkey_sha256 = \"{digest}\"\n\
+         [[allow]]\nmodel = \"review\"\nversions = [{}]\n",
+        versions.join(", ")
+    )
+}
+
+/// The model `review` with versions in the states given.
+pub fn model(versions: &[(&str, &str)]) -> String {
+    let version = |(name, state): &(&str, &str)| {
+        let (state, share) = state.split_once(' ').unwrap_or((state, "0"));
+        format!("[[version]]\nname = \"{name}\"\nstate = \"{state}\"\nshare_percent = {share}\n")
+    };
+    format!(
+        "pool = \"reviewers\"\n{}",
+        versions.iter().map(version).collect::<String>()
+    )
+}
+
+/// A fleet under test.
+pub struct Fleet {
+    network: (u8, u8),
+    pub store: Arc<MemoryStore>,
+    pub hosts: Vec<EntryHost>,
+    pub backends: Vec<(HostEntry, Option<Process>)>,
+    listed_hosts: Vec<HostEntry>,
+    next_edit: u32,
+    settings: String,
+}
+
+impl Fleet {
+    /// A store with no host yet.
+    pub fn new() -> Self {
+        let fleet = Self::without_store();
+        store_server::serve(fleet.store.clone(), fleet.store_address()).unwrap();
+        fleet
+    }
+
+    /// A fleet whose store is started by the test.
+    pub fn without_store() -> Self {
+        const FLEETS_PER_PROCESS: u32 = 32;
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        assert!(
+            u32::from(number) < FLEETS_PER_PROCESS,
+            "too many fleets in one process"
+        );
+        let network = std::process::id() * FLEETS_PER_PROCESS + u32::from(number);
+        Self {
+            network: (16 + (network / 256 % 200) as u8, (network % 256) as u8),
+            store: Arc::new(MemoryStore::new()),
+            hosts: Vec::new(),
+            backends: Vec::new(),
+            listed_hosts: Vec::new(),
+            next_edit: 0,
+            settings: String::new(),
+        }
+    }
+
+    /// Adds lines to the top of each host's settings file, such as a `[pools]` table.
+    pub fn with_settings(mut self, settings: &str) -> Self {
+        self.settings = settings.to_owned();
+        self
+    }
+
+    fn ip(&self, number: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.network.0, self.network.1, number))
+    }
+
+    pub fn store_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(STORE_IP), STORE_PORT)
+    }
+
+    /// Starts the store as a process of its own.
+    pub fn start_store_process(&self) -> Process {
+        let address = self.store_address();
+        let process = Process::start(
+            "examples/store",
+            &["--address".to_owned(), address.to_string()],
+        );
+        wait_until("the store listens", || TcpStream::connect(address).is_ok());
+        process
+    }
+
+    /// Hosts and backend servers for the host list.
+    pub fn host_list(&self) -> HostList {
+        let backends = self.backends.iter().map(|(entry, _)| entry.clone());
+        HostList {
+            hosts: self.listed_hosts.iter().cloned().chain(backends).collect(),
+        }
+    }
+
+    /// Writes the host list straight into the store.
+    pub fn list_hosts(&self) {
+        self.store.set_hosts(self.host_list());
+    }
+
+    /// Starts a backend server, `examples/engine` or `examples/service`.
+    pub fn start_backend(&mut self, kind: &str, pool: &str, zone: &str, args: &[&str]) -> usize {
+        let number = self.backends.len();
+        let address = SocketAddr::new(self.ip(FIRST_BACKEND_IP + number as u8), BACKEND_PORT);
+        let mut all = vec!["--address".to_owned(), address.to_string()];
+        all.extend(args.iter().map(|arg| (*arg).to_owned()));
+        let process = Process::start(&format!("examples/{kind}"), &all);
+        let entry = HostEntry {
+            name: format!("{kind}-{number}"),
+            role: HostRole::Backend,
+            zone: zone.to_owned(),
+            address: address.to_string(),
+            pool: pool.to_owned(),
+            state: HostState::Live,
+        };
+        self.backends.push((entry, Some(process)));
+        wait_until("the backend server listens", || {
+            TcpStream::connect(address).is_ok()
+        });
+        number
+    }
+
+    pub fn engine(&mut self, zone: &str, versions: &[&str]) -> usize {
+        let args: Vec<String> = versions
+            .iter()
+            .map(|version| format!("review@{version}"))
+            .collect();
+        let args: Vec<&str> = args
+            .iter()
+            .flat_map(|version| ["--version", version.as_str()])
+            .collect();
+        self.start_backend("engine", "reviewers", zone, &args)
+    }
+
+    pub fn service(&mut self, zone: &str, args: &[&str]) -> usize {
+        self.start_backend("service", "queue", zone, args)
+    }
+
+    pub fn backend_address(&self, number: usize) -> SocketAddr {
+        self.backends[number].0.address.parse().unwrap()
+    }
+
+    /// Switches faults of a backend server, such as `cut_after=3`.
+    pub fn fault(&self, number: usize, query: &str) {
+        send(
+            "PUT",
+            self.backend_address(number),
+            &format!("/test/faults?{query}"),
+            &[],
+            "",
+        )
+        .unwrap();
+    }
+
+    /// Lines of a backend server's log.
+    pub fn log(&self, number: usize) -> Vec<String> {
+        let (_, text) = try_get(self.backend_address(number), "/test/log").unwrap();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    pub fn kill_backend(&mut self, number: usize) {
+        self.backends[number].1 = None;
+    }
+
+    /// Starts an entry host without waiting for it. Restarting a name gives the same addresses.
+    pub fn start_host(&mut self, name: &str, zone: &str) -> usize {
+        let number = self
+            .listed_hosts
+            .iter()
+            .position(|host| host.name == name)
+            .unwrap_or(self.listed_hosts.len());
+        let ip = self.ip(FIRST_HOST_IP + number as u8);
+        if number == self.listed_hosts.len() {
+            self.listed_hosts.push(HostEntry {
+                name: name.to_owned(),
+                role: HostRole::Entry,
+                zone: zone.to_owned(),
+                address: SocketAddr::new(ip, PEERS_PORT).to_string(),
+                pool: String::new(),
+                state: HostState::Live,
+            });
+        }
+        let settings = self.write_settings(name, zone, ip);
+        let args = [
+            "serve".to_owned(),
+            "--settings".to_owned(),
+            settings.display().to_string(),
+        ];
+        let process = Process::start("clementinearch", &args);
+        let host = EntryHost {
+            process,
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            ip,
+        };
+        if number < self.hosts.len() {
+            self.hosts[number] = host;
+        } else {
+            self.hosts.push(host);
+        }
+        number
+    }
+
+    fn write_settings(&self, name: &str, zone: &str, ip: IpAddr) -> PathBuf {
+        let seeds: Vec<String> = self
+            .listed_hosts
+            .iter()
+            .map(|host| format!("\"{}\"", host.address))
+            .collect();
+        let text = format!(
+            "name = \"{name}\"\nzone = \"{zone}\"\nsession_secret = \"a secret of the test fleet\"\nseeds = [{}]\n\
+             [listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\n\
+             [store]\naddress = \"{}\"\n\
+             [limits]\ngossip_period_ms = 50\nledger_period_ms = 100\ndrain_notice_ms = 100\n{}\n",
+            seeds.join(", "),
+            self.store_address(),
+            self.settings
+        );
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let path = dir.join(format!("{}-{}-{name}.toml", self.network.0, self.network.1));
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Starts entry hosts named `zone-N`, lists them and waits until each is ready.
+    pub fn start_hosts(&mut self, zones: &[&str]) {
+        for (number, zone) in zones.iter().enumerate() {
+            self.start_host(&format!("{zone}-{number}"), zone);
+        }
+        self.list_hosts();
+        for host in &self.hosts {
+            wait_until("the host is ready", || host.is_ready());
+        }
+    }
+
+    /// Writes items as one accepted edit and returns its revision.
+    pub fn edit(&mut self, items: &[(&str, &str)]) -> u64 {
+        let write = |(item, text): &(&str, &str)| ItemWrite {
+            item: (*item).to_owned(),
+            text: Some((*text).to_owned()),
+            expected: None,
+        };
+        let writes: Vec<ItemWrite> = items.iter().map(write).collect();
+        self.next_edit += 1;
+        let outcome = write_edit(
+            &*self.store,
+            &format!("edit-{}", self.next_edit),
+            &writes,
+            now(),
+        )
+        .unwrap();
+        match outcome {
+            clementinearch_platform::EditOutcome::Accepted { revision } => revision,
+            other => panic!("edit was not accepted: {other:?}"),
+        }
+    }
+
+    /// Waits until each running host says that it applies `revision`.
+    pub fn wait_in_force(&self, revision: u64) {
+        for host in &self.hosts {
+            wait_until("the revision is in force", || {
+                host.revision() == Some(revision)
+            });
+        }
+    }
+
+    /// Waits until a chat request of this key succeeds at the host.
+    pub fn wait_serving(&self, host: usize, key: &str) {
+        let body = chat_body("warm up", 1, false);
+        wait_until("the host reaches an engine", || {
+            chat(&self.hosts[host], key, &[], &body).status == 200
+        });
+    }
+
+    /// Runs the operators' command.
+    pub fn clemctl(&self, args: &[&str]) -> Output {
+        Command::new(program("clemctl"))
+            .args(args)
+            .output()
+            .unwrap()
+    }
+}
+
+/// Reads a streamed answer line by line.
+pub fn lines(response: Response<Body>) -> impl Iterator<Item = String> {
+    BufReader::new(response.into_body())
+        .lines()
+        .map_while(Result::ok)
+}
--- /dev/null
+++ b/host/tests/whole_path.rs
@@ -0,0 +1,99 @@
+//! One request from a caller to a model engine and back, every part a process of its own.
+
+mod fleet;
+
+use std::{fs, path::PathBuf};
+
+use clementinearch_standins::engine::whole_answer;
+use fleet::{Fleet, chat, chat_body, model, plan, send, wait_until};
+
+/// Writes lists for the operators' command.
+fn write_lists(name: &str, items: &[(&str, String)]) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    for (item, text) in items {
+        let path = dir.join(format!("{item}.toml"));
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, text).unwrap();
+    }
+    dir
+}
+
+#[test]
+fn operators_lists_decide_where_requests_run() {
+    let mut fleet = Fleet::without_store();
+    let _store = fleet.start_store_process();
+    fleet.engine("north", &["v1"]);
+    fleet.engine("south", &["v2"]);
+    fleet.service("north", &[]);
+    fleet.start_host("north-0", "north");
+    fleet.start_host("south-1", "south");
+    let list = serde_json::to_string(&fleet.host_list()).unwrap();
+    send("PUT", fleet.store_address(), "/hosts", &[], &list).unwrap();
+
+    let both = [("v1", "established"), ("v2", "established")];
+    let lists = write_lists(
+        "whole-path-lists",
+        &[
+            ("model/review", model(&both)),
+            ("service/queue", "pool = \"queue\"\n".to_owned()),
+            ("plan/one", plan("key-one", &["v1"])),
+            ("plan/two", plan("key-two", &["v2"])),
+        ],
+    );
+    let lists = lists.display().to_string();
+    let store = fleet.store_address().to_string();
+    let applied = fleet.clemctl(&["apply", &lists, "--store", &store]);
+    assert!(applied.status.success(), "{applied:?}");
+
+    for host in &fleet.hosts {
+        wait_until("the host is ready", || host.is_ready());
+        for (key, version) in [("key-one", "v1"), ("key-two", "v2")] {
+            let body = chat_body("side A", 5, true);
+            wait_until("an engine is known", || {
+                chat(host, key, &[], &body).status == 200
+            });
+            let answer = chat(host, key, &[], &body);
+            assert!(answer.is_whole(), "{answer:?}");
+            assert_eq!(
+                answer.header("x-model-version"),
+                format!("review@{version}")
+            );
+            assert_eq!(
+                answer.content(),
+                whole_answer(&format!("review@{version}"), "side A", 5)
+            );
+        }
+        let call = [("authorization", "Bearer key-one")];
+        let status = send("GET", host.callers(), "/services/queue/jobs/7", &call, "").unwrap();
+        assert_eq!(status.status, 200, "{status:?}");
+    }
+
+    let withdrawn = [("v1", "withdrawn"), ("v2", "established")];
+    write_lists("whole-path-lists", &[("model/review", model(&withdrawn))]);
+    let applied = fleet.clemctl(&["apply", &lists, "--store", &store, "--json"]);
+    assert!(
+        String::from_utf8_lossy(&applied.stdout).contains("\"revision\":2"),
+        "{applied:?}"
+    );
+    let admin = fleet.hosts[0].admin().to_string();
+    wait_until("the withdrawal is in force", || {
+        fleet
+            .clemctl(&["status", "--host", &admin])
+            .status
+            .success()
+    });
+    let starts_before = fleet.log(0).len();
+    for host in &fleet.hosts {
+        let refused = chat(host, "key-one", &[], &chat_body("side A", 5, true));
+        assert_eq!(
+            (refused.status, refused.error().code.as_str()),
+            (409, "no_version")
+        );
+        assert_eq!(refused.error().run, clementinearch_border::RunState::NotRun);
+    }
+    assert_eq!(
+        fleet.log(0).len(),
+        starts_before,
+        "a withdrawn version got new work"
+    );
+}
--- /dev/null
+++ b/policy/src/choose.rs
@@ -0,0 +1,121 @@
+//! Which version of a model a request runs on.
+
+use derive_more::{Display, Error};
+
+use crate::{
+    model::{Model, Version, VersionState},
+    names::{Name, rendezvous, stable_hash},
+    plan::Plan,
+};
+
+/// Why no version can take the request. In each case it was not run.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum ChooseError {
+    /// The plan does not allow the model, or not the version that was asked for.
+    #[display("the plan does not allow this model or version")]
+    NotInPlan,
+    /// Every allowed version is draining or withdrawn.
+    #[display("no version of the model that the plan allows takes new work")]
+    NoVersion,
+    /// The session's version was withdrawn.
+    #[display("the session's version was withdrawn; begin a new session")]
+    SessionWithdrawn,
+    /// Only a version in roll-out fits, and the host's configuration is too old to serve one.
+    #[display(
+        "this host has not heard of the configuration for too long to serve a version in roll-out"
+    )]
+    StaleView,
+}
+
+/// What a decision on versions needs to know.
+#[derive(Clone, Copy, Debug)]
+pub struct VersionQuery<'a> {
+    /// Name of the model.
+    pub model_name: &'a str,
+    /// The model.
+    pub model: &'a Model,
+    /// The account's plan.
+    pub plan: &'a Plan,
+    /// Whether the host heard of the newest configuration recently.
+    pub view_is_fresh: bool,
+}
+
+/// Version of a session's first request: a pure function of the session and the configuration,
+/// so that two hosts that see the session at the same moment agree.
+///
+/// Each version in roll-out owns a fixed part of the hash range, so that a changed share moves
+/// only the sessions of the difference.
+///
+/// # Errors
+///
+/// Returns why no version fits.
+pub fn choose_version(
+    query: &VersionQuery<'_>,
+    wanted: Option<&str>,
+    session: &str,
+) -> Result<Name, ChooseError> {
+    let allowed = |version: &&Version| {
+        let is_wanted = wanted.is_none_or(|wanted| wanted == &*version.name);
+        is_wanted && query.plan.allows(query.model_name, &version.name)
+    };
+    let candidates: Vec<&Version> = query.model.versions.iter().filter(allowed).collect();
+    if candidates.is_empty() {
+        return Err(ChooseError::NotInPlan);
+    }
+    let in_state = |state: VersionState| {
+        candidates
+            .iter()
+            .filter(move |version| version.state == state)
+    };
+    let established: Vec<Name> = in_state(VersionState::Established)
+        .map(|version| version.name.clone())
+        .collect();
+    let rollout: Vec<&Version> = in_state(VersionState::Rollout).copied().collect();
+    if established.is_empty() && rollout.is_empty() {
+        return Err(ChooseError::NoVersion);
+    }
+    let key = format!("{}/{session}", query.model_name);
+    if query.view_is_fresh {
+        let chosen = rollout_owner(&rollout, &key);
+        if let Some(version) = chosen {
+            return Ok(version);
+        }
+        if established.is_empty() {
+            let names: Vec<Name> = rollout.iter().map(|version| version.name.clone()).collect();
+            return rendezvous(&key, names.iter(), 1)
+                .pop()
+                .ok_or(ChooseError::NoVersion);
+        }
+    }
+    rendezvous(&key, established.iter(), 1)
+        .pop()
+        .ok_or(ChooseError::StaleView)
+}
+
+/// The version in roll-out whose part of the hash range holds `key`.
+fn rollout_owner(rollout: &[&Version], key: &str) -> Option<Name> {
+    for version in rollout {
+        // Each version hashes for itself: a share that changes leaves the others alone.
+        let percent = stable_hash(&[key, &version.name]) % 100;
+        if percent < u64::from(version.share_percent) {
+            return Some(version.name.clone());
+        }
+    }
+    None
+}
+
+/// Checks that a session may go on with the version that it began on.
+///
+/// # Errors
+///
+/// Returns why it may not; the session never changes its version silently.
+pub fn keep_version(query: &VersionQuery<'_>, version: &str) -> Result<(), ChooseError> {
+    if !query.plan.allows(query.model_name, version) {
+        return Err(ChooseError::NotInPlan);
+    }
+    match query.model.version(version).map(|version| version.state) {
+        None | Some(VersionState::Withdrawn) => Err(ChooseError::SessionWithdrawn),
+        Some(VersionState::Rollout) if !query.view_is_fresh => Err(ChooseError::StaleView),
+        Some(_) => Ok(()),
+    }
+}
--- /dev/null
+++ b/policy/src/findings.rs
@@ -0,0 +1,87 @@
+//! Findings: everything wrong with an input, each with its place, reported together.
+
+use std::fmt;
+
+use derive_more::Error;
+
+/// Where a finding was met.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// File or store key.
+    pub source: String,
+    /// Line, counted from one; zero if the finding concerns the whole source.
+    pub line: usize,
+    /// Dotted path of the field, such as `version[1].state`; may be empty.
+    pub field: String,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.source)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, ": {}", self.field)?;
+        }
+        Ok(())
+    }
+}
+
+/// One thing that is wrong with an input.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Where it stands.
+    pub place: Place,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+/// All findings of one reading.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Error)]
+pub struct Findings(#[error(not(source))] pub Vec<Finding>);
+
+impl Findings {
+    /// Adds a finding that concerns a whole source.
+    pub fn add(&mut self, source: &str, message: impl Into<String>) {
+        let place = Place {
+            source: source.to_owned(),
+            ..Place::default()
+        };
+        self.0.push(Finding {
+            place,
+            message: message.into(),
+        });
+    }
+
+    /// `value` if nothing was found, else the findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns `self` if it holds a finding.
+    pub fn or<T>(self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/policy/src/lib.rs
@@ -0,0 +1,22 @@
+//! Pure decisions of the router.
+//!
+//! Nothing here opens a socket, reads a clock or starts a thread: the present
+//! time and the random source are arguments, so that each decision can be
+//! tested and measured alone.
+
+pub mod backend;
+pub mod catalogue;
+pub mod choose;
+pub mod claim;
+pub mod findings;
+pub mod head;
+pub mod ledger;
+pub mod member;
+pub mod model;
+pub mod names;
+pub mod plan;
+pub mod request_id;
+pub mod retry;
+pub mod session;
+pub mod time;
+pub mod toml_reader;
--- /dev/null
+++ b/policy/src/model.rs
@@ -0,0 +1,128 @@
+//! Models, their versions and the state of each roll-out.
+
+use crate::{
+    findings::Findings,
+    names::Name,
+    plan::report_repeated,
+    toml_reader::{Table, read_document},
+};
+
+/// Where a version stands between its first request and its last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionState {
+    /// Takes a share of new sessions, and only while the host's view is fresh.
+    Rollout,
+    /// Takes new sessions.
+    Established,
+    /// Takes no new session; sessions that began on it finish.
+    Draining,
+    /// Takes no new work at all, not even of its own sessions.
+    Withdrawn,
+}
+
+/// One version of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Version {
+    /// Name of the version.
+    pub name: Name,
+    /// Stage of the roll-out.
+    pub state: VersionState,
+    /// Share of new sessions while in roll-out, percent.
+    pub share_percent: u32,
+    /// Cost of a thousand generated tokens, in millionths of the currency.
+    pub cost_per_thousand: u64,
+}
+
+/// One model with its versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Pool of the backend servers that run it.
+    pub pool: Name,
+    /// Versions, in the order of the list.
+    pub versions: Vec<Version>,
+}
+
+impl Model {
+    /// Reads a model from TOML; `source` names the file or key in findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its line and field.
+    pub fn parse(source: &str, text: &str) -> Result<Self, Findings> {
+        read_document(source, text, |table| {
+            let pool = table.required_name("pool");
+            let versions = table.tables("version", read_version);
+            if versions.is_empty() {
+                table.report("version", "needs at least one version");
+            }
+            report_repeated(
+                table,
+                "version",
+                versions.iter().map(|version| &version.name),
+            );
+            let shares: u32 = versions.iter().map(|version| version.share_percent).sum();
+            if shares > 100 {
+                table.report("version", format!("shares add up to {shares} percent"));
+            }
+            Self { pool, versions }
+        })
+    }
+
+    /// The version of this name, if the model has it.
+    pub fn version(&self, name: &str) -> Option<&Version> {
+        self.versions.iter().find(|version| &*version.name == name)
+    }
+}
+
+fn read_version(table: &mut Table<'_>) -> Version {
+    let name = table.required_name("name");
+    let state = table
+        .required("state", parse_state)
+        .unwrap_or(VersionState::Withdrawn);
+    let share_percent = table.number("share_percent", 0..=100, 0) as u32;
+    if share_percent > 0 && state != VersionState::Rollout {
+        table.report(
+            "share_percent",
+            "only a version in state `rollout` has a share",
+        );
+    }
+    let cost_per_thousand = table.number("cost_per_thousand", 0..=1_000_000_000, 0);
+    Version {
+        name,
+        state,
+        share_percent,
+        cost_per_thousand,
+    }
+}
+
+fn parse_state(text: &str) -> Result<VersionState, String> {
+    match text {
+        "rollout" => Ok(VersionState::Rollout),
+        "established" => Ok(VersionState::Established),
+        "draining" => Ok(VersionState::Draining),
+        "withdrawn" => Ok(VersionState::Withdrawn),
+        _ => Err(format!(
+            "`{text}` is none of rollout, established, draining, withdrawn"
+        )),
+    }
+}
+
+/// A plain service beside the model engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Pool of the backend servers that run it.
+    pub pool: Name,
+}
+
+impl Service {
+    /// Reads a service from TOML; `source` names the file or key in findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its line and field.
+    pub fn parse(source: &str, text: &str) -> Result<Self, Findings> {
+        read_document(source, text, |table| Self {
+            pool: table.required_name("pool"),
+        })
+    }
+}
--- /dev/null
+++ b/policy/src/names.rs
@@ -0,0 +1,60 @@
+//! Shared names, digests and the hash maps keyed by them.
+
+use std::{hash::Hasher, sync::Arc};
+
+use sha2::{Digest, Sha256};
+
+/// A shared immutable name.
+pub type Name = Arc<str>;
+
+/// Hash map with a fast, not attack-resistant hasher; never keyed by raw caller input.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with the same hasher as [`FastMap`].
+pub type FastSet<K> = rustc_hash::FxHashSet<K>;
+
+/// SHA-256 of `bytes` in lower-case hexadecimal.
+pub fn digest_hex(bytes: &[u8]) -> String {
+    let digest = Sha256::digest(bytes);
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// A 64-bit hash of `parts` that is the same on every host.
+pub fn stable_hash(parts: &[&str]) -> u64 {
+    let mut digest = Sha256::new();
+    for part in parts {
+        digest.update((part.len() as u64).to_le_bytes());
+        digest.update(part.as_bytes());
+    }
+    let bytes = digest.finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&bytes[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// A cheap 64-bit hash that agrees between hosts of one release.
+pub fn fast_hash(text: &str) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+/// The `count` candidates that rank highest for `key` (rendezvous hashing).
+///
+/// Hosts that know the same candidates agree on the result, and one candidate
+/// more or less moves only the keys that it gains or loses.
+pub fn rendezvous<'a>(
+    key: &str,
+    candidates: impl Iterator<Item = &'a Name>,
+    count: usize,
+) -> Vec<Name> {
+    let mut ranked: Vec<(u64, &Name)> = candidates
+        .map(|name| (stable_hash(&[key, name]), name))
+        .collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, name)| name.clone())
+        .collect()
+}
--- /dev/null
+++ b/policy/src/plan.rs
@@ -0,0 +1,127 @@
+//! Customers' plans: who is on a plan and what it may use.
+
+use crate::{
+    findings::Findings,
+    names::Name,
+    toml_reader::{Table, parse_name, read_document},
+};
+
+/// A client account of a plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Name of the client account.
+    pub name: Name,
+    /// SHA-256 of the account's key, lower-case hexadecimal.
+    pub key_sha256: Name,
+    /// Weight of the account's fair share.
+    pub weight: u32,
+}
+
+/// A model and its versions that a plan may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AllowedModel {
+    /// Name of the model.
+    pub model: Name,
+    /// Versions of it.
+    pub versions: Vec<Name>,
+}
+
+/// One customers' plan.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Client accounts on the plan.
+    pub accounts: Vec<Account>,
+    /// Models and versions that the plan may use.
+    pub models: Vec<AllowedModel>,
+    /// Plain services that the plan may call.
+    pub services: Vec<Name>,
+}
+
+impl Plan {
+    /// Reads a plan from TOML; `source` names the file or key in findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its line and field.
+    pub fn parse(source: &str, text: &str) -> Result<Self, Findings> {
+        read_document(source, text, |table| {
+            let accounts = table.tables("account", read_account);
+            let models = table.tables("allow", read_allowed);
+            let services = table.names("services");
+            report_repeated(
+                table,
+                "account",
+                accounts.iter().map(|account| &account.name),
+            );
+            report_repeated(table, "allow", models.iter().map(|allowed| &allowed.model));
+            Self {
+                accounts,
+                models,
+                services,
+            }
+        })
+    }
+
+    /// Whether the plan allows this model and version.
+    pub fn allows(&self, model: &str, version: &str) -> bool {
+        let allowed = self.models.iter().find(|allowed| &*allowed.model == model);
+        allowed.is_some_and(|allowed| allowed.versions.iter().any(|name| &**name == version))
+    }
+}
+
+fn read_account(table: &mut Table<'_>) -> Account {
+    Account {
+        name: table.required_name("name"),
+        key_sha256: table
+            .required("key_sha256", parse_key_digest)
+            .unwrap_or_else(|| "".into()),
+        weight: table.number("weight", 1..=1_000, 1) as u32,
+    }
+}
+
+fn read_allowed(table: &mut Table<'_>) -> AllowedModel {
+    let model = table.required_name("model");
+    let versions = table.names("versions");
+    if versions.is_empty() {
+        table.report("versions", "needs at least one version");
+    }
+    report_repeated(table, "versions", versions.iter());
+    AllowedModel { model, versions }
+}
+
+fn parse_key_digest(text: &str) -> Result<Name, String> {
+    const HEX_DIGITS: usize = 64;
+    let lower_hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if text.len() != HEX_DIGITS || !text.chars().all(lower_hex) {
+        // The text is left out: it may be a key pasted by mistake.
+        return Err("expected a SHA-256 in 64 lower-case hexadecimal digits".to_owned());
+    }
+    Ok(text.into())
+}
+
+/// Reports each name that stands more than once.
+pub(crate) fn report_repeated<'a>(
+    table: &Table<'_>,
+    field: &str,
+    names: impl Iterator<Item = &'a Name>,
+) {
+    let mut seen: Vec<&Name> = Vec::new();
+    for name in names {
+        if seen.contains(&name) {
+            table.report(field, format!("`{name}` stands more than once"));
+        }
+        seen.push(name);
+    }
+}
+
+/// Splits `model@version`; the version is absent in a plain model name.
+///
+/// # Errors
+///
+/// Returns a message if either part is not a name.
+pub fn parse_model_reference(text: &str) -> Result<(Name, Option<Name>), String> {
+    match text.split_once('@') {
+        None => Ok((parse_name(text)?, None)),
+        Some((model, version)) => Ok((parse_name(model)?, Some(parse_name(version)?))),
+    }
+}
--- /dev/null
+++ b/standins/src/memory_store.rs
@@ -0,0 +1,235 @@
+//! Key-value service in memory, with the faults of the real one.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use clementinearch_border::HostList;
+use clementinearch_platform::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
+use clementinearch_policy::names::FastMap;
+use parking_lot::{Condvar, Mutex};
+
+/// Largest value that the service holds, bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Faults that a test switches on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// No call is answered and none takes effect.
+    pub down: bool,
+    /// Each answer takes this long.
+    pub delay: Duration,
+    /// This many writes take effect and lose their answer.
+    pub lose_answers: u32,
+    /// Reads of a key answer the value before its newest one.
+    pub stale: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    current: Versioned,
+    previous: Option<Versioned>,
+    expires: Option<Instant>,
+}
+
+/// Calls by caller and purpose.
+pub type CallCounts = BTreeMap<(String, String), u64>;
+
+#[derive(Default)]
+struct State {
+    entries: FastMap<String, Entry>,
+    /// Highest version that a deleted or expired key had: versions never repeat.
+    versions: FastMap<String, u64>,
+    hosts: Option<HostList>,
+    faults: Faults,
+    counts: CallCounts,
+}
+
+/// The service; share it by reference or `Arc`.
+#[derive(Default)]
+pub struct MemoryStore {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl MemoryStore {
+    /// An empty service without faults.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Switches faults on or off.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+        self.changed.notify_all();
+    }
+
+    /// Faults that are on.
+    pub fn faults(&self) -> Faults {
+        self.state.lock().faults.clone()
+    }
+
+    /// Sets the host list.
+    pub fn set_hosts(&self, hosts: HostList) {
+        self.state.lock().hosts = Some(hosts);
+    }
+
+    /// Counts one call; a waiting watch is one.
+    pub fn count(&self, caller: &str, purpose: &str) {
+        let key = (caller.to_owned(), purpose.to_owned());
+        *self.state.lock().counts.entry(key).or_default() += 1;
+    }
+
+    /// Calls counted so far.
+    pub fn counts(&self) -> CallCounts {
+        self.state.lock().counts.clone()
+    }
+
+    /// All keys that begin with `prefix` and their values, sorted, whatever the faults.
+    pub fn dump(&self, prefix: &str) -> Vec<(String, String)> {
+        let state = self.state.lock();
+        let found = state
+            .entries
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let mut values: Vec<_> = found
+            .map(|(key, entry)| (key.clone(), entry.current.value.clone()))
+            .collect();
+        values.sort();
+        values
+    }
+
+    /// Overwrites a key without compare-and-swap, as a careless operator would.
+    pub fn overwrite(&self, key: &str, value: &str) {
+        let mut state = self.state.lock();
+        state.write(key, value, None);
+        self.changed.notify_all();
+    }
+
+    fn check_faults(&self) -> Result<(), StoreError> {
+        let faults = self.faults();
+        if faults.delay > Duration::ZERO {
+            std::thread::sleep(faults.delay);
+        }
+        if faults.down {
+            return Err(StoreError::NotReached {
+                reason: "stand-in is down".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn live(&mut self, key: &str) -> Option<&Entry> {
+        let expired = self
+            .entries
+            .get(key)
+            .is_some_and(|entry| entry.expires.is_some_and(|at| at <= Instant::now()));
+        if expired && let Some(entry) = self.entries.remove(key) {
+            self.versions.insert(key.to_owned(), entry.current.version);
+        }
+        self.entries.get(key)
+    }
+
+    fn write(&mut self, key: &str, value: &str, ttl: Option<Duration>) -> u64 {
+        let previous = self.live(key).map(|entry| entry.current.clone());
+        let last = previous.as_ref().map(|previous| previous.version);
+        let version = 1 + last
+            .or_else(|| self.versions.get(key).copied())
+            .unwrap_or(0);
+        let current = Versioned {
+            version,
+            value: value.to_owned(),
+        };
+        let expires = ttl.map(|ttl| Instant::now() + ttl);
+        self.entries.insert(
+            key.to_owned(),
+            Entry {
+                current,
+                previous,
+                expires,
+            },
+        );
+        version
+    }
+}
+
+impl Store for MemoryStore {
+    fn get(&self, key: &str, _: Purpose) -> Result<Option<Versioned>, StoreError> {
+        self.check_faults()?;
+        let mut state = self.state.lock();
+        let stale = state.faults.stale;
+        let entry = state.live(key);
+        Ok(entry.map(|entry| match &entry.previous {
+            Some(previous) if stale => previous.clone(),
+            _ => entry.current.clone(),
+        }))
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+        _: Purpose,
+    ) -> Result<Option<Versioned>, StoreError> {
+        self.check_faults()?;
+        let deadline = Instant::now() + wait;
+        let mut state = self.state.lock();
+        loop {
+            if state.faults.down {
+                return Err(StoreError::NotReached {
+                    reason: "stand-in is down".to_owned(),
+                });
+            }
+            if let Some(entry) = state.live(key)
+                && entry.current.version > after
+            {
+                return Ok(Some(entry.current.clone()));
+            }
+            if self.changed.wait_until(&mut state, deadline).timed_out() {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        expected: u64,
+        value: &str,
+        ttl: Option<Duration>,
+        _: Purpose,
+    ) -> Result<PutOutcome, StoreError> {
+        self.check_faults()?;
+        if value.len() > MAX_VALUE_BYTES {
+            let reason = format!("value of {} bytes is over {MAX_VALUE_BYTES}", value.len());
+            return Err(StoreError::Refused { reason });
+        }
+        let mut state = self.state.lock();
+        let found = state.live(key).map(|entry| entry.current.clone());
+        let version = found.as_ref().map_or(0, |found| found.version);
+        if version != expected {
+            return Ok(PutOutcome::Conflict(found));
+        }
+        let version = state.write(key, value, ttl);
+        self.changed.notify_all();
+        if state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return Err(StoreError::Unknown {
+                reason: "stand-in lost the answer".to_owned(),
+            });
+        }
+        Ok(PutOutcome::Written { version })
+    }
+}
+
+impl HostSource for MemoryStore {
+    fn hosts(&self) -> Result<HostList, StoreError> {
+        self.check_faults()?;
+        let hosts = self.state.lock().hosts.clone();
+        Ok(hosts.unwrap_or(HostList { hosts: Vec::new() }))
+    }
+}
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,109 @@
+//! A plain service: some of its calls must not be repeated.
+
+use std::{io, sync::Arc, time::Duration};
+
+use clementinearch_border::LoadReport;
+use clementinearch_policy::names::FastMap;
+use http_body_util::BodyExt;
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use parking_lot::Mutex;
+use tokio::{net::TcpListener, time::sleep};
+
+use crate::serve::{self, Answer, header, query, text};
+
+#[derive(Default)]
+struct State {
+    runs: Vec<String>,
+    answers: FastMap<String, String>,
+    delay: Duration,
+    cut_after_run: bool,
+    leaving: bool,
+}
+
+/// One plain service.
+pub struct Service {
+    checks_ids: bool,
+    state: Mutex<State>,
+}
+
+impl Service {
+    /// A service that answers an id it knows from memory if `checks_ids`, and else runs it again.
+    pub fn new(checks_ids: bool) -> Arc<Self> {
+        Arc::new(Self {
+            checks_ids,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Serves until the listener fails.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        serve::serve(listener, self, handle).await;
+    }
+}
+
+async fn handle(service: Arc<Service>, req: Request<Incoming>) -> io::Result<Answer> {
+    match req.uri().path() {
+        "/load" => {
+            let leaving = service.state.lock().leaving;
+            let report = LoadReport {
+                versions: Vec::new(),
+                running: 0,
+                queued: 0,
+                slots: 64,
+                leaving,
+            };
+            Ok(text(StatusCode::OK, serde_json::to_string(&report)?))
+        }
+        "/test/log" => Ok(text(StatusCode::OK, service.state.lock().runs.join("\n"))),
+        "/test/faults" => {
+            let mut state = service.state.lock();
+            state.delay = Duration::from_millis(query(&req, "delay_ms").unwrap_or(0));
+            state.cut_after_run = query(&req, "cut_after_run") == Some(1);
+            state.leaving = query(&req, "leaving") == Some(1);
+            Ok(text(StatusCode::OK, ""))
+        }
+        _ => run(&service, req).await,
+    }
+}
+
+async fn run(service: &Service, req: Request<Incoming>) -> io::Result<Answer> {
+    let id = header(&req, "idempotency-key");
+    let path = req.uri().path().to_owned();
+    let is_read = req.method() == Method::GET;
+    let body = req
+        .into_body()
+        .collect()
+        .await
+        .map_err(io::Error::other)?
+        .to_bytes();
+    let (delay, cut) = {
+        let mut state = service.state.lock();
+        if state.leaving {
+            return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "leaving"));
+        }
+        if let Some(known) = state
+            .answers
+            .get(&id)
+            .filter(|_| service.checks_ids && !is_read)
+        {
+            return Ok(text(StatusCode::OK, known.clone()));
+        }
+        state.runs.push(format!("run {id} {path}"));
+        let number = state.runs.len();
+        let answer = format!("{{\"run\":{number},\"bytes\":{}}}", body.len());
+        state.answers.insert(id.clone(), answer);
+        (state.delay, state.cut_after_run)
+    };
+    sleep(delay).await;
+    if cut {
+        return Err(io::Error::other("cut by a test"));
+    }
+    let answer = service
+        .state
+        .lock()
+        .answers
+        .get(&id)
+        .cloned()
+        .unwrap_or_default();
+    Ok(text(StatusCode::OK, answer))
+}
--- /dev/null
+++ b/standins/src/store_server.rs
@@ -0,0 +1,165 @@
+//! The key-value service and host list over HTTP.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use clementinearch_platform::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
+use oxhttp::{
+    ListeningServer, Server,
+    model::{Body, Method, Request, Response, StatusCode},
+};
+
+use crate::memory_store::{Faults, MemoryStore};
+
+/// Serves `store` at `address`.
+///
+/// `GET /kv/KEY[?after=V&wait_ms=N]`, `PUT /kv/KEY?version=V[&ttl_ms=N]`, `GET|PUT /hosts`,
+/// and for tests `PUT /test/faults?down=0|1&delay_ms=N&lose_answers=N&stale=0|1`,
+/// `PUT /test/overwrite/KEY`, `GET /test/counts`, `GET /test/dump/PREFIX`.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub fn serve(store: Arc<MemoryStore>, address: SocketAddr) -> io::Result<ListeningServer> {
+    Server::new(move |req| answer(&store, req))
+        .bind(address)
+        .spawn()
+}
+
+fn answer(store: &MemoryStore, req: &mut Request<Body>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let body = std::mem::take(req.body_mut())
+        .to_string()
+        .unwrap_or_default();
+    let is_put = req.method() == Method::PUT;
+    if let Some(test) = path.strip_prefix("/test/") {
+        return answer_test(store, req, test, &body);
+    }
+    let header = |name: &str| {
+        let value = req
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or("unknown").to_owned()
+    };
+    store.count(&header("x-caller"), &header("x-purpose"));
+    match path.strip_prefix("/kv/") {
+        Some(key) if is_put => answer_put(store, req, key, &body),
+        Some(key) => answer_get(store, req, key),
+        None if path == "/hosts" => answer_hosts(store, is_put, &body),
+        None => status(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn query(req: &Request<Body>, name: &str) -> Option<u64> {
+    let pairs = req.uri().query()?.split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)?
+        .1;
+    value.parse().ok()
+}
+
+fn answer_put(store: &MemoryStore, req: &Request<Body>, key: &str, body: &str) -> Response<Body> {
+    let expected = query(req, "version").unwrap_or(0);
+    let ttl = query(req, "ttl_ms").map(Duration::from_millis);
+    match store.put(key, expected, body, ttl, Purpose::Config) {
+        Ok(PutOutcome::Written { version }) => versioned(
+            StatusCode::OK,
+            Versioned {
+                version,
+                value: String::new(),
+            },
+        ),
+        Ok(PutOutcome::Conflict(Some(found))) => versioned(StatusCode::CONFLICT, found),
+        Ok(PutOutcome::Conflict(None)) => status(StatusCode::NOT_FOUND, "no such key"),
+        Err(e) => failure(&e),
+    }
+}
+
+fn answer_get(store: &MemoryStore, req: &Request<Body>, key: &str) -> Response<Body> {
+    let found = match (query(req, "after"), query(req, "wait_ms")) {
+        (Some(after), Some(wait)) => {
+            store.watch(key, after, Duration::from_millis(wait), Purpose::Config)
+        }
+        _ => store.get(key, Purpose::Config),
+    };
+    match found {
+        Ok(Some(found)) => versioned(StatusCode::OK, found),
+        Ok(None) => status(StatusCode::NOT_FOUND, ""),
+        Err(e) => failure(&e),
+    }
+}
+
+fn answer_hosts(store: &MemoryStore, is_put: bool, body: &str) -> Response<Body> {
+    if is_put {
+        return match serde_json::from_str(body) {
+            Ok(hosts) => {
+                store.set_hosts(hosts);
+                status(StatusCode::OK, "")
+            }
+            Err(e) => status(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+    }
+    match store.hosts() {
+        Ok(hosts) => status(
+            StatusCode::OK,
+            &serde_json::to_string(&hosts).unwrap_or_default(),
+        ),
+        Err(e) => failure(&e),
+    }
+}
+
+fn answer_test(store: &MemoryStore, req: &Request<Body>, path: &str, body: &str) -> Response<Body> {
+    match path.split_once('/').unwrap_or((path, "")) {
+        ("faults", _) => {
+            store.set_faults(Faults {
+                down: query(req, "down") == Some(1),
+                delay: Duration::from_millis(query(req, "delay_ms").unwrap_or(0)),
+                lose_answers: query(req, "lose_answers").unwrap_or(0) as u32,
+                stale: query(req, "stale") == Some(1),
+            });
+            status(StatusCode::OK, "")
+        }
+        ("overwrite", key) => {
+            store.overwrite(key, body);
+            status(StatusCode::OK, "")
+        }
+        ("counts", _) => {
+            let counts = store.counts();
+            let lines: Vec<String> = counts
+                .iter()
+                .map(|((caller, purpose), n)| format!("{caller} {purpose} {n}\n"))
+                .collect();
+            status(StatusCode::OK, &lines.concat())
+        }
+        ("dump", prefix) => status(
+            StatusCode::OK,
+            &serde_json::to_string(&store.dump(prefix)).unwrap_or_default(),
+        ),
+        _ => status(StatusCode::NOT_FOUND, "no such test call"),
+    }
+}
+
+fn versioned(code: StatusCode, found: Versioned) -> Response<Body> {
+    let mut answer = status(code, &found.value);
+    answer
+        .headers_mut()
+        .insert("x-version", found.version.into());
+    answer
+}
+
+fn status(code: StatusCode, text: &str) -> Response<Body> {
+    let mut answer = Response::new(Body::from(text.to_owned()));
+    *answer.status_mut() = code;
+    answer
+}
+
+/// Faults show as errors of the transport would: an answer that says nothing of the effect.
+fn failure(e: &StoreError) -> Response<Body> {
+    let code = match e {
+        StoreError::NotReached { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        StoreError::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+        StoreError::Refused { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+    };
+    status(code, &e.to_string())
+}
