Prove configuration, sessions, claims, bills, answers and stops by failures

Cause: the promises had mechanisms but no test that breaks them.

Faults that the new tests found, each seen failing first and now mended: - two first requests of a session disagreed when one host woke from a freeze and took its peer for dead ("session 1: v1 / v2"): owners under suspicion are asked too, and the owner that knew the session decides; - a successful load probe forgave a backend server that had just broken an answer, so that the retry budget ran out ("cut_after=3 3: no answer"): failures are counted apart from reports and the pause doubles from 2 s; - a host that left as planned stood in the status for ten minutes: a host that says goodbye is told from one that is suspected dead.

Ruled out: raising the retry budget (hides the broken server), dropping dead hosts from the status at once (a silent listed host must count as "no").

--- a/host/src/chat.rs
+++ b/host/src/chat.rs
@@ -26,7 +26,6 @@
     clock,
     refusal::{Answer, Refusal, json_answer},
     relay_answer::{self, Attempt, AttemptEnd, Event, Progress},
-    servers::AVOID_UNREACHABLE,
     sessions::Pin,
     telemetry::Span,
 };
@@ -349,13 +348,14 @@
         span.set("end", format!("{end:?}"));
         metrics::counter!("clementinearch_attempts_total", "end" => end.label()).increment(1);
         match end {
-            AttemptEnd::Done => return Ok(()),
-            AttemptEnd::NotSent | AttemptEnd::Refused(_) => {
-                server.avoid(clock::now().after(AVOID_UNREACHABLE));
+            AttemptEnd::Done => {
+                server.note_success();
+                return Ok(());
             }
+            AttemptEnd::NotSent | AttemptEnd::Refused(_) => server.note_failure(clock::now()),
             AttemptEnd::Broken => {
                 run = RunState::MayHaveRun;
-                server.avoid(clock::now().after(AVOID_UNREACHABLE));
+                server.note_failure(clock::now());
             }
             AttemptEnd::Rejected(status) => {
                 let message = format!("the model engine answered {status}");
--- a/host/src/gossip.rs
+++ b/host/src/gossip.rs
@@ -29,6 +29,8 @@
     loop {
         let next = Instant::now() + board.settings.gossip_period;
         expire(&board);
+        metrics::gauge!("clementinearch_servers_leaving")
+            .set(board.servers.leaving(clock::now()).len() as f64);
         let mut targets = choose_targets(&board, round);
         if round == 0 {
             targets.extend(
@@ -171,6 +173,6 @@
 /// Tells some peers at once that this host has left.
 pub(crate) async fn say_goodbye(board: &Arc<Board>, clients: &Arc<PeerClients>) {
     const GOODBYE_LIMIT: Duration = Duration::from_secs(1);
-    board.members.lock().leave(MemberState::Dead);
+    board.members.lock().leave(MemberState::Left);
     let _ = tokio::time::timeout(GOODBYE_LIMIT, spread_news(board, clients)).await;
 }
--- a/host/src/listing.rs
+++ b/host/src/listing.rs
@@ -19,11 +19,17 @@
                 let now = clock::now();
                 board.servers.set_listed(&list.hosts, now);
                 let mut members = board.members.lock();
-                for host in list
+                let entries = list
                     .hosts
                     .iter()
-                    .filter(|host| host.role == HostRole::Entry)
-                {
+                    .filter(|host| host.role == HostRole::Entry);
+                members.set_listed(
+                    entries
+                        .clone()
+                        .map(|host| host.name.as_str().into())
+                        .collect(),
+                );
+                for host in entries {
                     let [name, zone, address]: [Name; 3] =
                         [&host.name, &host.zone, &host.address].map(|text| text.as_str().into());
                     members.add_listed(&name, &zone, &address, now);
--- a/host/src/peers.rs
+++ b/host/src/peers.rs
@@ -25,7 +25,7 @@
     board::Board,
     clock,
     ledger::{Bill, Ledger},
-    sessions::{Pin, Sessions},
+    sessions::{Pin, Recollection, Sessions},
 };
 
 /// Longest wait for a peer's answer.
@@ -76,8 +76,10 @@
     async fn offer(snapshot: Snapshot);
     /// What the host says of its configuration.
     async fn status() -> StatusReport;
-    /// Remembers sessions; answers the version of each.
-    async fn pin(pins: Vec<Pin>) -> Vec<Name>;
+    /// Remembers sessions; answers what is remembered of each.
+    async fn remember(pins: Vec<Pin>) -> Vec<Recollection>;
+    /// Replaces what is remembered of a session.
+    async fn correct(pin: Pin);
     /// Holds bills until they are in the store.
     async fn hold_bills(bills: Vec<Bill>);
     /// Forgets bills of a page that are in the store.
@@ -158,12 +160,16 @@
         own_status(&self.board)
     }
 
-    async fn pin(self, _: Context, pins: Vec<Pin>) -> Vec<Name> {
+    async fn remember(self, _: Context, pins: Vec<Pin>) -> Vec<Recollection> {
         pins.into_iter()
             .map(|pin| self.sessions.remember(pin))
             .collect()
     }
 
+    async fn correct(self, _: Context, pin: Pin) {
+        self.sessions.correct(pin);
+    }
+
     async fn hold_bills(self, _: Context, bills: Vec<Bill>) {
         self.ledger.take(bills);
     }
@@ -311,7 +317,7 @@
     board: &Arc<Board>,
     clients: &PeerClients,
 ) -> clementinearch_border::FleetStatus {
-    let members = board.members.lock().rows();
+    let members = board.members.lock().expected();
     let asked = members.iter().map(|member| async move {
         if member.name == board.settings.name {
             return (member, Ok(own_status(board)));
--- a/host/src/probe.rs
+++ b/host/src/probe.rs
@@ -39,7 +39,7 @@
                 board.news.notify_one();
             }
         }
-        _ => server.avoid(now.after(crate::servers::AVOID_UNREACHABLE)),
+        _ => server.note_failure(now),
     }
 }
 
--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -11,23 +11,22 @@
 
 use clementinearch_border::{HostEntry, HostRole, HostState, LoadReport};
 use clementinearch_policy::{
-    backend::{self, Candidate, LoadView},
+    backend::{self, Candidate, LoadView, failure_pause},
     names::{FastMap, Name},
     time::Millis,
 };
 use parking_lot::{Mutex, RwLock};
 
-/// How long a server that could not be reached is left alone.
-pub(crate) const AVOID_UNREACHABLE: Duration = Duration::from_secs(2);
-
 /// How long a server that said it leaves is left alone, unless it says otherwise.
-pub(crate) const AVOID_LEAVING: Duration = Duration::from_secs(30);
+const AVOID_LEAVING: Duration = Duration::from_secs(30);
 
 #[derive(Debug, Default)]
 struct ServerState {
     load: LoadView,
     versions: Vec<Name>,
-    avoid_until: Millis,
+    failures: u32,
+    failed_until: Millis,
+    leaving_until: Millis,
     leaving_since: Option<Millis>,
     probed_at: Millis,
 }
@@ -44,8 +43,12 @@
 }
 
 impl Candidate for Server {
-    fn is_usable(&self, now: Millis) -> bool {
-        self.state.lock().avoid_until <= now
+    fn takes_work(&self, now: Millis) -> bool {
+        self.state.lock().leaving_until <= now
+    }
+
+    fn failed_lately(&self, now: Millis) -> bool {
+        self.state.lock().failed_until > now
     }
 
     fn load(&self, now: Millis) -> f64 {
@@ -59,10 +62,24 @@
 }
 
 impl Server {
-    /// Leaves the server alone until `until`.
-    pub(crate) fn avoid(&self, until: Millis) {
+    /// Notes that the server could not be reached, refused work or broke an answer off.
+    pub(crate) fn note_failure(&self, now: Millis) {
+        let mut state = self.state.lock();
+        state.failures += 1;
+        state.failed_until = now.after(failure_pause(state.failures));
+    }
+
+    /// Notes that the server answered a request whole.
+    pub(crate) fn note_success(&self) {
+        let mut state = self.state.lock();
+        state.failures = 0;
+        state.failed_until = Millis(0);
+    }
+
+    /// Notes that the server takes no new work.
+    pub(crate) fn note_leaving(&self, now: Millis) {
         let mut state = self.state.lock();
-        state.avoid_until = state.avoid_until.max(until);
+        state.leaving_until = state.leaving_until.max(now.after(AVOID_LEAVING));
     }
 
     /// When the server was last asked for a report.
@@ -146,7 +163,7 @@
                 })
             });
             if host.state == HostState::Leaving {
-                server.avoid(now.after(AVOID_LEAVING));
+                server.note_leaving(now);
             }
             by_name.insert(name, server);
         }
@@ -176,7 +193,7 @@
                 sent_since_report: 0,
             };
             let began_leaving = report.leaving && state.leaving_since.is_none();
-            state.avoid_until = if report.leaving {
+            state.leaving_until = if report.leaving {
                 now.after(AVOID_LEAVING)
             } else {
                 Millis(0)
@@ -258,7 +275,7 @@
                 && state.leaving_since.is_none_or(|since| since < said_at)
             {
                 state.leaving_since = Some(said_at);
-                state.avoid_until = state.avoid_until.max(said_at.after(AVOID_LEAVING));
+                state.leaving_until = state.leaving_until.max(said_at.after(AVOID_LEAVING));
             }
         }
     }
--- a/host/src/services.rs
+++ b/host/src/services.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services: reads may be repeated, everything else runs at most once.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use clementinearch_border::{BillRecord, ClaimState};
 use clementinearch_policy::{
@@ -17,7 +17,7 @@
     claims::{Claim, Taken},
     clock,
     refusal::{Answer, Refusal, json_answer},
-    servers::{AVOID_UNREACHABLE, Server},
+    servers::Server,
     telemetry::Span,
     upstream,
 };
@@ -25,6 +25,9 @@
 /// Servers tried for one call.
 const MAX_ATTEMPTS: usize = 3;
 
+/// When to come back after no server could take a call.
+const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
+
 /// Header with the id of a call that must not be repeated.
 const ID_HEADER: &str = "idempotency-key";
 
@@ -165,7 +168,7 @@
         let message = "no server of the service answered; a read can be repeated";
         Err(
             Refusal::may_have_run(StatusCode::BAD_GATEWAY, "no_answer", message)
-                .with_retry_after(AVOID_UNREACHABLE),
+                .with_retry_after(NO_SERVER_RETRY),
         )
     }
 
@@ -303,7 +306,7 @@
             self.body.clone(),
         );
         let (Ok(connection), Ok(req)) = (upstream::connect(server.address).await, req) else {
-            server.avoid(clock::now().after(AVOID_UNREACHABLE));
+            server.note_failure(clock::now());
             return Delivery::NotSent;
         };
         let remaining = self.deadline.since(clock::now());
@@ -313,9 +316,12 @@
             Ok::<_, io::Error>((status, answer.whole_body().await?))
         });
         match answered.await {
-            Ok(Ok((status, body))) => Delivery::Answered { status, body },
+            Ok(Ok((status, body))) => {
+                server.note_success();
+                Delivery::Answered { status, body }
+            }
             Ok(Err(e)) => {
-                server.avoid(clock::now().after(AVOID_UNREACHABLE));
+                server.note_failure(clock::now());
                 Delivery::Unknown(e)
             }
             Err(_) => Delivery::Unknown(io::ErrorKind::TimedOut.into()),
@@ -346,7 +352,7 @@
 fn no_server() -> Refusal {
     let message = "no server of the service took the call";
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_server", message)
-        .with_retry_after(AVOID_UNREACHABLE)
+        .with_retry_after(NO_SERVER_RETRY)
 }
 
 fn may_have_run(e: &io::Error) -> Refusal {
--- a/host/src/sessions.rs
+++ b/host/src/sessions.rs
@@ -8,6 +8,7 @@
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use crate::{
     board::Board,
@@ -25,6 +26,9 @@
 /// Time between two sweeps of idle sessions.
 pub(crate) const SWEEP_PERIOD: Duration = Duration::from_secs(60);
 
+/// Longest wait for an owner, who may be asleep.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pins in one message of a planned stop.
 const PINS_PER_MESSAGE: usize = 1000;
 
@@ -36,6 +40,14 @@
     pub(crate) version: Name,
 }
 
+/// What an owner remembers of a session.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Recollection {
+    pub(crate) version: Name,
+    /// Whether it knew the session before it was asked.
+    pub(crate) was_known: bool,
+}
+
 struct Remembered {
     version: Name,
     last_used: Millis,
@@ -58,24 +70,51 @@
         }
     }
 
-    /// The version of a session: the remembered one, or else `version`, which is remembered from now on.
-    pub(crate) fn remember(&self, pin: Pin) -> Name {
+    /// Remembers a session unless it is remembered already; answers what is remembered.
+    pub(crate) fn remember(&self, pin: Pin) -> Recollection {
         let now = clock::now();
         let mut shard = self.pins.lock(&pin.key);
+        let was_known = shard.contains_key(&pin.key);
         let remembered = shard.entry(pin.key).or_insert(Remembered {
             version: pin.version,
             last_used: now,
         });
         remembered.last_used = now;
-        remembered.version.clone()
+        Recollection {
+            version: remembered.version.clone(),
+            was_known,
+        }
     }
 
-    /// Asks the session's owners, the first one first. Without any answer the proposed version stands.
+    /// Replaces what is remembered of a session by the version that its owners agreed on.
+    pub(crate) fn correct(&self, pin: Pin) {
+        let remembered = Remembered {
+            version: pin.version,
+            last_used: clock::now(),
+        };
+        self.pins.lock(&pin.key).insert(pin.key, remembered);
+    }
+
+    /// The version of a session. Its owners are asked in their order; the first one that knew the
+    /// session before decides, and owners that said otherwise are corrected. Without any answer the
+    /// proposed version stands.
     pub(crate) async fn resolve(&self, proposed: Pin) -> Name {
         let mut pin = proposed;
+        let mut is_decided = false;
+        let mut said = Vec::new();
         for owner in self.owners(&pin.key) {
-            if let Some(version) = self.remember_at(&owner, pin.clone()).await {
-                pin.version = version;
+            let Some(recollection) = self.remember_at(&owner, pin.clone()).await else {
+                continue;
+            };
+            if recollection.was_known && !is_decided {
+                is_decided = true;
+                pin.version = recollection.version.clone();
+            }
+            said.push((owner, recollection.version));
+        }
+        for (owner, version) in said {
+            if version != pin.version {
+                self.correct_at(&owner, pin.clone()).await;
             }
         }
         pin.version
@@ -83,22 +122,40 @@
 
     fn owners(&self, key: &Name) -> Vec<Name> {
         let members = self.board.members.lock();
-        rendezvous(
-            key,
-            members.in_zone(&self.board.settings.zone).iter(),
-            OWNERS,
-        )
+        let zone = members.in_zone_or_suspect(&self.board.settings.zone);
+        rendezvous(key, zone.iter(), OWNERS)
     }
 
-    async fn remember_at(&self, owner: &Name, pin: Pin) -> Option<Name> {
+    fn address_of(&self, owner: &Name) -> Option<Name> {
+        self.board
+            .members
+            .lock()
+            .get(owner)
+            .map(|row| row.address.clone())
+    }
+
+    async fn remember_at(&self, owner: &Name, pin: Pin) -> Option<Recollection> {
         if *owner == self.board.settings.name {
             return Some(self.remember(pin));
         }
-        let address = self.board.members.lock().get(owner)?.address.clone();
+        let address = self.address_of(owner)?;
+        let call = self.clients.call(&address, |peer| async move {
+            peer.remember(call_context(), vec![pin]).await
+        });
+        timeout(OWNER_TIMEOUT, call).await.ok()?.ok()?.pop()
+    }
+
+    async fn correct_at(&self, owner: &Name, pin: Pin) {
+        if *owner == self.board.settings.name {
+            return self.correct(pin);
+        }
+        let Some(address) = self.address_of(owner) else {
+            return;
+        };
         let call = self.clients.call(&address, |peer| async move {
-            peer.pin(call_context(), vec![pin]).await
+            peer.correct(call_context(), pin).await
         });
-        call.await.ok()?.pop()
+        let _ = timeout(OWNER_TIMEOUT, call).await;
     }
 
     /// Forgets idle sessions.
@@ -145,7 +202,7 @@
             for part in pins.chunks(PINS_PER_MESSAGE) {
                 let part = part.to_vec();
                 let call = self.clients.call(&address, |peer| async move {
-                    peer.pin(call_context(), part).await
+                    peer.remember(call_context(), part).await
                 });
                 if let Err(e) = call.await {
                     log::warn!("planned stop: {owner} took no sessions: {e}");
--- /dev/null
+++ b/host/tests/answers.rs
@@ -0,0 +1,164 @@
+//! A caller receives the whole answer to its own request.
+
+mod fleet;
+
+use clementinearch_border::RunState;
+use clementinearch_standins::engine::whole_answer;
+use fleet::{Answer, Fleet, chat, chat_body, lines, model, open, plan, wait_until};
+
+const TOKENS: u32 = 20;
+
+/// A fleet with one host and `engines` engines of one version.
+fn fleet_of(engines: usize) -> Fleet {
+    let mut fleet = Fleet::new().with_settings("token_timeout_ms = 1000\n");
+    for _ in 0..engines {
+        fleet.engine("a", &["v1"]);
+    }
+    fleet.edit(&[
+        ("model/review", &model(&[("v1", "established")])),
+        ("plan/one", &plan("one", &["v1"])),
+    ]);
+    fleet.start_hosts(&["a"]);
+    fleet.wait_serving(0, "one");
+    wait_until("all engines are known", || {
+        chat(&fleet.hosts[0], "one", &[], &chat_body("warm up", 1, false));
+        (0..engines).all(|number| !fleet.log(number).is_empty())
+    });
+    fleet
+}
+
+fn ask(fleet: &Fleet, prompt: &str) -> Answer {
+    chat(
+        &fleet.hosts[0],
+        "one",
+        &[],
+        &chat_body(prompt, TOKENS, true),
+    )
+}
+
+fn expected(prompt: &str) -> String {
+    whole_answer("review@v1", prompt, TOKENS)
+}
+
+#[test]
+fn crossed_doubled_cut_and_unfinished_answers_reach_the_caller_whole_and_once() {
+    let fleet = fleet_of(2);
+    for fault in [
+        "crossed=1",
+        "doubled=1",
+        "crossed=1&doubled=1&cut_after=7",
+        "cut_after=3",
+        "end_after=5",
+        "cut_after=0",
+    ] {
+        fleet.fault(0, fault);
+        for number in 0..6 {
+            let prompt = format!("{fault} {number}");
+            let answer = ask(&fleet, &prompt);
+            assert!(answer.is_whole(), "{prompt}: {answer:?}");
+            assert_eq!(answer.content(), expected(&prompt), "{prompt}");
+            let whole = chat(
+                &fleet.hosts[0],
+                "one",
+                &[],
+                &chat_body(&prompt, TOKENS, false),
+            );
+            assert_eq!(whole.content(), expected(&prompt), "{prompt}");
+        }
+    }
+    let resumed = fleet
+        .log(1)
+        .iter()
+        .any(|line| line.ends_with("from 3") && line.contains("review@v1"));
+    assert!(
+        resumed,
+        "no answer was resumed where it broke: {:?}",
+        fleet.log(1)
+    );
+}
+
+#[test]
+fn an_engine_killed_mid_answer_is_followed_by_another_on_the_same_version() {
+    let mut fleet = fleet_of(2);
+    let headers = [("authorization", "Bearer one")];
+    let body = chat_body("long", 300, true);
+    let path = "/v1/chat/completions";
+    let response = open("POST", fleet.hosts[0].callers(), path, &headers, &body).unwrap();
+    let mut lines = lines(response);
+    let mut data: Vec<String> = lines
+        .by_ref()
+        .filter(|line| line.starts_with("data: "))
+        .take(3)
+        .collect();
+    let is_running = |number: usize| fleet.log(number).last().unwrap().starts_with("start");
+    let running = (0..2)
+        .find(|number| is_running(*number))
+        .expect("one engine runs it");
+    fleet.kill_backend(running);
+    data.extend(lines.filter(|line| line.starts_with("data: ")));
+    let answer = Answer {
+        status: 200,
+        headers: Vec::new(),
+        text: format!("{}\n\n", data.join("\n")),
+    };
+    assert!(answer.is_whole());
+    assert_eq!(answer.content(), whole_answer("review@v1", "long", 300));
+}
+
+#[test]
+fn an_answer_that_cannot_be_completed_ends_with_an_error_and_no_end_marker() {
+    let fleet = fleet_of(1);
+    fleet.fault(0, "cut_after=4");
+    let answer = ask(&fleet, "lost");
+    assert!(!answer.is_whole());
+    let error = answer
+        .text
+        .split("event: error\ndata: ")
+        .nth(1)
+        .expect("an error event");
+    let body: clementinearch_border::ErrorBody = serde_json::from_str(error.trim()).unwrap();
+    assert_eq!(
+        (body.error.code.as_str(), body.error.run),
+        ("no_server", RunState::MayHaveRun)
+    );
+    assert!(body.error.retry_after_ms.is_some());
+}
+
+#[test]
+fn a_slow_caller_gets_all_and_one_that_leaves_frees_the_engine() {
+    let fleet = fleet_of(1);
+    let headers = [("authorization", "Bearer one")];
+    let path = "/v1/chat/completions";
+    let response = open(
+        "POST",
+        fleet.hosts[0].callers(),
+        path,
+        &headers,
+        &chat_body("slow", TOKENS, true),
+    );
+    let mut data = Vec::new();
+    for line in lines(response.unwrap()) {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+        data.push(line);
+    }
+    let answer = Answer {
+        status: 200,
+        headers: Vec::new(),
+        text: format!("{}\n", data.join("\n")),
+    };
+    assert_eq!(answer.content(), expected("slow"));
+
+    let response = open(
+        "POST",
+        fleet.hosts[0].callers(),
+        path,
+        &headers,
+        &chat_body("gone", 100_000, true),
+    );
+    let mut lines = lines(response.unwrap());
+    assert!(lines.any(|line| line.starts_with("data: ")));
+    drop(lines);
+    wait_until("the engine is told", || {
+        fleet.log(0).iter().any(|line| line.starts_with("cancel"))
+    });
+}
--- /dev/null
+++ b/host/tests/configuration.rs
@@ -0,0 +1,296 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts; a withdrawn
+//! version gets no new work.
+
+mod fleet;
+
+use clementinearch_border::RunState;
+use clementinearch_standins::memory_store::Faults;
+use fleet::{Answer, Fleet, chat, chat_body, model, plan, wait_until};
+
+const DOWN: Faults = Faults {
+    down: true,
+    delay: std::time::Duration::ZERO,
+    lose_answers: 0,
+    down_after_lost: false,
+    stale: false,
+};
+
+const SERVICE: &str = "pool = \"queue\"\n";
+
+/// A fleet with one engine of both versions and a plan that allows both.
+fn fleet_with(settings: &str, zones: &[&str], versions: &[(&str, &str)]) -> Fleet {
+    let mut fleet = Fleet::new().with_settings(settings);
+    fleet.engine(zones[0], &["v1", "v2"]);
+    fleet.edit(&[
+        ("service/queue", SERVICE),
+        ("model/review", &model(versions)),
+        ("plan/one", &plan("one", &["v1", "v2"])),
+    ]);
+    fleet.start_hosts(zones);
+    for number in 0..zones.len() {
+        fleet.wait_serving(number, "one");
+    }
+    fleet
+}
+
+fn ask(fleet: &Fleet, host: usize) -> Answer {
+    chat(
+        &fleet.hosts[host],
+        "one",
+        &[],
+        &chat_body("side A", 2, false),
+    )
+}
+
+fn starts(fleet: &Fleet, version: &str) -> usize {
+    let log = fleet.log(0);
+    log.iter()
+        .filter(|line| line.starts_with("start") && line.contains(version))
+        .count()
+}
+
+#[test]
+fn a_host_cut_off_from_the_store_learns_of_a_withdrawal_from_its_peers() {
+    let mut fleet = fleet_with(
+        "",
+        &["a", "a", "b"],
+        &[("v1", "established"), ("v2", "draining")],
+    );
+    fleet.hosts[1].cut_from_store(true);
+    fleet.hosts[2].cut_from_store(true);
+    let withdrawn = model(&[("v1", "withdrawn"), ("v2", "draining")]);
+    let revision = fleet.edit(&[("model/review", &withdrawn)]);
+    fleet.wait_in_force(revision);
+    let before = starts(&fleet, "v1");
+    for number in 0..3 {
+        let refused = ask(&fleet, number);
+        assert_eq!(
+            (refused.status, refused.error().run),
+            (409, RunState::NotRun),
+            "{refused:?}"
+        );
+    }
+    assert_eq!(starts(&fleet, "v1"), before);
+}
+
+#[test]
+fn a_host_cut_off_from_all_stops_serving_a_rollout_and_goes_on_with_established_versions() {
+    let settings = "view_lifetime_ms = 1500\n";
+    let versions = [("v1", "established"), ("v2", "rollout 100")];
+    let mut fleet = fleet_with(settings, &["a", "a"], &versions);
+    let revision = fleet.edit(&[("plan/two", &plan("two", &["v2"]))]);
+    fleet.wait_in_force(revision);
+    wait_until("the roll-out is served", || {
+        ask(&fleet, 0).header("x-model-version") == "review@v2"
+    });
+    fleet.hosts[0].cut_from_store(true);
+    fleet.hosts[1].process.signal("STOP");
+    wait_until("the view is too old for a roll-out", || {
+        ask(&fleet, 0).header("x-model-version") == "review@v1"
+    });
+    let refused = chat(&fleet.hosts[0], "two", &[], &chat_body("side A", 2, false));
+    assert_eq!(
+        (refused.status, refused.error().code.as_str()),
+        (503, "stale_view")
+    );
+    assert!(refused.error().retry_after_ms.is_some());
+    fleet.hosts[1].process.signal("CONT");
+    fleet.hosts[0].cut_from_store(false);
+    wait_until("the roll-out is served again", || {
+        ask(&fleet, 0).header("x-model-version") == "review@v2"
+    });
+}
+
+#[test]
+fn a_stale_store_and_fresh_hosts_during_an_outage_never_bring_a_revision_back() {
+    let mut fleet = fleet_with(
+        "",
+        &["a", "a", "a"],
+        &[("v1", "established"), ("v2", "draining")],
+    );
+    let withdrawn = model(&[("v1", "withdrawn"), ("v2", "established")]);
+    let revision = fleet.edit(&[("model/review", &withdrawn)]);
+    fleet.wait_in_force(revision);
+    fleet.store.set_faults(Faults {
+        stale: true,
+        ..Faults::default()
+    });
+    wait_until("a host meets the stale answer", || {
+        let status = fleet.hosts[0].status().unwrap();
+        status
+            .hosts
+            .iter()
+            .any(|host| host.findings.iter().any(|it| it.contains("lower than")))
+    });
+    // Each host is replaced in turn, first with the stale store, then without any.
+    for faults in [
+        Faults {
+            stale: true,
+            ..Faults::default()
+        },
+        DOWN,
+    ] {
+        fleet.store.set_faults(faults);
+        for number in 0..3 {
+            let name = fleet.hosts[number].name.clone();
+            fleet.hosts[number].process.0.kill().unwrap();
+            fleet.start_host(&name, "a");
+            wait_until("the new host is ready", || fleet.hosts[number].is_ready());
+            assert_eq!(
+                fleet.hosts[number].revision(),
+                Some(revision),
+                "a fresh host went back"
+            );
+        }
+    }
+    // The host list is in the same store: engines are known again when it is back.
+    fleet.store.set_faults(Faults::default());
+    fleet.wait_serving(0, "one");
+    assert_eq!(ask(&fleet, 0).header("x-model-version"), "review@v2");
+}
+
+#[test]
+fn a_fresh_host_that_reaches_nobody_does_not_serve() {
+    let mut fleet = fleet_with("", &["a"], &[("v1", "established")]);
+    fleet.store.set_faults(DOWN);
+    fleet.hosts[0].process.0.kill().unwrap();
+    fleet.start_host("a-0", "a");
+    wait_until("the host listens", || {
+        fleet::try_get(fleet.hosts[0].admin(), "/livez").is_some()
+    });
+    let refused = wait_for_answer(&fleet);
+    assert_eq!(
+        (refused.status, refused.error().code.as_str()),
+        (503, "not_ready")
+    );
+    assert!(!fleet.hosts[0].is_ready());
+    fleet.store.set_faults(Faults::default());
+    wait_until("the host is ready", || fleet.hosts[0].is_ready());
+}
+
+fn wait_for_answer(fleet: &Fleet) -> Answer {
+    wait_until("callers are served", || {
+        std::net::TcpStream::connect(fleet.hosts[0].callers()).is_ok()
+    });
+    ask(fleet, 0)
+}
+
+#[test]
+fn bad_values_written_straight_to_the_store_block_nothing_else() {
+    let mut fleet = fleet_with(
+        "",
+        &["a", "a"],
+        &[("v1", "established"), ("v2", "draining")],
+    );
+    let bad = plan("one", &["v1"]).replace("versions", "verions");
+    let swapped = model(&[("v1", "draining"), ("v2", "established")]);
+    let revision = fleet.edit(&[("plan/one", &bad), ("model/review", &swapped)]);
+    fleet.wait_in_force(revision);
+    // The model's change is in force, the plan's last good body stays.
+    assert_eq!(ask(&fleet, 1).header("x-model-version"), "review@v2");
+    let status = fleet.hosts[0].status().unwrap();
+    assert!(!status.in_force_everywhere);
+    let findings = &status.hosts[1].findings;
+    assert!(
+        findings
+            .iter()
+            .any(|it| it.starts_with("plan/one:7: allow[0].verions")),
+        "{findings:?}"
+    );
+    // A fresh host learns the last good body from its peer.
+    fleet.hosts[1].process.0.kill().unwrap();
+    fleet.start_host("a-1", "a");
+    fleet.wait_serving(1, "one");
+
+    let good_head = fleet.store.dump("config/head")[0].1.clone();
+    for value in [
+        "{",
+        &good_head.replace(&format!("\"revision\":{revision}"), "\"revision\":1"),
+    ] {
+        fleet.store.overwrite("config/head", value);
+        wait_until("the finding is reported", || {
+            let status = fleet.hosts[0].status().unwrap();
+            status.hosts.iter().any(|host| {
+                host.findings
+                    .iter()
+                    .any(|it| it.starts_with("config/head:"))
+            })
+        });
+        assert_eq!(ask(&fleet, 0).status, 200);
+        assert_eq!(fleet.hosts[0].revision(), Some(revision));
+    }
+    fleet.store.overwrite("config/head", &good_head);
+    let revision = fleet.edit(&[("plan/one", &plan("one", &["v2"]))]);
+    fleet.wait_in_force(revision);
+    wait_until("all is in force", || {
+        fleet.hosts[0].status().unwrap().in_force_everywhere
+    });
+}
+
+#[test]
+fn status_never_says_yes_for_a_host_that_has_not_said_so() {
+    let fleet = fleet_with(
+        "",
+        &["a", "b"],
+        &[("v1", "established"), ("v2", "draining")],
+    );
+    wait_until("all is in force", || {
+        fleet.hosts[0].status().unwrap().in_force_everywhere
+    });
+    fleet.hosts[1].process.signal("STOP");
+    let status = fleet.hosts[0].status().unwrap();
+    let silent = status.hosts.iter().find(|host| host.host == "b-1").unwrap();
+    assert!(
+        !silent.in_force && silent.why_not.is_some() && silent.revision.is_none(),
+        "{silent:?}"
+    );
+    assert!(!status.in_force_everywhere);
+    fleet.hosts[1].process.signal("CONT");
+    wait_until("all is in force again", || {
+        fleet.hosts[0].status().unwrap().in_force_everywhere
+    });
+}
+
+#[test]
+fn a_narrowed_plan_counts_before_each_attempt() {
+    let settings = "token_timeout_ms = 1000\n";
+    let mut fleet = Fleet::new().with_settings(settings);
+    fleet.engine("a", &["v1"]);
+    let versions = model(&[("v1", "established"), ("v2", "established")]);
+    fleet.edit(&[
+        ("model/review", &versions),
+        ("plan/one", &plan("one", &["v1"])),
+    ]);
+    fleet.start_hosts(&["a"]);
+    fleet.wait_serving(0, "one");
+    fleet.fault(0, "stalled=1");
+    let callers = fleet.hosts[0].callers();
+    let waiting = std::thread::spawn(move || {
+        let headers = [("authorization", "Bearer one")];
+        fleet::send(
+            "POST",
+            callers,
+            "/v1/chat/completions",
+            &headers,
+            &chat_body("x", 2, false),
+        )
+    });
+    wait_until("the request waits at the engine", || {
+        starts(&fleet, "v1") >= 2
+    });
+    let revision = fleet.edit(&[("plan/one", &plan("one", &["v2"]))]);
+    fleet.wait_in_force(revision);
+    fleet.fault(0, "");
+    let refused = waiting.join().unwrap().unwrap();
+    assert_eq!(
+        (refused.status, refused.error().code.as_str()),
+        (403, "not_in_plan"),
+        "{refused:?}"
+    );
+    assert_eq!(refused.error().run, RunState::MayHaveRun);
+    assert_eq!(
+        starts(&fleet, "v1"),
+        2,
+        "the second attempt ran outside the plan"
+    );
+}
--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -15,7 +15,7 @@
     process::{Child, Command, Output, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -42,6 +42,7 @@
 /// IPs of the store and of the first host and backend server within a fleet's network.
 const STORE_IP: u8 = 1;
 const FIRST_HOST_IP: u8 = 10;
+const FIRST_GATE_IP: u8 = 200;
 const FIRST_BACKEND_IP: u8 = 100;
 
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
@@ -118,9 +119,15 @@
     pub name: String,
     pub zone: String,
     pub ip: IpAddr,
+    is_cut: Arc<AtomicBool>,
 }
 
 impl EntryHost {
+    /// Cuts the host off from the store, or ends the cut.
+    pub fn cut_from_store(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
@@ -324,6 +331,9 @@
     pub hosts: Vec<EntryHost>,
     pub backends: Vec<(HostEntry, Option<Process>)>,
     listed_hosts: Vec<HostEntry>,
+    gates: Vec<Arc<AtomicBool>>,
+    has_store_process: bool,
+    seeds_from: usize,
     next_edit: u32,
     settings: String,
 }
@@ -331,9 +341,10 @@
 impl Fleet {
     /// A store with no host yet.
     pub fn new() -> Self {
-        let fleet = Self::without_store();
-        store_server::serve(fleet.store.clone(), fleet.store_address()).unwrap();
-        fleet
+        Self {
+            has_store_process: false,
+            ..Self::without_store()
+        }
     }
 
     /// A fleet whose store is started by the test.
@@ -351,6 +362,9 @@
             hosts: Vec::new(),
             backends: Vec::new(),
             listed_hosts: Vec::new(),
+            gates: Vec::new(),
+            has_store_process: true,
+            seeds_from: 0,
             next_edit: 0,
             settings: String::new(),
         }
@@ -394,6 +408,21 @@
         self.store.set_hosts(self.host_list());
     }
 
+    /// Lists the backend servers alone: entry hosts do not learn of each other.
+    pub fn list_backends(&self) {
+        let hosts = self
+            .backends
+            .iter()
+            .map(|(entry, _)| entry.clone())
+            .collect();
+        self.store.set_hosts(HostList { hosts });
+    }
+
+    /// Hosts started from now on have no seeds among those started before.
+    pub fn cut_zones(&mut self) {
+        self.seeds_from = self.listed_hosts.len();
+    }
+
     /// Starts a backend server, `examples/engine` or `examples/service`.
     pub fn start_backend(&mut self, kind: &str, pool: &str, zone: &str, args: &[&str]) -> usize {
         let number = self.backends.len();
@@ -476,7 +505,15 @@
                 state: HostState::Live,
             });
         }
-        let settings = self.write_settings(name, zone, ip);
+        if number == self.gates.len() {
+            self.gates.push(Arc::default());
+            if !self.has_store_process {
+                let gate = SocketAddr::new(self.ip(FIRST_GATE_IP + number as u8), STORE_PORT);
+                store_server::serve_gated(self.store.clone(), gate, self.gates[number].clone())
+                    .unwrap();
+            }
+        }
+        let settings = self.write_settings(name, zone, number, ip);
         let args = [
             "serve".to_owned(),
             "--settings".to_owned(),
@@ -488,6 +525,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             ip,
+            is_cut: self.gates[number].clone(),
         };
         if number < self.hosts.len() {
             self.hosts[number] = host;
@@ -497,9 +535,13 @@
         number
     }
 
-    fn write_settings(&self, name: &str, zone: &str, ip: IpAddr) -> PathBuf {
-        let seeds: Vec<String> = self
-            .listed_hosts
+    fn write_settings(&self, name: &str, zone: &str, number: usize, ip: IpAddr) -> PathBuf {
+        let store = if self.has_store_process {
+            self.store_address()
+        } else {
+            SocketAddr::new(self.ip(FIRST_GATE_IP + number as u8), STORE_PORT)
+        };
+        let seeds: Vec<String> = self.listed_hosts[self.seeds_from..]
             .iter()
             .map(|host| format!("\"{}\"", host.address))
             .collect();
@@ -509,7 +551,7 @@
              [store]\naddress = \"{}\"\n\
              [limits]\ngossip_period_ms = 50\nledger_period_ms = 100\ndrain_notice_ms = 100\n{}\n",
             seeds.join(", "),
-            self.store_address(),
+            store,
             self.settings
         );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
@@ -563,6 +605,8 @@
     /// Waits until a chat request of this key succeeds at the host.
     pub fn wait_serving(&self, host: usize, key: &str) {
         let body = chat_body("warm up", 1, false);
+        let callers = self.hosts[host].callers();
+        wait_until("callers are served", || TcpStream::connect(callers).is_ok());
         wait_until("the host reaches an engine", || {
             chat(&self.hosts[host], key, &[], &body).status == 200
         });
--- /dev/null
+++ b/host/tests/stops.rs
@@ -0,0 +1,149 @@
+//! A planned stop cuts no request, and a leaving backend server gets no new work.
+
+mod fleet;
+
+use std::{io, thread::JoinHandle};
+
+use clementinearch_border::LedgerPage;
+use clementinearch_standins::{engine::whole_answer, memory_store::Faults};
+use fleet::{Answer, Fleet, chat, chat_body, model, plan, send, try_get, wait_until};
+
+const TOKENS: u32 = 100;
+const STREAMS: usize = 10;
+
+fn fleet_of(engines: usize, zones: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new();
+    for _ in 0..engines {
+        fleet.engine("a", &["v1"]);
+    }
+    fleet.edit(&[
+        ("model/review", &model(&[("v1", "established")])),
+        ("plan/one", &plan("one", &["v1"])),
+    ]);
+    fleet.start_hosts(zones);
+    for number in 0..zones.len() {
+        fleet.wait_serving(number, "one");
+    }
+    fleet
+}
+
+/// Opens streams at a host and waits until all of them run.
+fn open_streams(fleet: &Fleet, host: usize) -> Vec<JoinHandle<io::Result<Answer>>> {
+    let callers = fleet.hosts[host].callers();
+    let attempts = || {
+        fleet
+            .log(0)
+            .iter()
+            .filter(|line| line.starts_with("start"))
+            .count()
+    };
+    let before = attempts();
+    let stream = |number: usize| {
+        let body = chat_body(&format!("stream {number}"), TOKENS, true);
+        let headers = [("authorization", "Bearer one")];
+        std::thread::spawn(move || send("POST", callers, "/v1/chat/completions", &headers, &body))
+    };
+    let streams: Vec<_> = (0..STREAMS).map(stream).collect();
+    wait_until("all streams run", || attempts() >= before + STREAMS);
+    streams
+}
+
+fn assert_whole(streams: Vec<JoinHandle<io::Result<Answer>>>) {
+    for (number, stream) in streams.into_iter().enumerate() {
+        let answer = stream.join().unwrap().unwrap();
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(
+            answer.content(),
+            whole_answer("review@v1", &format!("stream {number}"), TOKENS)
+        );
+    }
+}
+
+#[test]
+fn two_hosts_of_a_zone_stop_at_once_under_full_streams() {
+    let mut fleet = fleet_of(1, &["a", "a", "a"]);
+    let first = open_streams(&fleet, 0);
+    let second = open_streams(&fleet, 1);
+    fleet.hosts[0].process.signal("TERM");
+    fleet.hosts[1].process.signal("TERM");
+    wait_until("the balancer can see it", || {
+        !fleet.hosts[0].is_ready() && !fleet.hosts[1].is_ready()
+    });
+    assert_whole(first);
+    assert_whole(second);
+    assert!(fleet.hosts[0].process.wait() && fleet.hosts[1].process.wait());
+    wait_until("the last host knows that they left", || {
+        fleet.hosts[2].status().unwrap().hosts.len() == 1
+    });
+    assert_eq!(
+        chat(&fleet.hosts[2], "one", &[], &chat_body("x", 1, false)).status,
+        200
+    );
+}
+
+#[test]
+fn a_stop_during_an_outage_of_the_store_hands_the_bills_over() {
+    let mut fleet = fleet_of(1, &["a", "a"]);
+    fleet.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let streams = open_streams(&fleet, 0);
+    fleet.hosts[0].process.signal("TERM");
+    assert_whole(streams);
+    assert!(fleet.hosts[0].process.wait());
+    fleet.store.set_faults(Faults::default());
+    let billed = || {
+        let pages = fleet.store.dump("ledger/");
+        let pages = pages
+            .iter()
+            .map(|(_, text)| serde_json::from_str::<LedgerPage>(text).unwrap());
+        pages
+            .flat_map(|page| page.records)
+            .filter(|record| record.completion_tokens == TOKENS)
+            .count()
+    };
+    wait_until("the other host writes them", || billed() == STREAMS);
+}
+
+#[test]
+fn a_leaving_server_goes_quiet_though_the_host_list_says_live() {
+    let fleet = fleet_of(2, &["a", "a"]);
+    let starts = || {
+        fleet
+            .log(0)
+            .iter()
+            .filter(|line| line.starts_with("start"))
+            .count()
+    };
+    fleet.fault(0, "leaving=1");
+    // Each host learns it by a refusal, a report or a peer; no caller notices.
+    let refusals_known = |host: usize| {
+        let (_, text) = try_get(fleet.hosts[host].admin(), "/metrics").unwrap();
+        text.lines()
+            .any(|line| line.starts_with("clementinearch_servers_leaving 1"))
+    };
+    for host in 0..2 {
+        wait_until("the host knows", || {
+            assert_eq!(
+                chat(&fleet.hosts[host], "one", &[], &chat_body("x", 1, false)).status,
+                200
+            );
+            refusals_known(host)
+        });
+    }
+    let before = starts();
+    for number in 0..40 {
+        assert_eq!(
+            chat(
+                &fleet.hosts[number % 2],
+                "one",
+                &[],
+                &chat_body("x", 1, false)
+            )
+            .status,
+            200
+        );
+    }
+    assert_eq!(starts(), before, "a leaving server got new work");
+}
--- a/policy/src/backend.rs
+++ b/policy/src/backend.rs
@@ -19,15 +19,21 @@
 
 /// A backend server as the choice sees it.
 pub trait Candidate {
-    /// Whether it may be given work now.
-    fn is_usable(&self, now: Millis) -> bool;
+    /// Whether it takes work at all, as far as is known.
+    fn takes_work(&self, now: Millis) -> bool;
+    /// Whether it failed lately and is better left alone.
+    fn failed_lately(&self, now: Millis) -> bool;
     /// Expected load as a fraction of its slots.
     fn load(&self, now: Millis) -> f64;
 }
 
 impl<C: Candidate> Candidate for Arc<C> {
-    fn is_usable(&self, now: Millis) -> bool {
-        C::is_usable(self, now)
+    fn takes_work(&self, now: Millis) -> bool {
+        C::takes_work(self, now)
+    }
+
+    fn failed_lately(&self, now: Millis) -> bool {
+        C::failed_lately(self, now)
     }
 
     fn load(&self, now: Millis) -> f64 {
@@ -108,13 +114,35 @@
     }
     for _ in 0..MAX_DRAWS {
         let drawn = &among[rng.usize(..among.len())];
-        if drawn.is_usable(now) {
+        if is_sound(drawn, now) {
             return Some(drawn);
         }
     }
-    let usable: Vec<&C> = among
+    // Where all have failed lately, one of them is still better than a refusal.
+    let takes_work: Vec<&C> = among
         .iter()
-        .filter(|candidate| candidate.is_usable(now))
+        .filter(|candidate| candidate.takes_work(now))
         .collect();
-    (!usable.is_empty()).then(|| usable[rng.usize(..usable.len())])
+    let sound: Vec<&C> = takes_work
+        .iter()
+        .copied()
+        .filter(|candidate| is_sound(*candidate, now))
+        .collect();
+    let left = if sound.is_empty() { takes_work } else { sound };
+    (!left.is_empty()).then(|| left[rng.usize(..left.len())])
+}
+
+fn is_sound<C: Candidate>(candidate: &C, now: Millis) -> bool {
+    candidate.takes_work(now) && !candidate.failed_lately(now)
+}
+
+/// Pause after a first failure.
+const FIRST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Doublings of the pause at most.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// How long a server is left alone after its last `failures` requests failed in a row.
+pub fn failure_pause(failures: u32) -> Duration {
+    FIRST_PAUSE * 2u32.pow(failures.saturating_sub(1).min(MAX_DOUBLINGS))
 }
--- a/policy/src/member.rs
+++ b/policy/src/member.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    names::{FastMap, Name, stable_hash},
+    names::{FastMap, FastSet, Name, stable_hash},
     time::Millis,
 };
 
@@ -25,8 +25,10 @@
     Leaving,
     /// A peer got no answer from it.
     Suspect,
-    /// It refuted no suspicion in time, or said that it left.
+    /// It refuted no suspicion in time.
     Dead,
+    /// It said that it left.
+    Left,
 }
 
 /// One host of the membership table.
@@ -65,6 +67,7 @@
 pub struct Members {
     me: Member,
     rows: FastMap<Name, (Member, Millis)>,
+    listed: FastSet<Name>,
 }
 
 impl Members {
@@ -73,6 +76,7 @@
         Self {
             me,
             rows: FastMap::default(),
+            listed: FastSet::default(),
         }
     }
 
@@ -86,6 +90,22 @@
         self.me.state = state;
     }
 
+    /// Takes in which hosts the platform's list names.
+    pub fn set_listed(&mut self, names: FastSet<Name>) {
+        self.listed = names;
+    }
+
+    /// Hosts whose word on the configuration counts: those that are there, and those that count
+    /// as dead while the platform's list names them.
+    pub fn expected(&self) -> Vec<Member> {
+        let is_expected = |row: &Member| match row.state {
+            MemberState::Alive | MemberState::Leaving | MemberState::Suspect => true,
+            MemberState::Dead => self.listed.contains(&row.name),
+            MemberState::Left => false,
+        };
+        self.rows().into_iter().filter(is_expected).collect()
+    }
+
     /// Adds a host of the platform's list that is not known yet. Its incarnation is zero:
     /// any word of the host itself goes before the list's.
     pub fn add_listed(&mut self, name: &Name, zone: &Name, address: &Name, now: Millis) {
@@ -122,7 +142,7 @@
         }
         match self.rows.get(&row.name) {
             Some((known, _)) if known.rank() >= row.rank() => false,
-            None if row.state == MemberState::Dead => false,
+            None if row.state >= MemberState::Dead => false,
             _ => {
                 self.rows.insert(row.name.clone(), (row.clone(), now));
                 true
@@ -162,7 +182,7 @@
             }
         }
         self.rows.retain(|_, (row, since)| {
-            row.state != MemberState::Dead || now.since(*since) <= TOMBSTONE
+            row.state < MemberState::Dead || now.since(*since) <= TOMBSTONE
         });
         died
     }
@@ -189,7 +209,7 @@
         self.rows
             .values()
             .map(|(row, _)| row)
-            .filter(|row| row.state != MemberState::Dead)
+            .filter(|row| row.state < MemberState::Dead)
     }
 
     /// The known row of `name`.
@@ -202,12 +222,19 @@
 
     /// Names of the hosts in `zone` that take work, this one included.
     pub fn in_zone(&self, zone: &str) -> Vec<Name> {
-        let others = self.peers().filter(|row| row.state == MemberState::Alive);
+        self.names_in_zone(zone, &[MemberState::Alive])
+    }
+
+    /// The same and those under suspicion, for records that must not be missed while a host sleeps.
+    pub fn in_zone_or_suspect(&self, zone: &str) -> Vec<Name> {
+        self.names_in_zone(zone, &[MemberState::Alive, MemberState::Suspect])
+    }
+
+    fn names_in_zone(&self, zone: &str, states: &[MemberState]) -> Vec<Name> {
+        let others = self.rows.values().map(|(row, _)| row);
         let all = others.chain(std::iter::once(&self.me));
-        let mut names: Vec<Name> = all
-            .filter(|row| &*row.zone == zone)
-            .map(|row| row.name.clone())
-            .collect();
+        let fitting = all.filter(|row| &*row.zone == zone && states.contains(&row.state));
+        let mut names: Vec<Name> = fitting.map(|row| row.name.clone()).collect();
         names.sort();
         names
     }
--- a/standins/src/memory_store.rs
+++ b/standins/src/memory_store.rs
@@ -18,10 +18,12 @@
 pub struct Faults {
     /// No call is answered and none takes effect.
     pub down: bool,
-    /// Each answer takes this long.
+    /// Each answer comes this long after its effect.
     pub delay: Duration,
     /// This many writes take effect and lose their answer.
     pub lose_answers: u32,
+    /// A write that loses its answer leaves the service down.
+    pub down_after_lost: bool,
     /// Reads of a key answer the value before its newest one.
     pub stale: bool,
 }
@@ -108,17 +110,21 @@
     }
 
     fn check_faults(&self) -> Result<(), StoreError> {
-        let faults = self.faults();
-        if faults.delay > Duration::ZERO {
-            std::thread::sleep(faults.delay);
-        }
-        if faults.down {
+        if self.faults().down {
             return Err(StoreError::NotReached {
                 reason: "stand-in is down".to_owned(),
             });
         }
         Ok(())
     }
+
+    /// Holds an answer back, after its effect.
+    fn delay_answer(&self) {
+        let delay = self.faults().delay;
+        if delay > Duration::ZERO {
+            std::thread::sleep(delay);
+        }
+    }
 }
 
 impl State {
@@ -159,6 +165,7 @@
 impl Store for MemoryStore {
     fn get(&self, key: &str, _: Purpose) -> Result<Option<Versioned>, StoreError> {
         self.check_faults()?;
+        self.delay_answer();
         let mut state = self.state.lock();
         let stale = state.faults.stale;
         let entry = state.live(key);
@@ -216,8 +223,14 @@
         }
         let version = state.write(key, value, ttl);
         self.changed.notify_all();
-        if state.faults.lose_answers > 0 {
+        let is_lost = state.faults.lose_answers > 0;
+        if is_lost {
             state.faults.lose_answers -= 1;
+            state.faults.down |= state.faults.down_after_lost;
+        }
+        drop(state);
+        self.delay_answer();
+        if is_lost {
             return Err(StoreError::Unknown {
                 reason: "stand-in lost the answer".to_owned(),
             });
--- a/standins/src/store_server.rs
+++ b/standins/src/store_server.rs
@@ -1,6 +1,14 @@
 //! The key-value service and host list over HTTP.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use clementinearch_platform::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
 use oxhttp::{
@@ -20,9 +28,26 @@
 ///
 /// Returns the error of binding the address.
 pub fn serve(store: Arc<MemoryStore>, address: SocketAddr) -> io::Result<ListeningServer> {
-    Server::new(move |req| answer(&store, req))
-        .bind(address)
-        .spawn()
+    serve_gated(store, address, Arc::default())
+}
+
+/// Serves `store` at `address` to callers that are cut off while `is_cut` holds.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub fn serve_gated(
+    store: Arc<MemoryStore>,
+    address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+) -> io::Result<ListeningServer> {
+    let server = Server::new(move |req| {
+        if is_cut.load(Ordering::Relaxed) {
+            return status(StatusCode::SERVICE_UNAVAILABLE, "cut off");
+        }
+        answer(&store, req)
+    });
+    server.bind(address).spawn()
 }
 
 fn answer(store: &MemoryStore, req: &mut Request<Body>) -> Response<Body> {
@@ -116,6 +141,7 @@
                 down: query(req, "down") == Some(1),
                 delay: Duration::from_millis(query(req, "delay_ms").unwrap_or(0)),
                 lose_answers: query(req, "lose_answers").unwrap_or(0) as u32,
+                down_after_lost: query(req, "down_after_lost") == Some(1),
                 stale: query(req, "stale") == Some(1),
             });
             status(StatusCode::OK, "")
