Check the store's protocols under many schedules with shuttle

Cause: process tests meet a few interleavings; claims, bills and edits must hold in all of them.

Ruled out: a hand-written model beside the code (it proves the model); loom (exhaustive, and the protocols loop on lost answers).

Change: taking and settling claims and writing ledger pages move from the host to the platform package, where they need nothing but a Store. Tests run that code under shuttle, 10,000 random and 10,000 preemption-bounded schedules each, with a quarter of the calls unanswered. A lost answer to a body is now asked again within the edit.

A write that takes effect after its answer was given up leaves a claim that nobody may take; the caller is told "may have run".

--- a/host/src/ledger.rs
+++ b/host/src/ledger.rs
@@ -1,19 +1,15 @@
 //! Bills: held by two hosts before an answer ends, then merged into pages in the store.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use clementinearch_border::{BillRecord, LedgerPage};
-use clementinearch_platform::{Purpose, PutOutcome, Store, StoreError};
+use clementinearch_border::BillRecord;
+use clementinearch_platform::{self as platform, Store, StoreError};
 use clementinearch_policy::{
-    ledger::{PageId, merge},
+    ledger::PageId,
     names::{Name, rendezvous},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
-use std::sync::atomic::AtomicU64;
 use tokio::runtime::Handle;
 
 use crate::{
@@ -56,7 +52,6 @@
     board: Arc<Board>,
     clients: Arc<PeerClients>,
     held: Sharded<PageId, Vec<Held>>,
-    written: AtomicU64,
 }
 
 impl Ledger {
@@ -66,7 +61,6 @@
             board,
             clients,
             held: Sharded::default(),
-            written: AtomicU64::default(),
         }
     }
 
@@ -200,38 +194,10 @@
             let held = shard.get(&page).map(Vec::as_slice).unwrap_or_default();
             held.iter().map(|held| held.bill.record.clone()).collect()
         };
-        let key = page.key();
-        loop {
-            let found = store.get(&key, Purpose::Ledger)?;
-            let version = found.as_ref().map_or(0, |found| found.version);
-            let empty = LedgerPage {
-                records: Vec::new(),
-            };
-            let mut merged = match &found {
-                None => empty,
-                Some(found) => {
-                    serde_json::from_str(&found.value).map_err(|e| StoreError::Refused {
-                        reason: format!("{key} cannot be read: {e}"),
-                    })?
-                }
-            };
-            let added = merge(&mut merged, &records);
-            if added > 0 {
-                let value = serde_json::to_string(&merged).map_err(|e| StoreError::Refused {
-                    reason: e.to_string(),
-                })?;
-                match store.put(&key, version, &value, None, Purpose::Ledger)? {
-                    PutOutcome::Written { .. } => {}
-                    PutOutcome::Conflict(_) => {
-                        metrics::counter!("clementinearch_ledger_conflicts_total").increment(1);
-                        continue;
-                    }
-                }
-            }
-            self.written.fetch_add(added as u64, Ordering::Relaxed);
-            metrics::counter!("clementinearch_bills_written_total").increment(added as u64);
-            break;
-        }
+        let written = platform::write_page(store, page, &records)?;
+        metrics::counter!("clementinearch_ledger_conflicts_total")
+            .increment(written.conflicts as u64);
+        metrics::counter!("clementinearch_bills_written_total").increment(written.added as u64);
         let ids: Vec<String> = records.into_iter().map(|record| record.id).collect();
         self.forget(page, &ids);
         self.tell_other_owners(runtime, page, ids);
--- a/host/src/services.rs
+++ b/host/src/services.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use clementinearch_border::{BillRecord, ClaimState};
+use clementinearch_platform::{Claim, Taken};
 use clementinearch_policy::{
     claim::{claim_key, done, new_claim, with_state},
     names::{Name, digest_hex, rendezvous},
@@ -14,7 +15,6 @@
 use crate::{
     callers::{App, Caller},
     chat::{read_deadline, read_request_id},
-    claims::{Claim, Taken},
     clock,
     refusal::{Answer, Refusal, json_answer},
     servers::Server,
@@ -28,6 +28,9 @@
 /// When to come back after no server could take a call.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
 
+/// When to come back while another host may be sending.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(2);
+
 /// Header with the id of a call that must not be repeated.
 const ID_HEADER: &str = "idempotency-key";
 
@@ -204,8 +207,37 @@
         let taken = self.app.claims.take(key, wanted).await?;
         drop(claim_span);
         match taken {
-            Taken::Answered { status, answer } => answered_before(status, answer),
             Taken::Own(claim) => self.run_owned(claim).await,
+            Taken::Answered { status, answer } => answered_before(status, answer),
+            Taken::InProgress => {
+                let message = "a call with this id may be running at another host";
+                let refusal = Refusal::may_have_run(StatusCode::CONFLICT, "in_progress", message);
+                Err(refusal.with_retry_after(IN_PROGRESS_RETRY))
+            }
+            Taken::OutcomeUnknown => {
+                let message = "a call with this id was sent and its outcome is not known; read its status instead";
+                Err(Refusal::may_have_run(
+                    StatusCode::CONFLICT,
+                    "outcome_unknown",
+                    message,
+                ))
+            }
+            Taken::OtherCall => {
+                let message = "this id was used for another call";
+                Err(Refusal::not_run(
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    "id_reused",
+                    message,
+                ))
+            }
+            Taken::Unreadable => {
+                let message = "the claim in the store cannot be read";
+                Err(Refusal::may_have_run(
+                    StatusCode::CONFLICT,
+                    "claim_unreadable",
+                    message,
+                ))
+            }
         }
     }
 
