Tell requests that crash servers from those that were there by chance

Cause: a request that crashes its server was retried up to four times and could be sent again under a new id without end.

Ruled out: counting by request id (the caller sends it again under a new one); convicting after any two crashes (innocents that share both servers are convicted too); a dedicated quarantine server (none is set aside).

Change: all contents on a crashed server are suspects; a suspect runs again on trial, on a server that one arbiter of the zone reserves for it; a crash on trial convicts, a whole answer clears. Suspicions travel with each exchange and are pushed at once. Peer bytes are counted.

--- /dev/null
+++ b/host/benches/load.rs
@@ -0,0 +1,216 @@
+//! What load costs one entry host: processor time a request and a token, memory a stream, and the
+//! time added to the first token: `cargo bench --bench load`.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+mod measure;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use fleet::{Fleet, chat_body, model, plan};
+use hdrhistogram::Histogram;
+use measure::{cpu_seconds, resident_kib};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    runtime::Runtime,
+    time::{interval, sleep},
+};
+
+const ENGINES: usize = 4;
+
+fn main() {
+    let runtime = Runtime::new().unwrap();
+    measure_requests(&runtime);
+    measure_tokens(&runtime);
+    measure_streams(&runtime);
+    measure_first_token(&runtime);
+}
+
+fn fleet_with(token_ms: &str) -> Fleet {
+    let mut fleet = Fleet::new().with_default_timings();
+    for _ in 0..ENGINES {
+        let args = [
+            "--version",
+            "review@v1",
+            "--slots",
+            "1000",
+            "--token-ms",
+            token_ms,
+        ];
+        fleet.start_backend("engine", "reviewers", "a", &args);
+    }
+    fleet.edit(&[
+        ("model/review", &model(&[("v1", "established")])),
+        ("plan/one", &plan("one", &["v1"])),
+    ]);
+    fleet.start_hosts(&["a"]);
+    fleet.wait_serving(0, "one");
+    fleet
+}
+
+fn request(prompt: &str, tokens: u32, model: &str) -> String {
+    let body = chat_body(prompt, tokens, true).replace("\"review\"", &format!("\"{model}\""));
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer one\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads a stream to its end; returns the time to the first token and whether the answer was whole.
+async fn stream(
+    address: SocketAddr,
+    request: String,
+    tokens: Arc<AtomicU64>,
+) -> Option<(Duration, bool)> {
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut buf = vec![0; 16 << 10];
+    let mut tail = Vec::new();
+    let mut first = None;
+    loop {
+        let read = stream.read(&mut buf).await.ok()?;
+        if read == 0 {
+            break;
+        }
+        let text = &buf[..read];
+        let count = text
+            .windows(8)
+            .filter(|window| window == b"\"delta\":")
+            .count();
+        if count > 0 {
+            first.get_or_insert_with(|| began.elapsed());
+            tokens.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        tail = text[text.len().saturating_sub(64)..].to_vec();
+    }
+    let is_whole = String::from_utf8_lossy(&tail).contains("[DONE]");
+    Some((first?, is_whole))
+}
+
+/// 50 times a host's share of the peak: 3,600 requests a second over 320 hosts.
+fn measure_requests(runtime: &Runtime) {
+    const SECONDS: u64 = 10;
+    let fleet = fleet_with("1");
+    let (address, pid) = (fleet.hosts[0].callers(), fleet.hosts[0].process.0.id());
+    println!("requests/s  sent  whole  cpu_us_a_request  first_token_ms(p50,p99)");
+    for rate in [140, 280, 560] {
+        let cpu = cpu_seconds(pid);
+        let (whole, histogram) = runtime.block_on(async {
+            let mut ticks = interval(Duration::from_secs(1) / rate);
+            let mut running = Vec::new();
+            for number in 0..u64::from(rate) * SECONDS {
+                ticks.tick().await;
+                let request = request(&format!("prompt {number}"), 2, "review");
+                running.push(tokio::spawn(stream(address, request, Arc::default())));
+            }
+            let mut histogram = Histogram::<u64>::new(3).unwrap();
+            let mut whole = 0;
+            for run in running {
+                if let Some((first, true)) = run.await.unwrap() {
+                    whole += 1;
+                    histogram.record(first.as_micros() as u64).unwrap();
+                }
+            }
+            (whole, histogram)
+        });
+        let sent = u64::from(rate) * SECONDS;
+        let cpu_us = (cpu_seconds(pid) - cpu) * 1e6 / sent as f64;
+        let quantile = |q| histogram.value_at_quantile(q) as f64 / 1000.0;
+        println!(
+            "{rate:10}  {sent}  {whole}  {cpu_us:16.0}  {:.2},{:.2}",
+            quantile(0.5),
+            quantile(0.99)
+        );
+    }
+}
+
+fn measure_tokens(runtime: &Runtime) {
+    const TOKENS: u32 = 2_000;
+    let fleet = fleet_with("5");
+    let (address, pid) = (fleet.hosts[0].callers(), fleet.hosts[0].process.0.id());
+    println!("streams  tokens/s  cpu_us_a_token");
+    for streams in [10, 40, 160] {
+        let tokens: Arc<AtomicU64> = Arc::default();
+        let cpu = cpu_seconds(pid);
+        let began = Instant::now();
+        runtime.block_on(async {
+            let run = |number: usize| {
+                tokio::spawn(stream(
+                    address,
+                    request(&format!("p {number}"), TOKENS, "review"),
+                    tokens.clone(),
+                ))
+            };
+            let running: Vec<_> = (0..streams).map(run).collect();
+            for run in running {
+                assert!(run.await.unwrap().is_some_and(|(_, whole)| whole));
+            }
+        });
+        let total = tokens.load(Ordering::Relaxed) as f64;
+        let cpu_us = (cpu_seconds(pid) - cpu) * 1e6 / total;
+        println!(
+            "{streams:7}  {:8.0}  {cpu_us:14.1}",
+            total / began.elapsed().as_secs_f64()
+        );
+    }
+}
+
+fn measure_streams(runtime: &Runtime) {
+    let fleet = fleet_with("1000");
+    let (address, pid) = (fleet.hosts[0].callers(), fleet.hosts[0].process.0.id());
+    println!("open_streams  rss_kib");
+    println!("{:12}  {:.0}", 0, resident_kib(pid));
+    let mut open = 0;
+    for streams in [250, 500, 1000] {
+        runtime.block_on(async {
+            for number in open..streams {
+                tokio::spawn(stream(
+                    address,
+                    request(&format!("p {number}"), 600, "review"),
+                    Arc::default(),
+                ));
+            }
+            sleep(Duration::from_secs(3)).await;
+        });
+        open = streams;
+        println!("{open:12}  {:.0}", resident_kib(pid));
+    }
+}
+
+/// The same requests to an engine directly and through the host, in turn.
+fn measure_first_token(runtime: &Runtime) {
+    const REQUESTS: usize = 2_000;
+    let fleet = fleet_with("1");
+    let engine = fleet.backend_address(0);
+    let host = fleet.hosts[0].callers();
+    let mut histograms = [
+        Histogram::<u64>::new(3).unwrap(),
+        Histogram::<u64>::new(3).unwrap(),
+    ];
+    for number in 0..REQUESTS {
+        let prompt = format!("p {}", number % 10);
+        for (histogram, (address, model)) in histograms
+            .iter_mut()
+            .zip([(engine, "review@v1"), (host, "review")])
+        {
+            let request = request(&prompt, 2, model);
+            let first = runtime.block_on(stream(address, request, Arc::default()));
+            histogram
+                .record(first.unwrap().0.as_micros() as u64)
+                .unwrap();
+        }
+    }
+    let [direct, routed] =
+        histograms.map(|it| (it.value_at_quantile(0.5), it.value_at_quantile(0.99)));
+    println!("first token in us (p50, p99): direct {direct:?}, through the host {routed:?}");
+}
--- a/host/src/callers.rs
+++ b/host/src/callers.rs
@@ -34,6 +34,7 @@
     services,
     sessions::Sessions,
     telemetry,
+    trials::Trials,
 };
 
 /// Largest head of a request, bytes.
@@ -48,6 +49,7 @@
     pub(crate) claims: Claims,
     pub(crate) sessions: Arc<Sessions>,
     pub(crate) ledger: Arc<Ledger>,
+    pub(crate) trials: Arc<Trials>,
     pub(crate) retries: Mutex<RetryBudget>,
 }
 
--- a/host/src/chat.rs
+++ b/host/src/chat.rs
@@ -7,7 +7,7 @@
 };
 use clementinearch_policy::{
     choose::{ChooseError, VersionQuery, choose_version, keep_version},
-    names::Name,
+    names::{Name, stable_hash},
     plan::parse_model_reference,
     request_id::RequestId,
     session::SessionPin,
@@ -28,6 +28,7 @@
     relay_answer::{self, Attempt, AttemptEnd, Event, Progress},
     sessions::Pin,
     telemetry::Span,
+    upstream,
 };
 
 /// Attempts of one request, the first included.
@@ -230,6 +231,12 @@
         format!("{}@{}", self.model, self.version)
     }
 
+    /// Tells contents of an account apart, whatever their request ids.
+    fn content(&self) -> u64 {
+        let messages = serde_json::to_string(&self.request.messages).unwrap_or_default();
+        stable_hash(&[&self.caller.entry.account, &self.model, &messages])
+    }
+
     /// Has the bill held by its owners; an answer that never began costs nothing.
     async fn hold_bill(&self, progress: &Progress, whole: bool) {
         if progress.next_position == 0 {
@@ -314,6 +321,7 @@
     let request_id = job.request_id.simple();
     let settings = &job.app.board.settings;
     let mut run = RunState::NotRun;
+    let content = job.content();
     job.app.retries.lock().earn();
     for number in 0..MAX_ATTEMPTS {
         let now = clock::now();
@@ -322,9 +330,24 @@
         if number > 0 && !job.app.retries.lock().spend() {
             break;
         }
-        let Some(server) = job.app.board.servers.pick(&job.pool, &version, now) else {
-            break;
+        let is_suspect = job.app.trials.is_suspect(content)?;
+        let trial = match is_suspect {
+            true => Some(
+                job.app
+                    .trials
+                    .begin(
+                        content,
+                        job.app.board.servers.by_load(&job.pool, &version, now),
+                    )
+                    .await?,
+            ),
+            false => None,
+        };
+        let picked = match &trial {
+            Some(trial) => Some(trial.server.clone()),
+            None => job.app.board.servers.pick(&job.pool, &version, now),
         };
+        let Some(server) = picked else { break };
         let attempt_id = format!("{request_id}-{number}");
         let span = job.span.child("attempt");
         span.set("server", server.name.to_string());
@@ -345,6 +368,15 @@
         let in_flight = server.enter();
         let end = relay_answer::run(&server, attempt, progress, tx).await;
         drop(in_flight);
+        if end == AttemptEnd::Broken && upstream::connect(server.address).await.is_err() {
+            job.app.trials.note_crash(content, is_suspect);
+        }
+        if let Some(trial) = trial {
+            if end == AttemptEnd::Done {
+                job.app.trials.clear(content);
+            }
+            job.app.trials.end(trial).await;
+        }
         span.set("end", format!("{end:?}"));
         metrics::counter!("clementinearch_attempts_total", "end" => end.label()).increment(1);
         match end {
--- a/host/src/gossip.rs
+++ b/host/src/gossip.rs
@@ -14,6 +14,7 @@
     peers::{
         PeerClients, PeerError, apply_snapshot, call_context, own_digest, snapshot_for, take_in,
     },
+    trials::Trials,
 };
 
 /// Peers told at once of a new configuration or a state of this host.
@@ -24,11 +25,14 @@
 const ROUNDS_PER_REVIVAL: u64 = 10;
 
 /// Runs the controller until the host has left.
-pub(crate) async fn run(board: Arc<Board>, clients: Arc<PeerClients>) {
+pub(crate) async fn run(board: Arc<Board>, clients: Arc<PeerClients>, trials: Arc<Trials>) {
     let mut round = 0;
     loop {
         let next = Instant::now() + board.settings.gossip_period;
         expire(&board);
+        trials.expire();
+        metrics::gauge!("clementinearch_members")
+            .set((board.members.lock().peers().count() + 1) as f64);
         metrics::gauge!("clementinearch_servers_leaving")
             .set(board.servers.leaving(clock::now()).len() as f64);
         let mut targets = choose_targets(&board, round);
@@ -41,12 +45,12 @@
                     .map(|seed| Target::unnamed(&seed.to_string())),
             );
         }
-        exchange_with_all(&board, &clients, targets).await;
+        exchange_with_all(&board, &clients, &trials, targets).await;
         board.note_peers_asked();
         round += 1;
         tokio::select! {
             () = sleep_until(next) => {}
-            () = board.news.notified() => spread_news(&board, &clients).await,
+            () = board.news.notified() => spread_news(&board, &clients, &trials).await,
         }
     }
 }
@@ -108,7 +112,7 @@
     targets
 }
 
-async fn spread_news(board: &Arc<Board>, clients: &Arc<PeerClients>) {
+async fn spread_news(board: &Board, clients: &PeerClients, trials: &Trials) {
     let targets = {
         let members = board.members.lock();
         let zone = &board.settings.zone;
@@ -118,19 +122,24 @@
             .map(Target::named)
             .collect()
     };
-    exchange_with_all(board, clients, targets).await;
+    exchange_with_all(board, clients, trials, targets).await;
 }
 
-async fn exchange_with_all(board: &Arc<Board>, clients: &Arc<PeerClients>, targets: Vec<Target>) {
+async fn exchange_with_all(
+    board: &Board,
+    clients: &PeerClients,
+    trials: &Trials,
+    targets: Vec<Target>,
+) {
     let exchanges = targets
         .into_iter()
-        .map(|target| exchange(board, clients, target));
+        .map(|target| exchange(board, clients, trials, target));
     futures::future::join_all(exchanges).await;
 }
 
-async fn exchange(board: &Arc<Board>, clients: &Arc<PeerClients>, target: Target) {
+async fn exchange(board: &Board, clients: &PeerClients, trials: &Trials, target: Target) {
     metrics::counter!("clementinearch_peer_exchanges_total", "side" => "asked").increment(1);
-    let outcome = exchange_once(board, clients, &target.address).await;
+    let outcome = exchange_once(board, clients, trials, &target.address).await;
     if let (Err(e), Some(name)) = (outcome, &target.name) {
         log::debug!("exchange with {name}: {e}");
         board.members.lock().suspect(name, clock::now());
@@ -140,9 +149,10 @@
 async fn exchange_once(
     board: &Board,
     clients: &PeerClients,
+    trials: &Trials,
     address: &Name,
 ) -> Result<(), PeerError> {
-    let digest = own_digest(board);
+    let digest = own_digest(board, trials);
     let reply = clients
         .call(address, |peer| async move {
             peer.exchange(call_context(), digest).await
@@ -152,7 +162,7 @@
     if let Some(snapshot) = reply.snapshot {
         apply_snapshot(board, snapshot);
     }
-    if take_in(board, &reply.digest) {
+    if take_in(board, trials, &reply.digest) {
         let rows = board.members.lock().rows();
         clients
             .call(address, |peer| async move {
@@ -171,8 +181,8 @@
 }
 
 /// Tells some peers at once that this host has left.
-pub(crate) async fn say_goodbye(board: &Arc<Board>, clients: &Arc<PeerClients>) {
+pub(crate) async fn say_goodbye(board: &Board, clients: &PeerClients, trials: &Trials) {
     const GOODBYE_LIMIT: Duration = Duration::from_secs(1);
     board.members.lock().leave(MemberState::Left);
-    let _ = tokio::time::timeout(GOODBYE_LIMIT, spread_news(board, clients)).await;
+    let _ = tokio::time::timeout(GOODBYE_LIMIT, spread_news(board, clients, trials)).await;
 }
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -25,6 +25,7 @@
     sessions::{self, Sessions},
     settings::Settings,
     telemetry::Telemetry,
+    trials::Trials,
 };
 
 /// Threads that serve callers and peers.
@@ -65,6 +66,7 @@
         sessions: Arc::new(Sessions::new(board.clone(), clients.clone())),
         claims: Claims::new(store.clone()),
         retries: Mutex::default(),
+        trials: Arc::new(Trials::new(board.clone(), clients.clone())),
         ledger,
         board,
     });
@@ -105,12 +107,13 @@
         board: board.clone(),
         sessions: app.sessions.clone(),
         ledger: app.ledger.clone(),
+        trials: app.trials.clone(),
     };
     let peers = peers::serve(server)
         .await
         .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
     tokio::spawn(peers);
-    tokio::spawn(gossip::run(board.clone(), clients));
+    tokio::spawn(gossip::run(board.clone(), clients, app.trials.clone()));
     tokio::spawn(sweep_sessions(app.sessions.clone()));
     tokio::spawn(probe::run(board.clone()));
     let callers_at = board.settings.callers;
@@ -147,6 +150,6 @@
     if left > 0 {
         log::error!("planned stop: no other host took {left} bills and the store did not either");
     }
-    gossip::say_goodbye(&app.board, clients).await;
+    gossip::say_goodbye(&app.board, clients, &app.trials).await;
     log::info!("planned stop: done");
 }
--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod clock;
 mod cmd;
+mod counted;
 mod error;
 mod gossip;
 mod host;
@@ -23,6 +24,7 @@
 mod settings;
 mod sharded;
 mod telemetry;
+mod trials;
 mod upstream;
 
 use std::process::ExitCode;
--- a/host/src/peers.rs
+++ b/host/src/peers.rs
@@ -8,6 +8,7 @@
     ledger::PageId,
     member::Member,
     names::{FastMap, Name},
+    suspect::SuspectRow,
 };
 use derive_more::{Display, Error, From};
 use futures::StreamExt;
@@ -16,16 +17,20 @@
 use tarpc::{
     client::RpcError,
     context::{self, Context},
-    serde_transport::tcp,
+    serde_transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
 };
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     board::Board,
     clock,
+    counted::CountedStream,
     ledger::{Bill, Ledger},
     sessions::{Pin, Recollection, Sessions},
+    trials::Trials,
 };
 
 /// Longest wait for a peer's answer.
@@ -53,6 +58,8 @@
     pub(crate) confirmed_age: Option<Duration>,
     /// Backend servers that told the sender they leave, and how long ago.
     pub(crate) leaving: Vec<(Name, Duration)>,
+    /// Requests that crashed servers, by content.
+    pub(crate) suspects: Vec<SuspectRow>,
 }
 
 /// Answer to a digest.
@@ -84,6 +91,10 @@
     async fn hold_bills(bills: Vec<Bill>);
     /// Forgets bills of a page that are in the store.
     async fn forget_bills(epoch: u64, shard: u64, ids: Vec<String>);
+    /// Reserves the first server on which no other suspect is on trial.
+    async fn begin_trial(content: u64, servers: Vec<Name>) -> Option<Name>;
+    /// Ends a trial.
+    async fn end_trial(content: u64, server: Name);
 }
 
 /// A host's own word on its configuration.
@@ -116,16 +127,18 @@
     pub(crate) board: Arc<Board>,
     pub(crate) sessions: Arc<Sessions>,
     pub(crate) ledger: Arc<Ledger>,
+    pub(crate) trials: Arc<Trials>,
 }
 
 /// Serves peers at the host's peer address.
 pub(crate) async fn serve(server: PeerServer) -> io::Result<impl Future<Output = ()>> {
-    let mut listener = tcp::listen(server.board.settings.peers, Bincode::default).await?;
-    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let listener = TcpListener::bind(server.board.settings.peers).await?;
     Ok(async move {
-        while let Some(connection) = listener.next().await {
-            let Ok(transport) = connection else { continue };
-            let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let calls = BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve());
             tokio::spawn(calls.for_each(|call| async {
                 tokio::spawn(call);
             }));
@@ -133,12 +146,29 @@
     })
 }
 
+/// Messages in bincode behind their lengths.
+fn framed<Item, SinkItem>(stream: TcpStream) -> PeerTransport<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(MAX_FRAME_BYTES);
+    serde_transport::new(
+        codec.new_framed(CountedStream::new(stream)),
+        Bincode::default(),
+    )
+}
+
+type PeerTransport<Item, SinkItem> =
+    serde_transport::Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
 impl Peer for PeerServer {
     async fn exchange(self, _: Context, digest: Digest) -> Reply {
         metrics::counter!("clementinearch_peer_exchanges_total", "side" => "answered").increment(1);
-        let differs = take_in(&self.board, &digest);
+        let differs = take_in(&self.board, &self.trials, &digest);
         Reply {
-            digest: own_digest(&self.board),
+            digest: own_digest(&self.board, &self.trials),
             rows: if differs {
                 self.board.members.lock().rows()
             } else {
@@ -177,6 +207,14 @@
     async fn forget_bills(self, _: Context, epoch: u64, shard: u64, ids: Vec<String>) {
         self.ledger.forget(PageId { epoch, shard }, &ids);
     }
+
+    async fn begin_trial(self, _: Context, content: u64, servers: Vec<Name>) -> Option<Name> {
+        self.trials.reserve(content, &servers)
+    }
+
+    async fn end_trial(self, _: Context, content: u64, server: Name) {
+        self.trials.free(content, &server);
+    }
 }
 
 /// This host's own word on its configuration.
@@ -192,7 +230,7 @@
 }
 
 /// This host's digest.
-pub(crate) fn own_digest(board: &Board) -> Digest {
+pub(crate) fn own_digest(board: &Board, trials: &Trials) -> Digest {
     let now = clock::now();
     let (from, table_hash) = {
         let members = board.members.lock();
@@ -206,14 +244,16 @@
         has_findings: !board.findings().is_empty(),
         confirmed_age: (confirmed_at.0 > 0).then(|| now.since(confirmed_at)),
         leaving: board.servers.leaving(now),
+        suspects: trials.rows(),
     }
 }
 
 /// Takes in a peer's digest. Returns whether the two membership tables differ.
-pub(crate) fn take_in(board: &Board, digest: &Digest) -> bool {
+pub(crate) fn take_in(board: &Board, trials: &Trials, digest: &Digest) -> bool {
     let now = clock::now();
     board.hear_of(digest.revision);
     board.servers.hear_leaving(&digest.leaving, now);
+    trials.merge(&digest.suspects);
     // A peer with a revision that is not newer than ours confirms ours as far as its own was confirmed.
     if let Some(age) = digest.confirmed_age
         && digest.revision == board.revision()
@@ -301,12 +341,9 @@
         let target: SocketAddr = address
             .parse()
             .map_err(|_| io::Error::other("malformed peer address"))?;
-        let mut connecting = tcp::connect(target, Bincode::default);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = tokio::time::timeout(PEER_TIMEOUT, connecting)
-            .await
-            .map_err(|_| PeerError::Timeout)??;
-        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        let connecting = tokio::time::timeout(PEER_TIMEOUT, TcpStream::connect(target));
+        let stream = connecting.await.map_err(|_| PeerError::Timeout)??;
+        let client = PeerClient::new(tarpc::client::Config::default(), framed(stream)).spawn();
         self.clients.lock().insert(address.clone(), client.clone());
         Ok(client)
     }
--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -235,6 +235,24 @@
         backend::pick(&group.local, &group.remote, now, &mut rng).cloned()
     }
 
+    /// Servers for a suspect: those that are sound, the least loaded first.
+    pub(crate) fn by_load(&self, pool: &Name, version: &Name, now: Millis) -> Vec<Arc<Server>> {
+        let index = self.index.read();
+        let Some(group) = index.groups.get(&(pool.clone(), version.clone())) else {
+            return Vec::new();
+        };
+        let sound = |server: &&Arc<Server>| server.takes_work(now) && !server.failed_lately(now);
+        let mut servers: Vec<Arc<Server>> = group
+            .local
+            .iter()
+            .chain(&group.remote)
+            .filter(sound)
+            .cloned()
+            .collect();
+        servers.sort_by(|left, right| left.load(now).total_cmp(&right.load(now)));
+        servers
+    }
+
     /// All servers of a pool.
     pub(crate) fn of_pool(&self, pool: &Name) -> Vec<Arc<Server>> {
         let index = self.index.read();
--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -39,11 +39,15 @@
 const STORE_PORT: u16 = 2379;
 const BACKEND_PORT: u16 = 8000;
 
-/// IPs of the store and of the first host and backend server within a fleet's network.
+/// IPs within a fleet's network: the store, up to 12 backend servers, up to 112 hosts and their
+/// gates to the store.
 const STORE_IP: u8 = 1;
-const FIRST_HOST_IP: u8 = 10;
-const FIRST_GATE_IP: u8 = 200;
-const FIRST_BACKEND_IP: u8 = 100;
+const FIRST_HOST_IP: u8 = 14;
+const FIRST_GATE_IP: u8 = 130;
+const FIRST_BACKEND_IP: u8 = 2;
+
+/// Short periods, so that tests do not wait.
+const TEST_TIMINGS: &str = "gossip_period_ms = 50\nledger_period_ms = 100\ndrain_notice_ms = 100";
 
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
 
@@ -336,6 +340,7 @@
     seeds_from: usize,
     next_edit: u32,
     settings: String,
+    timings: String,
 }
 
 impl Fleet {
@@ -367,9 +372,16 @@
             seeds_from: 0,
             next_edit: 0,
             settings: String::new(),
+            timings: TEST_TIMINGS.to_owned(),
         }
     }
 
+    /// Runs the hosts with the timings of the sample settings.
+    pub fn with_default_timings(mut self) -> Self {
+        self.timings = String::new();
+        self
+    }
+
     /// Adds lines to the top of each host's settings file, such as a `[pools]` table.
     pub fn with_settings(mut self, settings: &str) -> Self {
         self.settings = settings.to_owned();
@@ -549,9 +561,10 @@
             "name = \"{name}\"\nzone = \"{zone}\"\nsession_secret = \"a secret of the test fleet\"\nseeds = [{}]\n\
              [listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\n\
              [store]\naddress = \"{}\"\n\
-             [limits]\ngossip_period_ms = 50\nledger_period_ms = 100\ndrain_notice_ms = 100\n{}\n",
+             [limits]\n{}\n{}\n",
             seeds.join(", "),
             store,
+            self.timings,
             self.settings
         );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod request_id;
 pub mod retry;
 pub mod session;
+pub mod suspect;
 pub mod time;
 pub mod toml_reader;
