Halt a version that turns bad, by ratings and errors counted on all hosts

Ruled out: a fixed-sample comparison (false halts grow with each reading); a likelihood ratio against one worse rate (10 times slower on gross faults when tuned to mild ones); rows of all hosts to all hosts (66 KB an exchange at 320 hosts and 12 versions).

Change: counters that only grow, host by host within a zone and summed between zones, travel with each exchange; a mixture of likelihood ratios, valid at any reading, halts a version in roll-out; cumulative sums watch a version in service. A halted version takes no new session; its sessions finish, and the operators' list decides again once its entry changes.

Before: a bad version was served until somebody withdrew it.

Exposure is ruled by the share of answers that are rated.

--- a/border/src/generated.rs
+++ b/border/src/generated.rs
@@ -1262,6 +1262,38 @@
     ///One entry a model.
     pub data: ::std::vec::Vec<ModelEntry>,
 }
+///The rating service's word on one answer.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "The rating service's word on one answer.",
+///  "type": "object",
+///  "required": [
+///    "bad",
+///    "model"
+///  ],
+///  "properties": {
+///    "bad": {
+///      "description": "Whether the answer was bad.",
+///      "type": "boolean"
+///    },
+///    "model": {
+///      "description": "Model and version that answered, as `model@version`.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Rating {
+    ///Whether the answer was bad.
+    pub bad: bool,
+    ///Model and version that answered, as `model@version`.
+    pub model: ::std::string::String,
+}
 ///What is known about the work behind a refused or failed request.
 ///
 /// <details><summary>JSON schema</summary>
--- a/border/src/lib.rs
+++ b/border/src/lib.rs
@@ -11,5 +11,5 @@
     AnswerChoice, BillRecord, ChatAnswer, ChatChoice, ChatChunk, ChatDelta, ChatMessage,
     ChatRequest, ClaimRecord, ClaimState, EditEntry, ErrorBody, ErrorDetail, FleetStatus, Head,
     HeadItem, HostEntry, HostList, HostRole, HostState, HostStatus, LedgerPage, LoadReport,
-    ModelEntry, ModelList, RunState, Usage,
+    ModelEntry, ModelList, Rating, RunState, Usage,
 };
--- a/host/src/admin.rs
+++ b/host/src/admin.rs
@@ -1,43 +1,38 @@
-//! The operators' side: liveness, readiness, metrics and status.
+//! The operators' side: liveness, readiness, metrics, status, and ratings of answers.
 
 use std::sync::Arc;
 
+use clementinearch_border::Rating;
+use clementinearch_policy::plan::parse_model_reference;
 use metrics_exporter_prometheus::PrometheusHandle;
 use oxhttp::{
     ListeningServer, Server,
-    model::{Body, Response, StatusCode},
+    model::{Body, Method, Request, Response, StatusCode},
 };
 use tokio::runtime::Handle;
 
-use crate::{board::Board, error::Error, peers, peers::PeerClients};
+use crate::{
+    board::Board,
+    error::Error,
+    peers::{self, PeerClients, Shared},
+};
 
 /// Connections that operators and probes may hold at once.
 const MAX_CONNECTIONS: usize = 32;
 
-/// Serves `/livez`, `/readyz`, `/metrics` and `/status`.
-pub(crate) fn serve(
-    board: Arc<Board>,
-    clients: Arc<PeerClients>,
-    metrics: PrometheusHandle,
-    runtime: Handle,
-) -> Result<ListeningServer, Error> {
-    let address = board.settings.admin;
-    let server = Server::new(move |req| match req.uri().path() {
-        "/livez" => text(StatusCode::OK, "live\n".to_owned()),
-        "/readyz" => match board.readiness() {
-            Ok(()) => text(StatusCode::OK, "ready\n".to_owned()),
-            Err(reason) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
-        },
-        "/metrics" => text(StatusCode::OK, metrics.render()),
-        "/status" => {
-            let status = runtime.block_on(peers::fleet_status(&board, &clients));
-            text(
-                StatusCode::OK,
-                serde_json::to_string(&status).unwrap_or_default(),
-            )
-        }
-        _ => text(StatusCode::NOT_FOUND, "no such path\n".to_owned()),
-    });
+/// What the operators' side needs.
+pub(crate) struct Operators {
+    pub(crate) board: Arc<Board>,
+    pub(crate) clients: Arc<PeerClients>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) runtime: Handle,
+}
+
+/// Serves `/livez`, `/readyz`, `/metrics`, `/status` and `/ratings`.
+pub(crate) fn serve(operators: Operators) -> Result<ListeningServer, Error> {
+    let address = operators.board.settings.admin;
+    let server = Server::new(move |req| operators.answer(req));
     let server = server
         .with_max_concurrent_connections(MAX_CONNECTIONS)
         .bind(address);
@@ -46,8 +41,56 @@
         .map_err(Error::io(format!("listen for operators at {address}")))
 }
 
-fn text(status: StatusCode, text: String) -> Response<Body> {
-    let mut answer = Response::new(Body::from(text));
+impl Operators {
+    fn answer(&self, req: &mut Request<Body>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/livez") => text(StatusCode::OK, "live\n"),
+            (&Method::GET, "/readyz") => match self.board.readiness() {
+                Ok(()) => text(StatusCode::OK, "ready\n"),
+                Err(reason) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+            },
+            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::GET, "/status") => {
+                let status = self
+                    .runtime
+                    .block_on(peers::fleet_status(&self.board, &self.clients));
+                text(
+                    StatusCode::OK,
+                    serde_json::to_string(&status).unwrap_or_default(),
+                )
+            }
+            (&Method::POST, "/ratings") => {
+                let body = std::mem::take(req.body_mut())
+                    .to_string()
+                    .unwrap_or_default();
+                self.take_rating(&body)
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    /// Takes in the rating service's word on one answer.
+    fn take_rating(&self, body: &str) -> Response<Body> {
+        let rating = match serde_json::from_str::<Rating>(body) {
+            Ok(rating) => rating,
+            Err(e) => return text(StatusCode::BAD_REQUEST, format!("rating: {e}\n")),
+        };
+        match parse_model_reference(&rating.model) {
+            Ok((_, Some(_))) => {
+                self.shared.quality.note_rating(&rating.model, rating.bad);
+                text(StatusCode::ACCEPTED, "")
+            }
+            Ok((_, None)) => text(
+                StatusCode::BAD_REQUEST,
+                "rating: model must be MODEL@VERSION\n",
+            ),
+            Err(e) => text(StatusCode::BAD_REQUEST, format!("rating: {e}\n")),
+        }
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<String>) -> Response<Body> {
+    let mut answer = Response::new(Body::from(text.into()));
     *answer.status_mut() = status;
     answer
 }
--- a/host/src/callers.rs
+++ b/host/src/callers.rs
@@ -30,11 +30,11 @@
     chat,
     claims::Claims,
     ledger::Ledger,
+    peers::Shared,
     refusal::{Answer, Refusal, json_answer},
     services,
     sessions::Sessions,
     telemetry,
-    trials::Trials,
 };
 
 /// Largest head of a request, bytes.
@@ -49,7 +49,7 @@
     pub(crate) claims: Claims,
     pub(crate) sessions: Arc<Sessions>,
     pub(crate) ledger: Arc<Ledger>,
-    pub(crate) trials: Arc<Trials>,
+    pub(crate) shared: Arc<Shared>,
     pub(crate) retries: Mutex<RetryBudget>,
 }
 
--- a/host/src/chat.rs
+++ b/host/src/chat.rs
@@ -176,6 +176,7 @@
         model: &known,
         plan: &caller.plan,
         view_is_fresh: app.board.view_is_fresh(now),
+        halted: &app.shared.quality.halted(&model),
     };
     let version = match &pinned {
         Some(pin) => {
@@ -271,6 +272,7 @@
             model,
             plan,
             view_is_fresh,
+            halted: &[],
         };
         Ok(keep_version(&query, &self.version)?)
     }
@@ -330,10 +332,11 @@
         if number > 0 && !job.app.retries.lock().spend() {
             break;
         }
-        let is_suspect = job.app.trials.is_suspect(content)?;
+        let is_suspect = job.app.shared.trials.is_suspect(content)?;
         let trial = match is_suspect {
             true => Some(
                 job.app
+                    .shared
                     .trials
                     .begin(
                         content,
@@ -369,13 +372,17 @@
         let end = relay_answer::run(&server, attempt, progress, tx).await;
         drop(in_flight);
         if end == AttemptEnd::Broken && upstream::connect(server.address).await.is_err() {
-            job.app.trials.note_crash(content, is_suspect);
+            job.app.shared.trials.note_crash(content, is_suspect);
         }
         if let Some(trial) = trial {
             if end == AttemptEnd::Done {
-                job.app.trials.clear(content);
+                job.app.shared.trials.clear(content);
             }
-            job.app.trials.end(trial).await;
+            job.app.shared.trials.end(trial).await;
+        }
+        let is_error = matches!(end, AttemptEnd::Broken);
+        if is_error || end == AttemptEnd::Done {
+            job.app.shared.quality.note_attempt(&version, is_error);
         }
         span.set("end", format!("{end:?}"));
         metrics::counter!("clementinearch_attempts_total", "end" => end.label()).increment(1);
--- a/host/src/gossip.rs
+++ b/host/src/gossip.rs
@@ -12,9 +12,9 @@
     board::Board,
     clock,
     peers::{
-        PeerClients, PeerError, apply_snapshot, call_context, own_digest, snapshot_for, take_in,
+        PeerClients, PeerError, Shared, apply_snapshot, call_context, own_digest, snapshot_for,
+        take_in,
     },
-    trials::Trials,
 };
 
 /// Peers told at once of a new configuration or a state of this host.
@@ -25,12 +25,13 @@
 const ROUNDS_PER_REVIVAL: u64 = 10;
 
 /// Runs the controller until the host has left.
-pub(crate) async fn run(board: Arc<Board>, clients: Arc<PeerClients>, trials: Arc<Trials>) {
+pub(crate) async fn run(board: Arc<Board>, clients: Arc<PeerClients>, shared: Arc<Shared>) {
     let mut round = 0;
     loop {
         let next = Instant::now() + board.settings.gossip_period;
         expire(&board);
-        trials.expire();
+        shared.trials.expire();
+        shared.quality.judge();
         metrics::gauge!("clementinearch_members")
             .set((board.members.lock().peers().count() + 1) as f64);
         metrics::gauge!("clementinearch_servers_leaving")
@@ -45,12 +46,12 @@
                     .map(|seed| Target::unnamed(&seed.to_string())),
             );
         }
-        exchange_with_all(&board, &clients, &trials, targets).await;
+        exchange_with_all(&board, &clients, &shared, targets).await;
         board.note_peers_asked();
         round += 1;
         tokio::select! {
             () = sleep_until(next) => {}
-            () = board.news.notified() => spread_news(&board, &clients, &trials).await,
+            () = board.news.notified() => spread_news(&board, &clients, &shared).await,
         }
     }
 }
@@ -59,6 +60,7 @@
 struct Target {
     name: Option<Name>,
     address: Name,
+    zone: Name,
 }
 
 impl Target {
@@ -66,6 +68,7 @@
         Self {
             name: Some(member.name.clone()),
             address: member.address.clone(),
+            zone: member.zone.clone(),
         }
     }
 
@@ -73,6 +76,7 @@
         Self {
             name: None,
             address: address.into(),
+            zone: "".into(),
         }
     }
 }
@@ -112,7 +116,7 @@
     targets
 }
 
-async fn spread_news(board: &Board, clients: &PeerClients, trials: &Trials) {
+async fn spread_news(board: &Board, clients: &PeerClients, shared: &Shared) {
     let targets = {
         let members = board.members.lock();
         let zone = &board.settings.zone;
@@ -122,24 +126,24 @@
             .map(Target::named)
             .collect()
     };
-    exchange_with_all(board, clients, trials, targets).await;
+    exchange_with_all(board, clients, shared, targets).await;
 }
 
 async fn exchange_with_all(
     board: &Board,
     clients: &PeerClients,
-    trials: &Trials,
+    shared: &Shared,
     targets: Vec<Target>,
 ) {
     let exchanges = targets
         .into_iter()
-        .map(|target| exchange(board, clients, trials, target));
+        .map(|target| exchange(board, clients, shared, target));
     futures::future::join_all(exchanges).await;
 }
 
-async fn exchange(board: &Board, clients: &PeerClients, trials: &Trials, target: Target) {
+async fn exchange(board: &Board, clients: &PeerClients, shared: &Shared, target: Target) {
     metrics::counter!("clementinearch_peer_exchanges_total", "side" => "asked").increment(1);
-    let outcome = exchange_once(board, clients, trials, &target.address).await;
+    let outcome = exchange_once(board, clients, shared, &target).await;
     if let (Err(e), Some(name)) = (outcome, &target.name) {
         log::debug!("exchange with {name}: {e}");
         board.members.lock().suspect(name, clock::now());
@@ -149,12 +153,12 @@
 async fn exchange_once(
     board: &Board,
     clients: &PeerClients,
-    trials: &Trials,
-    address: &Name,
+    shared: &Shared,
+    target: &Target,
 ) -> Result<(), PeerError> {
-    let digest = own_digest(board, trials);
+    let digest = own_digest(board, shared, &target.zone);
     let reply = clients
-        .call(address, |peer| async move {
+        .call(&target.address, |peer| async move {
             peer.exchange(call_context(), digest).await
         })
         .await?;
@@ -162,17 +166,17 @@
     if let Some(snapshot) = reply.snapshot {
         apply_snapshot(board, snapshot);
     }
-    if take_in(board, trials, &reply.digest) {
+    if take_in(board, shared, &reply.digest) {
         let rows = board.members.lock().rows();
         clients
-            .call(address, |peer| async move {
+            .call(&target.address, |peer| async move {
                 peer.tell(call_context(), rows).await
             })
             .await?;
     }
     if let Some(snapshot) = snapshot_for(board, &reply.digest) {
         clients
-            .call(address, |peer| async move {
+            .call(&target.address, |peer| async move {
                 peer.offer(call_context(), snapshot).await
             })
             .await?;
@@ -181,8 +185,8 @@
 }
 
 /// Tells some peers at once that this host has left.
-pub(crate) async fn say_goodbye(board: &Board, clients: &PeerClients, trials: &Trials) {
+pub(crate) async fn say_goodbye(board: &Board, clients: &PeerClients, shared: &Shared) {
     const GOODBYE_LIMIT: Duration = Duration::from_secs(1);
     board.members.lock().leave(MemberState::Left);
-    let _ = tokio::time::timeout(GOODBYE_LIMIT, spread_news(board, clients, trials)).await;
+    let _ = tokio::time::timeout(GOODBYE_LIMIT, spread_news(board, clients, shared)).await;
 }
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -20,8 +20,9 @@
     gossip, keeper,
     ledger::Ledger,
     listing,
-    peers::{self, PeerClients, PeerServer},
+    peers::{self, PeerClients, PeerServer, Shared},
     probe,
+    quality::Quality,
     sessions::{self, Sessions},
     settings::Settings,
     telemetry::Telemetry,
@@ -52,12 +53,18 @@
     spawn("keeper", move || keeper::run(&keeper.0, &*keeper.1))?;
     let listed = board.clone();
     spawn("listing", move || listing::run(&listed, &*hosts))?;
-    let _admin = admin::serve(
-        board.clone(),
-        clients.clone(),
-        telemetry.metrics.clone(),
-        runtime.handle().clone(),
-    )?;
+    let shared = Arc::new(Shared {
+        trials: Trials::new(board.clone(), clients.clone()),
+        quality: Quality::new(board.clone()),
+    });
+    let operators = admin::Operators {
+        board: board.clone(),
+        clients: clients.clone(),
+        shared: shared.clone(),
+        metrics: telemetry.metrics.clone(),
+        runtime: runtime.handle().clone(),
+    };
+    let _admin = admin::serve(operators)?;
     let stop = stop_signal()?;
     let ledger = Arc::new(Ledger::new(board.clone(), clients.clone()));
     let writer = (ledger.clone(), store.clone(), runtime.handle().clone());
@@ -66,7 +73,7 @@
         sessions: Arc::new(Sessions::new(board.clone(), clients.clone())),
         claims: Claims::new(store.clone()),
         retries: Mutex::default(),
-        trials: Arc::new(Trials::new(board.clone(), clients.clone())),
+        shared: shared.clone(),
         ledger,
         board,
     });
@@ -107,13 +114,13 @@
         board: board.clone(),
         sessions: app.sessions.clone(),
         ledger: app.ledger.clone(),
-        trials: app.trials.clone(),
+        shared: app.shared.clone(),
     };
     let peers = peers::serve(server)
         .await
         .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
     tokio::spawn(peers);
-    tokio::spawn(gossip::run(board.clone(), clients, app.trials.clone()));
+    tokio::spawn(gossip::run(board.clone(), clients, app.shared.clone()));
     tokio::spawn(sweep_sessions(app.sessions.clone()));
     tokio::spawn(probe::run(board.clone()));
     let callers_at = board.settings.callers;
@@ -150,6 +157,6 @@
     if left > 0 {
         log::error!("planned stop: no other host took {left} bills and the store did not either");
     }
-    gossip::say_goodbye(&app.board, clients, &app.trials).await;
+    gossip::say_goodbye(&app.board, clients, &app.shared).await;
     log::info!("planned stop: done");
 }
--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -16,6 +16,7 @@
 mod listing;
 mod peers;
 mod probe;
+mod quality;
 mod refusal;
 mod relay_answer;
 mod servers;
--- a/host/src/peers.rs
+++ b/host/src/peers.rs
@@ -8,6 +8,7 @@
     ledger::PageId,
     member::Member,
     names::{FastMap, Name},
+    quality::CountRows,
     suspect::SuspectRow,
 };
 use derive_more::{Display, Error, From};
@@ -29,6 +30,7 @@
     clock,
     counted::CountedStream,
     ledger::{Bill, Ledger},
+    quality::Quality,
     sessions::{Pin, Recollection, Sessions},
     trials::Trials,
 };
@@ -60,6 +62,10 @@
     pub(crate) leaving: Vec<(Name, Duration)>,
     /// Requests that crashed servers, by content.
     pub(crate) suspects: Vec<SuspectRow>,
+    /// Counted ratings and errors of versions.
+    pub(crate) counts: Vec<CountRows>,
+    /// Halted versions as `model@version`.
+    pub(crate) halted: Vec<Name>,
 }
 
 /// Answer to a digest.
@@ -127,7 +133,13 @@
     pub(crate) board: Arc<Board>,
     pub(crate) sessions: Arc<Sessions>,
     pub(crate) ledger: Arc<Ledger>,
-    pub(crate) trials: Arc<Trials>,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// What hosts learn from each other beside membership and configuration.
+pub(crate) struct Shared {
+    pub(crate) trials: Trials,
+    pub(crate) quality: Quality,
 }
 
 /// Serves peers at the host's peer address.
@@ -166,9 +178,10 @@
 impl Peer for PeerServer {
     async fn exchange(self, _: Context, digest: Digest) -> Reply {
         metrics::counter!("clementinearch_peer_exchanges_total", "side" => "answered").increment(1);
-        let differs = take_in(&self.board, &self.trials, &digest);
+        let zone = digest.from.zone.clone();
+        let differs = take_in(&self.board, &self.shared, &digest);
         Reply {
-            digest: own_digest(&self.board, &self.trials),
+            digest: own_digest(&self.board, &self.shared, &zone),
             rows: if differs {
                 self.board.members.lock().rows()
             } else {
@@ -209,11 +222,11 @@
     }
 
     async fn begin_trial(self, _: Context, content: u64, servers: Vec<Name>) -> Option<Name> {
-        self.trials.reserve(content, &servers)
+        self.shared.trials.reserve(content, &servers)
     }
 
     async fn end_trial(self, _: Context, content: u64, server: Name) {
-        self.trials.free(content, &server);
+        self.shared.trials.free(content, &server);
     }
 }
 
@@ -230,7 +243,7 @@
 }
 
 /// This host's digest.
-pub(crate) fn own_digest(board: &Board, trials: &Trials) -> Digest {
+pub(crate) fn own_digest(board: &Board, shared: &Shared, peer_zone: &str) -> Digest {
     let now = clock::now();
     let (from, table_hash) = {
         let members = board.members.lock();
@@ -244,16 +257,19 @@
         has_findings: !board.findings().is_empty(),
         confirmed_age: (confirmed_at.0 > 0).then(|| now.since(confirmed_at)),
         leaving: board.servers.leaving(now),
-        suspects: trials.rows(),
+        suspects: shared.trials.rows(),
+        counts: shared.quality.rows(peer_zone),
+        halted: shared.quality.halted_rows(),
     }
 }
 
 /// Takes in a peer's digest. Returns whether the two membership tables differ.
-pub(crate) fn take_in(board: &Board, trials: &Trials, digest: &Digest) -> bool {
+pub(crate) fn take_in(board: &Board, shared: &Shared, digest: &Digest) -> bool {
     let now = clock::now();
     board.hear_of(digest.revision);
     board.servers.hear_leaving(&digest.leaving, now);
-    trials.merge(&digest.suspects);
+    shared.trials.merge(&digest.suspects);
+    shared.quality.merge(&digest.counts, &digest.halted);
     // A peer with a revision that is not newer than ours confirms ours as far as its own was confirmed.
     if let Some(age) = digest.confirmed_age
         && digest.revision == board.revision()
--- /dev/null
+++ b/host/tests/rollouts.rs
@@ -0,0 +1,79 @@
+//! A version that turns bad in its roll-out takes no new sessions, on all hosts, within seconds.
+
+mod fleet;
+
+use clementinearch_border::Rating;
+use fleet::{Fleet, chat, chat_body, model, plan, send, wait_until};
+
+fn version_of(fleet: &Fleet, host: usize, session: &str) -> String {
+    let body = chat_body("side A", 1, false);
+    let answer = chat(
+        &fleet.hosts[host],
+        "one",
+        &[("x-session-id", session)],
+        &body,
+    );
+    assert_eq!(answer.status, 200, "{answer:?}");
+    answer.header("x-model-version").to_owned()
+}
+
+#[test]
+fn ratings_at_one_host_halt_the_version_on_all() {
+    let mut fleet = Fleet::new();
+    fleet.engine("a", &["v1", "v2"]);
+    let rollout = model(&[("v1", "established"), ("v2", "rollout 50")]);
+    fleet.edit(&[
+        ("model/review", &rollout),
+        ("plan/one", &plan("one", &["v1", "v2"])),
+    ]);
+    fleet.start_hosts(&["a", "a", "b"]);
+    for host in 0..3 {
+        fleet.wait_serving(host, "one");
+    }
+    let begun = (0..100).map(|number| format!("begun {number}"));
+    let old: Vec<String> = begun
+        .filter(|session| version_of(&fleet, 0, session) == "review@v2")
+        .collect();
+    assert!(
+        (25..75).contains(&old.len()),
+        "{} of 100 sessions on the roll-out",
+        old.len()
+    );
+
+    for bad in std::iter::repeat_n(true, 30) {
+        let rating = serde_json::to_string(&Rating {
+            model: "review@v2".to_owned(),
+            bad,
+        })
+        .unwrap();
+        let taken = send("POST", fleet.hosts[0].admin(), "/ratings", &[], &rating).unwrap();
+        assert_eq!(taken.status, 202);
+    }
+    for host in 0..3 {
+        wait_until("the host halts the version", || {
+            fleet.hosts[host].counter("clementinearch_halts_total{version=\"review@v2\"}") == 1
+        });
+        for number in 0..50 {
+            assert_eq!(
+                version_of(&fleet, host, &format!("new {host} {number}")),
+                "review@v1"
+            );
+        }
+    }
+    // Sessions that began on it keep it.
+    for session in &old {
+        assert_eq!(version_of(&fleet, 1, session), "review@v2");
+    }
+    // The operators' list decides again once the entry has changed.
+    let withdrawn = model(&[("v1", "established"), ("v2", "withdrawn")]);
+    let revision = fleet.edit(&[("model/review", &withdrawn)]);
+    fleet.wait_in_force(revision);
+    let malformed = send(
+        "POST",
+        fleet.hosts[0].admin(),
+        "/ratings",
+        &[],
+        "{\"model\":\"review\",\"bad\":true}",
+    );
+    assert_eq!(malformed.unwrap().status, 400);
+}
--- a/policy/src/catalogue.rs
+++ b/policy/src/catalogue.rs
@@ -171,6 +171,16 @@
         }
     }
 
+    /// All models by name.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &Arc<Model>)> {
+        self.applied
+            .iter()
+            .filter_map(|(name, applied)| match &applied.item {
+                Item::Model(model) => Some((name.strip_prefix("model/")?, model)),
+                _ => None,
+            })
+    }
+
     /// The plain service of this name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         match &self.applied.get(&format!("service/{name}"))?.item {
--- a/policy/src/choose.rs
+++ b/policy/src/choose.rs
@@ -38,6 +38,8 @@
     pub plan: &'a Plan,
     /// Whether the host heard of the newest configuration recently.
     pub view_is_fresh: bool,
+    /// Versions that were found bad and take no new session while another one can.
+    pub halted: &'a [Name],
 }
 
 /// Version of a session's first request: a pure function of the session and the configuration,
@@ -67,10 +69,24 @@
             .iter()
             .filter(move |version| version.state == state)
     };
-    let established: Vec<Name> = in_state(VersionState::Established)
-        .map(|version| version.name.clone())
+    let is_sound = |version: &&&Version| !query.halted.contains(&version.name);
+    let names = |versions: Vec<&&Version>| {
+        versions
+            .iter()
+            .map(|version| version.name.clone())
+            .collect()
+    };
+    let all_established: Vec<&&Version> = in_state(VersionState::Established).collect();
+    let mut established: Vec<Name> =
+        names(all_established.iter().copied().filter(is_sound).collect());
+    let rollout: Vec<&Version> = in_state(VersionState::Rollout)
+        .filter(is_sound)
+        .copied()
         .collect();
-    let rollout: Vec<&Version> = in_state(VersionState::Rollout).copied().collect();
+    if established.is_empty() && rollout.is_empty() {
+        // Halted versions in service are still better than none; those in roll-out are not.
+        established = names(all_established);
+    }
     if established.is_empty() && rollout.is_empty() {
         return Err(ChooseError::NoVersion);
     }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod names;
 pub mod plan;
+pub mod quality;
 pub mod request_id;
 pub mod retry;
 pub mod session;
--- a/policy/src/model.rs
+++ b/policy/src/model.rs
@@ -33,13 +33,18 @@
     pub cost_per_thousand: u64,
 }
 
+/// Bad answers in a thousand that are allowed unless the list says otherwise.
+const DEFAULT_BAD_PER_THOUSAND: u64 = 20;
+
 /// One model with its versions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Model {
     /// Pool of the backend servers that run it.
     pub pool: Name,
     /// Versions, in the order of the list.
     pub versions: Vec<Version>,
+    /// Share of answers that may be rated bad before a version is halted.
+    pub allowed_bad: f64,
 }
 
 impl Model {
@@ -60,11 +65,20 @@
                 "version",
                 versions.iter().map(|version| &version.name),
             );
+            let allowed_bad = table.number(
+                "allowed_bad_per_thousand",
+                1..=900,
+                DEFAULT_BAD_PER_THOUSAND,
+            );
             let shares: u32 = versions.iter().map(|version| version.share_percent).sum();
             if shares > 100 {
                 table.report("version", format!("shares add up to {shares} percent"));
             }
-            Self { pool, versions }
+            Self {
+                pool,
+                versions,
+                allowed_bad: allowed_bad as f64 / 1000.0,
+            }
         })
     }
 
--- /dev/null
+++ b/policy/tests/exposure.rs
@@ -0,0 +1,224 @@
+//! Exposure to a bad version: answers it gives until it is quiet, and false halts of a good one.
+//!
+//! Counts of the hosts reach each other late; ratings are sampled, late and may be lost. All runs
+//! are seeded. `cargo test -p clementinearch-policy --test exposure -- --nocapture` prints the table.
+
+use std::collections::VecDeque;
+
+use clementinearch_policy::quality::{Counts, DriftWatch, ROLLOUTS_PER_FALSE_HALT, must_halt};
+
+const ALLOWED: f64 = 0.02;
+const RUNS: u64 = 100;
+
+/// One roll-out. Time goes in steps of a second.
+#[derive(Clone, Copy)]
+struct Rollout {
+    hosts: usize,
+    answers_per_second: f64,
+    rated_share: f64,
+    rating_lag: usize,
+    /// Steps until a host's counts are known to the others.
+    spread: usize,
+    /// Hosts that hear of no halt and tell no counts: a zone that is cut off.
+    cut_off: usize,
+    bad_rate: f64,
+}
+
+struct Outcome {
+    /// Ratings known to the connected hosts when they halted.
+    samples: u64,
+    /// Answers of the version until it was quiet on all connected hosts, and on all.
+    exposed_connected: u64,
+    exposed: u64,
+}
+
+fn binomial(rng: &mut fastrand::Rng, expected: f64) -> u64 {
+    let whole = expected.floor();
+    whole as u64 + u64::from(rng.f64() < expected - whole)
+}
+
+/// Runs until the version is quiet everywhere; absent if it is never halted.
+fn run(rollout: Rollout, longest: usize, rng: &mut fastrand::Rng) -> Option<Outcome> {
+    let per_host = rollout.answers_per_second / rollout.hosts as f64;
+    let groups = [rollout.hosts - rollout.cut_off, rollout.cut_off];
+    let mut counts = [Counts::default(); 2];
+    let mut pending: VecDeque<[Counts; 2]> =
+        vec![[Counts::default(); 2]; rollout.rating_lag + rollout.spread].into();
+    let mut halted_at: [Option<usize>; 2] = [None, None];
+    let mut exposed = [0u64; 2];
+    let mut samples = 0;
+    for step in 0..longest {
+        let mut fresh = [Counts::default(); 2];
+        for group in 0..2 {
+            let is_quiet = halted_at[group].is_some_and(|at| step >= at + rollout.spread);
+            if is_quiet || groups[group] == 0 {
+                continue;
+            }
+            let answers = binomial(rng, per_host * groups[group] as f64);
+            exposed[group] += answers;
+            for _ in 0..answers {
+                if rng.f64() < rollout.rated_share {
+                    fresh[group].add(rng.f64() < rollout.bad_rate);
+                }
+            }
+        }
+        pending.push_back(fresh);
+        for (count, known) in counts.iter_mut().zip(pending.pop_front().unwrap()) {
+            *count = count.plus(known);
+        }
+        for group in 0..2 {
+            if halted_at[group].is_none() && must_halt(counts[group], ALLOWED) {
+                halted_at[group] = Some(step);
+                if group == 0 {
+                    samples = counts[0].good + counts[0].bad;
+                }
+            }
+        }
+        let is_quiet = |group: usize| {
+            groups[group] == 0 || halted_at[group].is_some_and(|at| step >= at + rollout.spread)
+        };
+        if is_quiet(0) && is_quiet(1) {
+            return Some(Outcome {
+                samples,
+                exposed_connected: exposed[0],
+                exposed: exposed[0] + exposed[1],
+            });
+        }
+    }
+    None
+}
+
+/// Samples that Wald's bound allows a single observer who sees all and knows the bad rate.
+fn wald_samples(bad_rate: f64) -> f64 {
+    let bad = bad_rate * (bad_rate / ALLOWED).ln();
+    let good = (1.0 - bad_rate) * ((1.0 - bad_rate) / (1.0 - ALLOWED)).ln();
+    ROLLOUTS_PER_FALSE_HALT.ln() / (bad + good)
+}
+
+fn base(hosts: usize, bad_rate: f64) -> Rollout {
+    Rollout {
+        hosts,
+        answers_per_second: hosts as f64 / 7.0,
+        rated_share: 0.2,
+        rating_lag: 5,
+        spread: if hosts > 7 { 6 } else { 3 },
+        cut_off: 0,
+        bad_rate,
+    }
+}
+
+#[test]
+fn a_bad_version_is_quiet_within_twice_the_samples_of_walds_bound() {
+    println!("case                hosts  bad   samples  wald  ratio  exposed  of_it_in_flight");
+    let mut failures = Vec::new();
+    for hosts in [7, 320] {
+        for bad_rate in [0.04, 0.2] {
+            let plain = base(hosts, bad_rate);
+            let cases = [
+                ("plain", plain),
+                (
+                    "a zone cut off",
+                    Rollout {
+                        cut_off: hosts / 7,
+                        ..plain
+                    },
+                ),
+                (
+                    "a quarter lost",
+                    Rollout {
+                        rated_share: plain.rated_share * 0.75,
+                        ..plain
+                    },
+                ),
+            ];
+            for (name, rollout) in cases {
+                let mut rng = fastrand::Rng::with_seed(7);
+                let runs = (0..RUNS)
+                    .map(|_| run(rollout, 2_000_000, &mut rng).expect("a bad version is halted"));
+                let (mut samples, mut exposed, mut all) = (0.0, 0.0, 0.0);
+                for outcome in runs {
+                    samples += outcome.samples as f64 / RUNS as f64;
+                    exposed += outcome.exposed_connected as f64 / RUNS as f64;
+                    all += outcome.exposed as f64 / RUNS as f64;
+                }
+                let in_flight =
+                    rollout.answers_per_second * (rollout.rating_lag + 2 * rollout.spread) as f64;
+                let wald = wald_samples(bad_rate);
+                let ratio = samples / wald;
+                println!(
+                    "{name:18}  {hosts:5}  {bad_rate:.2}  {samples:7.0}  {wald:4.0}  {ratio:5.2}  {all:7.0}  {in_flight:.0}"
+                );
+                let bound = 2.0 * wald / rollout.rated_share + in_flight;
+                if exposed > bound {
+                    failures.push(format!(
+                        "{name} {hosts} {bad_rate}: {exposed:.0} answers, bound {bound:.0}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
+#[test]
+fn a_good_version_is_halted_in_at_most_one_of_a_thousand_rollouts() {
+    const ROLLOUTS: u64 = 10_000;
+    const RATINGS: u64 = 5_000;
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut halts = 0;
+    for _ in 0..ROLLOUTS {
+        let mut counts = Counts::default();
+        for _ in 0..RATINGS {
+            counts.add(rng.f64() < ALLOWED);
+            // Read after every single rating, as the worst of all hosts would.
+            if must_halt(counts, ALLOWED) {
+                halts += 1;
+                break;
+            }
+        }
+    }
+    println!("false halts: {halts} in {ROLLOUTS} roll-outs of {RATINGS} ratings");
+    assert!(
+        halts <= ROLLOUTS / 1000,
+        "{halts} false halts in {ROLLOUTS} roll-outs"
+    );
+}
+
+#[test]
+fn a_version_that_turns_bad_after_a_long_good_time_is_halted_as_soon_as_a_fresh_one() {
+    const GOOD_RATINGS: u64 = 100_000;
+    for bad_rate in [0.04, 0.2] {
+        let mut total = 0;
+        let mut false_halts = 0;
+        for seed in 0..50 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let (mut watch, mut counts) = (DriftWatch::default(), Counts::default());
+            for _ in 0..GOOD_RATINGS {
+                counts.add(rng.f64() < ALLOWED);
+                if watch.update(counts, ALLOWED) {
+                    false_halts += 1;
+                    watch = DriftWatch::default();
+                    watch.update(counts, ALLOWED);
+                }
+            }
+            let mut samples = 0;
+            loop {
+                samples += 1;
+                counts.add(rng.f64() < bad_rate);
+                if watch.update(counts, ALLOWED) {
+                    break;
+                }
+            }
+            total += samples;
+        }
+        let mean = total as f64 / 50.0;
+        println!(
+            "turned bad to {bad_rate}: {mean:.0} samples, Wald {:.0}, {false_halts} false halts in 5 million ratings",
+            wald_samples(bad_rate)
+        );
+        assert!(
+            mean <= 2.0 * wald_samples(bad_rate),
+            "{mean} samples at {bad_rate}"
+        );
+    }
+}
