Give orders to engines under a lease with fencing numbers

Cause: versions had to be loaded by somebody else, and a roll-out that stopped halfway was nobody's.

Ruled out: orders by every host (the weight store is shared); a lease that only the store's clock ends.

Change: two candidates a pool refresh a lease record; one that has not changed for the lease's time on the observer's own clock is taken with the next fencing number. Orders follow from lists and reports alone. Probes go to the servers in use first and halve to five a second.

--- a/border/src/generated.rs
+++ b/border/src/generated.rs
@@ -1109,6 +1109,49 @@
     ///Availability zone.
     pub zone: ::std::string::String,
 }
+///Who gives the orders of a pool.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Who gives the orders of a pool.",
+///  "type": "object",
+///  "required": [
+///    "fence",
+///    "holder",
+///    "renewed_ms"
+///  ],
+///  "properties": {
+///    "fence": {
+///      "description": "Fencing number, higher with each new tenure.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "holder": {
+///      "description": "Entry host and incarnation.",
+///      "type": "string"
+///    },
+///    "renewed_ms": {
+///      "description": "Holder's clock at the last renewal, milliseconds since the Unix epoch; told for operators only.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LeaseRecord {
+    ///Fencing number, higher with each new tenure.
+    pub fence: u64,
+    ///Entry host and incarnation.
+    pub holder: ::std::string::String,
+    ///Holder's clock at the last renewal, milliseconds since the Unix epoch; told for operators only.
+    pub renewed_ms: u64,
+}
 ///Bills of one shard and one epoch; its compare-and-swap makes each request billed once.
 ///
 /// <details><summary>JSON schema</summary>
--- a/border/src/lib.rs
+++ b/border/src/lib.rs
@@ -10,6 +10,6 @@
 pub use generated::{
     AnswerChoice, BillRecord, ChatAnswer, ChatChoice, ChatChunk, ChatDelta, ChatMessage,
     ChatRequest, ClaimRecord, ClaimState, EditEntry, ErrorBody, ErrorDetail, FleetStatus, Head,
-    HeadItem, HostEntry, HostList, HostRole, HostState, HostStatus, LedgerPage, LoadReport,
-    ModelEntry, ModelList, Rating, RunState, Usage,
+    HeadItem, HostEntry, HostList, HostRole, HostState, HostStatus, LeaseRecord, LedgerPage,
+    LoadReport, ModelEntry, ModelList, Rating, RunState, Usage,
 };
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -20,7 +20,7 @@
     gate::{self, Gate},
     gossip, keeper,
     ledger::Ledger,
-    listing,
+    listing, orders,
     peers::{self, PeerClients, PeerServer, Shared},
     probe,
     quality::Quality,
@@ -70,6 +70,10 @@
     let ledger = Arc::new(Ledger::new(board.clone(), clients.clone()));
     let writer = (ledger.clone(), store.clone(), runtime.handle().clone());
     spawn("ledger", move || writer.0.run(&*writer.1, &writer.2))?;
+    let orderer = (board.clone(), store.clone(), runtime.handle().clone());
+    spawn("orders", move || {
+        orders::run(&orderer.0, &*orderer.1, &orderer.2)
+    })?;
     let app = Arc::new(App {
         sessions: Arc::new(Sessions::new(board.clone(), clients.clone())),
         claims: Claims::new(store.clone()),
--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -15,6 +15,7 @@
 mod keeper;
 mod ledger;
 mod listing;
+mod orders;
 mod peers;
 mod probe;
 mod quality;
--- /dev/null
+++ b/host/src/orders.rs
@@ -0,0 +1,157 @@
+//! Gives orders to model engines, on the one host that holds a pool's lease.
+
+use std::time::Duration;
+
+use clementinearch_platform::{Lease, Store, Tenure};
+use clementinearch_policy::{
+    names::{FastMap, FastSet, Name, rendezvous},
+    orders::{Order, next_orders},
+    time::Millis,
+};
+use hyper::{Method, StatusCode};
+use tokio::runtime::Handle;
+
+use crate::{board::Board, clock, upstream};
+
+/// Hosts of the fleet that try to hold a pool's lease.
+const CANDIDATES: usize = 2;
+
+/// Refreshes within the time of a lease.
+const REFRESHES_PER_LEASE: u32 = 4;
+
+/// Longest wait for an engine to take an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs the controller.
+pub(crate) fn run(board: &Board, store: &dyn Store, runtime: &Handle) {
+    let mut leases: FastMap<Name, Lease> = FastMap::default();
+    while !board.is_stopping() {
+        std::thread::sleep(board.settings.order_lease / REFRESHES_PER_LEASE);
+        let pools = pools_with_orders(board);
+        leases.retain(|pool, _| pools.contains(pool));
+        for pool in pools {
+            let lease = leases
+                .entry(pool.clone())
+                .or_insert_with(|| new_lease(board, &pool));
+            if !is_candidate(board, &pool) && lease.tenure(clock::now()).is_none() {
+                continue;
+            }
+            if let Err(e) = lease.refresh(store, clock::now()) {
+                metrics::counter!("clementinearch_store_failures_total", "purpose" => "orders")
+                    .increment(1);
+                log::debug!("orders of {pool}: {e}");
+            }
+            give_orders(board, runtime, &pool, lease);
+        }
+    }
+}
+
+fn new_lease(board: &Board, pool: &Name) -> Lease {
+    let me = board.members.lock().me().clone();
+    let holder = format!("{}/{}", me.name, me.incarnation);
+    Lease::new(
+        &format!("orders/{pool}"),
+        &holder,
+        board.settings.order_lease,
+    )
+}
+
+/// Pools of models whose lists ask for replicas.
+fn pools_with_orders(board: &Board) -> FastSet<Name> {
+    let Some(in_force) = board.in_force() else {
+        return FastSet::default();
+    };
+    let models = in_force
+        .catalogue
+        .models()
+        .filter(|(_, model)| model.replicas > 0);
+    models.map(|(_, model)| model.pool.clone()).collect()
+}
+
+fn is_candidate(board: &Board, pool: &Name) -> bool {
+    let members = board.members.lock();
+    let hosts: Vec<Name> = members.rows().into_iter().map(|row| row.name).collect();
+    let alive = hosts.iter().filter(|name| members.takes_work(name));
+    rendezvous(&format!("orders/{pool}"), alive, CANDIDATES).contains(&board.settings.name)
+}
+
+/// Gives the next orders of each model of the pool while the lease is surely held.
+fn give_orders(board: &Board, runtime: &Handle, pool: &Name, lease: &mut Lease) {
+    let Some(tenure) = lease.tenure(clock::now()) else {
+        return;
+    };
+    if must_wait(board, pool, tenure, clock::now()) {
+        return;
+    }
+    let Some(in_force) = board.in_force() else {
+        return;
+    };
+    let loaded = board.servers.loaded(pool);
+    for (name, model) in in_force
+        .catalogue
+        .models()
+        .filter(|(_, model)| model.pool == *pool)
+    {
+        for order in next_orders(name, model, &loaded) {
+            if lease.tenure(clock::now()).is_none() {
+                return;
+            }
+            let outcome = runtime.block_on(send(board, &order, tenure.fence));
+            let verb = if order.load { "load" } else { "unload" };
+            match outcome {
+                Ok(StatusCode::PRECONDITION_FAILED) => {
+                    log::info!("orders of {pool}: another host gives them now");
+                    lease.step_down();
+                    return;
+                }
+                Ok(status) if status.is_success() => {
+                    log::info!("{} was ordered to {verb} {}", order.server, order.version)
+                }
+                Ok(status) => log::warn!(
+                    "{} refused to {verb} {}: {status}",
+                    order.server,
+                    order.version
+                ),
+                // Orders are harmless twice: the reports tell whether it is needed again.
+                Err(e) => log::debug!(
+                    "{} gave no answer to {verb} {}: {e}",
+                    order.server,
+                    order.version
+                ),
+            }
+        }
+    }
+}
+
+/// Servers that do not check fencing numbers would also take an order of the holder before, who may
+/// still believe that it holds the lease: its belief has run out after one more lease's time.
+fn must_wait(board: &Board, pool: &Name, tenure: Tenure, now: Millis) -> bool {
+    let is_checked = board.settings.pools_checking_fencing.contains(pool);
+    !is_checked && now.since(tenure.since) < board.settings.order_lease
+}
+
+async fn send(board: &Board, order: &Order, fence: u64) -> std::io::Result<StatusCode> {
+    let server = board
+        .servers
+        .get(&order.server)
+        .ok_or_else(|| std::io::Error::other("not listed"))?;
+    let path = format!("/orders?fence={fence}&load={}", u8::from(order.load));
+    let headers = [("x-version-name", order.version.to_string())];
+    let req = upstream::request(
+        Method::POST,
+        server.address,
+        &path,
+        &headers,
+        Default::default(),
+    )?;
+    let sending = async {
+        Ok(upstream::connect(server.address)
+            .await?
+            .send(req)
+            .await?
+            .status())
+    };
+    tokio::time::timeout(ORDER_TIMEOUT, sending)
+        .await
+        .map_err(std::io::Error::other)?
+}
--- a/host/src/probe.rs
+++ b/host/src/probe.rs
@@ -6,19 +6,16 @@
 
 use crate::{board::Board, clock, servers::Server};
 
-/// Time between two rounds of probes.
+/// Time between two probes.
 const PERIOD: Duration = Duration::from_millis(200);
 
-/// Servers probed in one round: those with the oldest reports.
-const PROBES_PER_ROUND: usize = 2;
-
 /// Longest wait for a report.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs the controller.
 pub(crate) async fn run(board: Arc<Board>) {
-    loop {
-        for server in board.servers.oldest_reports(PROBES_PER_ROUND) {
+    for round in 0.. {
+        if let Some(server) = board.servers.next_probe(round) {
             server.note_probed(clock::now());
             tokio::spawn(probe(board.clone(), server));
         }
--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -13,6 +13,7 @@
 use clementinearch_policy::{
     backend::{self, Candidate, LoadView, failure_pause},
     names::{FastMap, Name},
+    orders::Loaded,
     subset::subset,
     time::Millis,
 };
@@ -131,6 +132,33 @@
     hosts: Vec<Name>,
 }
 
+/// How a host relates to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Used,
+    Spare,
+    Remote,
+}
+
+/// Kinds of the servers that are asked for their reports, round after round.
+const PROBE_ORDER: [Kind; 5] = [
+    Kind::Used,
+    Kind::Spare,
+    Kind::Used,
+    Kind::Remote,
+    Kind::Used,
+];
+
+impl Index {
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Arc<Server>> {
+        self.groups.values().flat_map(move |group| match kind {
+            Kind::Used => &group.used,
+            Kind::Spare => &group.spare,
+            Kind::Remote => &group.remote,
+        })
+    }
+}
+
 impl Group {
     fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.used.iter().chain(&self.spare).chain(&self.remote)
@@ -325,6 +353,28 @@
         servers
     }
 
+    /// What the servers of a pool have loaded, as far as they reported and take work.
+    pub(crate) fn loaded(&self, pool: &Name) -> Vec<Loaded> {
+        let index = self.index.read();
+        let Some(group) = index.groups.get(&(pool.clone(), "".into())) else {
+            return Vec::new();
+        };
+        let report = |server: &Arc<Server>| {
+            let state = server.state.lock();
+            let has_reported = state.load.slots > 0 && state.leaving_since.is_none();
+            has_reported.then(|| Loaded {
+                server: server.name.clone(),
+                versions: state.versions.clone(),
+            })
+        };
+        group.all().filter_map(report).collect()
+    }
+
+    /// The server of this name.
+    pub(crate) fn get(&self, name: &str) -> Option<Arc<Server>> {
+        self.index.read().by_name.get(name).cloned()
+    }
+
     /// All servers of a pool.
     pub(crate) fn of_pool(&self, pool: &Name) -> Vec<Arc<Server>> {
         let index = self.index.read();
@@ -368,11 +418,18 @@
         }
     }
 
-    /// The servers that were not asked for a report for the longest time.
-    pub(crate) fn oldest_reports(&self, count: usize) -> Vec<Arc<Server>> {
-        let mut servers: Vec<Arc<Server>> = self.index.read().by_name.values().cloned().collect();
-        servers.sort_by_cached_key(|server| server.probed_at());
-        servers.truncate(count);
-        servers
+    /// The server to ask for a report in this round: of those that this host uses, of the zone's
+    /// others, or of other zones, the one that was not asked for the longest time.
+    pub(crate) fn next_probe(&self, round: usize) -> Option<Arc<Server>> {
+        let index = self.index.read();
+        let first = PROBE_ORDER[round % PROBE_ORDER.len()];
+        let kinds = [first, Kind::Used, Kind::Spare, Kind::Remote];
+        let oldest = |kind| {
+            index
+                .of_kind(kind)
+                .min_by_key(|server| server.probed_at())
+                .cloned()
+        };
+        kinds.into_iter().find_map(oldest)
     }
 }
--- a/host/src/settings.rs
+++ b/host/src/settings.rs
@@ -42,6 +42,10 @@
     pub(crate) session_secret: Name,
     /// Pools whose servers check request ids, so that no claim is needed while the store is down.
     pub(crate) pools_checking_ids: Vec<Name>,
+    /// Pools whose servers refuse an order with an old fencing number.
+    pub(crate) pools_checking_fencing: Vec<Name>,
+    /// Time after which a silent holder of a pool's lease counts as gone.
+    pub(crate) order_lease: Duration,
     /// Time between two exchanges with a peer.
     pub(crate) gossip_period: Duration,
     /// Age of the configuration above which versions in roll-out are not served.
@@ -94,8 +98,12 @@
                     store.millis("timeout_ms", 1..=60_000, Duration::from_secs(2)),
                 )
             });
-            let pools_checking_ids =
-                table.table("pools", |pools| pools.names("checking_request_ids"));
+            let (pools_checking_ids, pools_checking_fencing) = table.table("pools", |pools| {
+                (
+                    pools.names("checking_request_ids"),
+                    pools.names("checking_fencing_numbers"),
+                )
+            });
             let limits = table.table("limits", Limits::read);
             let (log_format, export_traces) = table.table("telemetry", |telemetry| {
                 let format = telemetry.parsed("log_format", parse_log_format);
@@ -117,6 +125,8 @@
                     .required("session_secret", parse_secret)
                     .unwrap_or_else(|| "".into()),
                 pools_checking_ids,
+                pools_checking_fencing,
+                order_lease: limits.order_lease,
                 gossip_period: limits.gossip_period,
                 view_lifetime: limits.view_lifetime,
                 ledger_period: limits.ledger_period,
@@ -135,6 +145,7 @@
 
 /// The `[limits]` table.
 struct Limits {
+    order_lease: Duration,
     gossip_period: Duration,
     view_lifetime: Duration,
     ledger_period: Duration,
@@ -149,6 +160,7 @@
 impl Limits {
     fn read(table: &mut Table<'_>) -> Self {
         Self {
+            order_lease: table.millis("order_lease_ms", 100..=600_000, Duration::from_secs(10)),
             gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_secs(1)),
             view_lifetime: table.millis("view_lifetime_ms", 100..=DAY_MS, Duration::from_secs(30)),
             ledger_period: table.millis("ledger_period_ms", 10..=600_000, Duration::from_secs(30)),
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member;
 pub mod model;
 pub mod names;
+pub mod orders;
 pub mod plan;
 pub mod quality;
 pub mod request_id;
--- a/policy/src/member.rs
+++ b/policy/src/member.rs
@@ -212,6 +212,12 @@
             .filter(|row| row.state < MemberState::Dead)
     }
 
+    /// Whether the host of this name is there and takes work.
+    pub fn takes_work(&self, name: &str) -> bool {
+        self.get(name)
+            .is_some_and(|row| row.state == MemberState::Alive)
+    }
+
     /// The known row of `name`.
     pub fn get(&self, name: &str) -> Option<&Member> {
         if *name == *self.me.name {
--- a/policy/src/model.rs
+++ b/policy/src/model.rs
@@ -45,6 +45,8 @@
     pub versions: Vec<Version>,
     /// Share of answers that may be rated bad before a version is halted.
     pub allowed_bad: f64,
+    /// Servers that each version is loaded on by order; zero leaves the loading to others.
+    pub replicas: u32,
 }
 
 impl Model {
@@ -70,6 +72,7 @@
                 1..=900,
                 DEFAULT_BAD_PER_THOUSAND,
             );
+            let replicas = table.number("replicas", 0..=10_000, 0) as u32;
             let shares: u32 = versions.iter().map(|version| version.share_percent).sum();
             if shares > 100 {
                 table.report("version", format!("shares add up to {shares} percent"));
@@ -78,6 +81,7 @@
                 pool,
                 versions,
                 allowed_bad: allowed_bad as f64 / 1000.0,
+                replicas,
             }
         })
     }
