--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -99,7 +99,6 @@
     /// Counts a request of this host until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.state.lock().load.sent_since_report += 1;
         InFlight(self.clone())
     }
 }
@@ -249,7 +248,6 @@
                 slots: report.slots,
                 reported_at: now,
                 own_in_flight: 0,
-                sent_since_report: 0,
             };
             let began_leaving = report.leaving && state.leaving_since.is_none();
             state.leaving_until = if report.leaving {
--- a/policy/src/backend.rs
+++ b/policy/src/backend.rs
@@ -52,19 +52,14 @@
     pub reported_at: Millis,
     /// Requests of this host that it answers now.
     pub own_in_flight: u32,
-    /// Requests that this host sent since the report.
-    pub sent_since_report: u32,
 }
 
 impl LoadView {
-    /// The server's own report with what was sent since, as a fraction of its slots; zero if it is too old.
+    /// The server's own report as a fraction of its slots; zero if it is too old. What this host sent
+    /// since is not added: it shows in the own count.
     fn reported_fraction(&self, now: Millis) -> f64 {
         let is_fresh = now.since(self.reported_at) <= REPORT_LIFETIME;
-        let reported = if is_fresh {
-            self.reported + self.sent_since_report
-        } else {
-            0
-        };
+        let reported = if is_fresh { self.reported } else { 0 };
         f64::from(reported) / f64::from(self.slots.max(1))
     }
 
--- a/policy/src/subset.rs
+++ b/policy/src/subset.rs
@@ -6,7 +6,7 @@
 use crate::names::{Name, stable_hash};
 
 /// Hosts that share one server.
-pub const HOSTS_PER_SERVER: usize = 4;
+pub const HOSTS_PER_SERVER: usize = 7;
 
 /// Servers of a host at least, if the pool has them.
 pub const MIN_SERVERS: usize = 3;
--- a/policy/tests/routing.rs
+++ b/policy/tests/routing.rs
@@ -20,8 +20,10 @@
 const PREFILL_MS: f64 = 40.0;
 const LOAD: f64 = 0.7;
 const WARM_UP_MS: u64 = 20_000;
-const END_MS: u64 = 120_000;
-/// Probes of each host, as the entry host sends them.
+const END_MS: u64 = 80_000;
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+/// Time between two probes of a host.
 const PROBE_PERIOD_MS: u64 = 200;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -200,7 +202,6 @@
                     *view = LoadView {
                         reported,
                         reported_at: Millis(at),
-                        sent_since_report: 0,
                         ..*view
                     };
                     self.push(at + PROBE_PERIOD_MS, Event::Probe { host });
@@ -221,7 +222,6 @@
         let server = self.choose(host, at);
         let view = &mut self.views[host][server].load;
         view.own_in_flight += 1;
-        view.sent_since_report += 1;
         self.servers[server].queue.push_back((host, at));
         self.admit(server, at);
     }
@@ -247,7 +247,7 @@
                 let draws = [0, 0].map(|_| self.rng.usize(..servers));
                 let load = |index: usize| {
                     let load = self.views[host][index].load;
-                    (load.reported + load.sent_since_report).max(load.own_in_flight)
+                    load.reported.max(load.own_in_flight)
                 };
                 draws.into_iter().min_by_key(|index| load(*index)).unwrap()
             }
@@ -300,7 +300,7 @@
 #[test]
 fn the_first_token_comes_nearly_as_early_as_with_perfect_sight() {
     println!(
-        "hosts servers  lag_ms flawed   random round_robin least_reported two_choices subset ideal ratio (99th percentile, ms)"
+        "hosts servers  lag_ms flawed   random round_robin least_reported two_choices subset ideal worst_ratio (99th percentile, ms, mean of 4 seeds)"
     );
     let mut failures = Vec::new();
     for (hosts, servers) in [(7, 18), (46, 91)] {
@@ -312,19 +312,24 @@
                     lag_ms,
                     flawed,
                 };
-                let p99 = |policy| Pool::new(case, policy, 3).run();
-                let ideal = p99(Policy::Ideal);
-                let ours = p99(Policy::Subset);
-                let ratio = ours as f64 / ideal as f64;
+                let p99 = |policy, seed| Pool::new(case, policy, seed).run();
+                let mean = |policy| {
+                    SEEDS.map(|seed| p99(policy, seed)).iter().sum::<u64>() / SEEDS.len() as u64
+                };
+                let ratios = SEEDS
+                    .map(|seed| p99(Policy::Subset, seed) as f64 / p99(Policy::Ideal, seed) as f64);
+                let worst = ratios.into_iter().fold(0.0, f64::max);
                 println!(
-                    "{hosts:5} {servers:7} {lag_ms:7} {flawed:6} {:8} {:11} {:14} {:11} {ours:6} {ideal:5} {ratio:5.2}",
-                    p99(Policy::Random),
-                    p99(Policy::RoundRobin),
-                    p99(Policy::LeastReported),
-                    p99(Policy::TwoChoices),
+                    "{hosts:5} {servers:7} {lag_ms:7} {flawed:6} {:8} {:11} {:14} {:11} {:6} {:5} {worst:5.2}",
+                    mean(Policy::Random),
+                    mean(Policy::RoundRobin),
+                    mean(Policy::LeastReported),
+                    mean(Policy::TwoChoices),
+                    mean(Policy::Subset),
+                    mean(Policy::Ideal),
                 );
-                if ratio > 1.2 {
-                    failures.push(format!("{hosts} hosts, {servers} servers, lag {lag_ms} ms, flawed {flawed}: {ratio:.2}"));
+                if worst > 1.2 {
+                    failures.push(format!("{hosts} hosts, {servers} servers, lag {lag_ms} ms, flawed {flawed}: {worst:.2}"));
                 }
             }
         }
@@ -356,11 +361,6 @@
         ..view
     };
     assert!(score(idle) < score(reported) && score(reported) < score(own));
-    let sent = LoadView {
-        sent_since_report: 1,
-        ..view
-    };
-    assert!(score(idle) < score(sent));
     // A report below the usual earns nothing, and an old one says nothing.
     assert_eq!(idle.score(1.0, now), reported.score(1.0, now));
     let later = now.after(Duration::from_secs(6));
@@ -368,7 +368,7 @@
 }
 
 #[test]
-fn each_server_is_used_by_four_hosts_and_each_host_uses_as_many_servers() {
+fn each_server_is_used_by_a_few_hosts_and_each_host_uses_as_many_servers() {
     for (hosts, servers) in [(7, 18), (46, 91), (320, 640), (5, 3), (2, 18)] {
         let case = Case {
             hosts,
