Keep a test process's claims of networks to its end

Cause: a fleet's stores listen until their process ends, so that a network released with its fleet was taken again ("Address already in use").

Change: claims are kept in the process.

--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -16,7 +16,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -184,9 +184,12 @@
     }
 }
 
+/// Claims of this process's fleets, kept to its end: so long their stores listen.
+static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+
 /// A network of loopback addresses for one fleet, claimed by a listener so that no other test of
 /// this or another process takes it.
-fn claim_network() -> ((u8, u8), TcpListener) {
+fn claim_network() -> (u8, u8) {
     const NETWORKS: u32 = 200 * 256;
     const CLAIM_IP: u8 = 254;
     let first = std::process::id() * 32;
@@ -203,16 +206,17 @@
             .ok()
             .map(|listener| (network, listener))
     };
-    networks
+    let (network, listener) = networks
         .into_iter()
         .find_map(claim)
-        .expect("a network is free")
+        .expect("a network is free");
+    CLAIMS.lock().unwrap().push(listener);
+    network
 }
 
 /// A fleet under test.
 pub struct Fleet {
     network: (u8, u8),
-    _claim: TcpListener,
     pub store: Arc<MemoryStore>,
     pub hosts: Vec<EntryHost>,
     pub backends: Vec<(HostEntry, Option<Process>)>,
@@ -254,10 +258,8 @@
 
     /// A fleet whose store is started by the test.
     pub fn without_store() -> Self {
-        let (network, claim) = claim_network();
         Self {
-            network,
-            _claim: claim,
+            network: claim_network(),
             store: Arc::new(MemoryStore::new()),
             hosts: Vec::new(),
             backends: Vec::new(),
