--- a/host/src/board.rs
+++ b/host/src/board.rs
@@ -16,7 +16,11 @@
     session::SessionSigner,
     time::Millis,
 };
-use parking_lot::{Condvar, Mutex, RwLock};
+use crossbeam::{
+    channel::{Receiver, Sender, bounded},
+    select,
+};
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 
 use crate::{servers::Servers, settings::Settings};
@@ -46,13 +50,16 @@
     peers_asked: AtomicBool,
     stopping: AtomicBool,
     store_finding: Mutex<Option<String>>,
-    config_wait: Mutex<()>,
-    config_changed: Condvar,
+    config_changed: (Sender<()>, Receiver<()>),
+    /// Its sender is dropped when a planned stop begins, which ends all waits.
+    running: Mutex<Option<Sender<()>>>,
+    stopped: Receiver<()>,
 }
 
 impl Board {
     /// An empty board.
     pub(crate) fn new(settings: Settings, now: Millis) -> Self {
+        let (running, stopped) = bounded(0);
         let me = Member {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -73,8 +80,9 @@
             peers_asked: AtomicBool::default(),
             stopping: AtomicBool::default(),
             store_finding: Mutex::default(),
-            config_wait: Mutex::default(),
-            config_changed: Condvar::new(),
+            config_changed: bounded(1),
+            running: Mutex::new(Some(running)),
+            stopped,
             settings,
         }
     }
@@ -126,7 +134,8 @@
         });
         drop(in_force);
         self.news.notify_one();
-        self.config_changed.notify_all();
+        // A change that waits to be seen already stands for this one too.
+        let _ = self.config_changed.0.try_send(());
         true
     }
 
@@ -213,6 +222,7 @@
     /// Begins the planned stop.
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
+        self.running.lock().take();
         self.members.lock().leave(MemberState::Leaving);
         self.news.notify_one();
     }
@@ -222,9 +232,18 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Waits for a change of the configuration, at most for `wait`.
+    /// Waits for a change of the configuration or a planned stop, at most for `wait`.
     pub(crate) fn wait_for_change(&self, wait: Duration) {
-        let mut guard = self.config_wait.lock();
-        self.config_changed.wait_for(&mut guard, wait);
+        select! {
+            recv(self.config_changed.1) -> _ => {}
+            recv(self.stopped) -> _ => {}
+            default(wait) => {}
+        }
+    }
+
+    /// Waits for `wait`, or until a planned stop begins.
+    pub(crate) fn pause(&self, wait: Duration) {
+        // Nothing is ever sent: the channel ends, or the time does.
+        let _ = self.stopped.recv_timeout(wait);
     }
 }
--- a/host/src/gossip.rs
+++ b/host/src/gossip.rs
@@ -58,7 +58,6 @@
 struct Target {
     name: Option<Name>,
     address: Name,
-    zone: Name,
 }
 
 impl Target {
@@ -66,7 +65,6 @@
         Self {
             name: Some(member.name.clone()),
             address: member.address.clone(),
-            zone: member.zone.clone(),
         }
     }
 
@@ -74,7 +72,6 @@
         Self {
             name: None,
             address: address.into(),
-            zone: "".into(),
         }
     }
 }
@@ -161,7 +158,7 @@
     shared: &Shared,
     target: &Target,
 ) -> Result<(), PeerError> {
-    let digest = own_digest(board, shared, &target.zone);
+    let digest = own_digest(board, shared);
     let reply = clients
         .call(&target.address, |peer| async move {
             peer.exchange(call_context(), digest).await
--- a/host/src/keeper.rs
+++ b/host/src/keeper.rs
@@ -35,7 +35,7 @@
             metrics::counter!("clementinearch_store_failures_total", "purpose" => "config")
                 .increment(1);
             log::debug!("configuration: {e}");
-            std::thread::sleep(RETRY);
+            board.pause(RETRY);
         }
     }
 }
--- a/host/src/listing.rs
+++ b/host/src/listing.rs
@@ -61,6 +61,6 @@
         } else {
             pause
         };
-        std::thread::sleep(pause);
+        board.pause(pause);
     }
 }
--- a/host/src/orders.rs
+++ b/host/src/orders.rs
@@ -26,7 +26,7 @@
 pub(crate) fn run(board: &Board, store: &dyn Store, runtime: &Handle) {
     let mut leases: FastMap<Name, Lease> = FastMap::default();
     while !board.is_stopping() {
-        std::thread::sleep(board.settings.order_lease / REFRESHES_PER_LEASE);
+        board.pause(board.settings.order_lease / REFRESHES_PER_LEASE);
         let pools = pools_with_orders(board);
         leases.retain(|pool, _| pools.contains(pool));
         for pool in pools {
--- a/host/src/peers.rs
+++ b/host/src/peers.rs
@@ -130,7 +130,10 @@
         let zone = digest.from.zone.clone();
         let differs = take_in(&self.board, &self.shared, &digest);
         Reply {
-            digest: own_digest(&self.board, &self.shared, &zone),
+            digest: Digest {
+                counts: self.shared.quality.rows(&zone),
+                ..own_digest(&self.board, &self.shared)
+            },
             rows: if differs {
                 self.board.members.lock().rows()
             } else {
@@ -179,8 +182,8 @@
     }
 }
 
-/// This host's digest.
-pub(crate) fn own_digest(board: &Board, shared: &Shared, peer_zone: &str) -> Digest {
+/// This host's digest. Only answers carry counts, so that each exchange carries them once.
+pub(crate) fn own_digest(board: &Board, shared: &Shared) -> Digest {
     let now = clock::now();
     let (from, table_hash) = {
         let members = board.members.lock();
@@ -195,7 +198,7 @@
         confirmed_age: (confirmed_at.0 > 0).then(|| now.since(confirmed_at)),
         leaving: board.servers.leaving(now),
         suspects: shared.trials.rows(),
-        counts: shared.quality.rows(peer_zone),
+        counts: Vec::new(),
         halted: shared.quality.halted_rows(),
     }
 }
