Check lists against each other, and their size, before they are written

Cause: `clemctl check` passed lists that name models, versions or services nobody lists, one account on two plans, and lists over the store's size; the hosts reported them only once they were accepted.

Change: the lists are put together as a host would and its findings are reported with their file; a list over a megabyte is a finding.

Before: exit 0. After: exit 2 with each finding; one test more.

--- a/ctl/src/lists.rs
+++ b/ctl/src/lists.rs
@@ -4,15 +4,25 @@
     collections::BTreeMap,
     fs, io,
     path::{Path, PathBuf},
+    sync::Arc,
 };
 
-use clementinearch_policy::{catalogue::check_item, findings::Findings};
+use clementinearch_border::HeadItem;
+use clementinearch_policy::{
+    catalogue::{Advance, Bodies, Catalogue, check_item},
+    findings::Findings,
+    head::empty_head,
+    names::digest_hex,
+};
 
 use crate::error::Error;
 
 /// Folders of a directory of lists; each names a kind of item.
 const KINDS: [&str; 3] = ["model", "plan", "service"];
 
+/// Largest list that the store holds, bytes.
+const MAX_ITEM_BYTES: usize = 1 << 20;
+
 /// Items by name, such as `plan/studio`.
 pub(crate) type Items = BTreeMap<String, String>;
 
@@ -32,6 +42,12 @@
             })?;
             let stem = path.file_stem().unwrap_or_default().to_string_lossy();
             let item = format!("{kind}/{stem}");
+            if text.len() > MAX_ITEM_BYTES {
+                findings.add(
+                    &path.display().to_string(),
+                    format!("is over {MAX_ITEM_BYTES} bytes"),
+                );
+            }
             if let Err(found) = check_item(&item, &path.display().to_string(), &text) {
                 findings.0.extend(found.0);
             }
@@ -44,9 +60,42 @@
             "holds no model/*.toml, plan/*.toml or service/*.toml",
         );
     }
+    if findings.0.is_empty() {
+        findings = check_together(dir, &items);
+    }
     Ok(findings.or(items)?)
 }
 
+/// What is wrong between lists that are sound each for itself: names that no list has, and accounts
+/// on two plans.
+fn check_together(dir: &Path, items: &Items) -> Findings {
+    let mut bodies = Bodies::default();
+    let mut head = empty_head();
+    head.revision = 1;
+    for (item, text) in items {
+        let digest = digest_hex(text.as_bytes());
+        bodies.insert(digest.clone(), text.as_str().into());
+        head.items.insert(
+            item.clone(),
+            HeadItem {
+                revision: 1,
+                digest,
+            },
+        );
+    }
+    let Advance::Applied(catalogue) = Catalogue::advance(None, Arc::new(head), &bodies, &[]) else {
+        return Findings::default();
+    };
+    let mut findings = catalogue.findings().clone();
+    for finding in &mut findings.0 {
+        finding.place.source = dir
+            .join(format!("{}.toml", finding.place.source))
+            .display()
+            .to_string();
+    }
+    findings
+}
+
 /// The TOML files of a folder, sorted; none if the folder is not there.
 fn files_of(folder: &Path) -> Result<Vec<PathBuf>, Error> {
     let failed = |source| Error::Read {
--- a/ctl/tests/command.rs
+++ b/ctl/tests/command.rs
@@ -75,6 +75,42 @@
     }
 }
 
+#[test]
+fn check_reports_what_is_wrong_between_lists_and_lists_that_the_store_cannot_hold() {
+    let account =
+        "[[account]]\nname = \"studio\"\nkey_sha256 = \"KEY\"\n".replace("KEY", &"0".repeat(64));
+    let one = format!(
+        "services = [\"queue\"]\n{account}[[allow]]\nmodel = \"review\"\nversions = [\"v1\", \"v9\"]\n"
+    );
+    let dir = lists(
+        "crossed-lists",
+        &[
+            ("model/review.toml", MODEL),
+            ("plan/one.toml", &one),
+            ("plan/two.toml", &account),
+        ],
+    );
+    let output = clemctl(&["check", &dir]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    for expected in [
+        "plan/one.toml: model `review` has no version `v9`",
+        "plan/one.toml: service `queue` is not listed",
+        "plan/two.toml: account `studio` or its key already belongs to plan `one`",
+    ] {
+        assert!(text.contains(expected), "{expected} is not in:\n{text}");
+    }
+    let large = format!("{MODEL}# {}\n", "x".repeat(1 << 20));
+    let output = clemctl(&[
+        "check",
+        &lists("large-lists", &[("model/review.toml", &large)]),
+    ]);
+    assert!(
+        String::from_utf8_lossy(&output.stderr)
+            .contains("model/review.toml: is over 1048576 bytes")
+    );
+}
+
 #[test]
 fn a_lost_answer_is_asked_again_under_the_same_edit_id() {
     let (store, address) = store(0);
