Cut zones off from each other while their hosts run

Cause: partitions were proved with hosts that never met; the way back was proved on tables only.

Change: a host may tell peers another address than it listens at, which a test uses for a link that it cuts.

Cuts in one direction remain unproved.

--- a/host/src/board.rs
+++ b/host/src/board.rs
@@ -63,7 +63,7 @@
         let me = Member {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
-            address: settings.peers.to_string().into(),
+            address: settings.advertised_peers.to_string().into(),
             incarnation: incarnation(now, fastrand::u16(..)),
             refutation: 0,
             state: MemberState::Alive,
--- a/host/src/settings.rs
+++ b/host/src/settings.rs
@@ -30,6 +30,8 @@
     pub(crate) callers: SocketAddr,
     /// Address for other entry hosts.
     pub(crate) peers: SocketAddr,
+    /// Address that peers are told, if it is not the one this host listens at.
+    pub(crate) advertised_peers: SocketAddr,
     /// Address for operators, probes and scrapes.
     pub(crate) admin: SocketAddr,
     /// Peer addresses to ask while the platform's host list is out of reach.
@@ -85,10 +87,15 @@
     /// Checks settings in TOML; `source` names the file in findings.
     pub(crate) fn parse(source: &str, text: &str) -> Result<Self, Findings> {
         read_document(source, text, |table| {
-            let (callers, peers, admin) = table.table("listen", |listen| {
+            let (callers, peers, advertised_peers, admin) = table.table("listen", |listen| {
+                let peers = address(listen, "peers");
+                let advertised = listen
+                    .parsed("advertised_peers", parse_address)
+                    .unwrap_or(peers);
                 (
                     address(listen, "callers"),
-                    address(listen, "peers"),
+                    peers,
+                    advertised,
                     address(listen, "admin"),
                 )
             });
@@ -117,6 +124,7 @@
                 zone: table.required_name("zone"),
                 callers,
                 peers,
+                advertised_peers,
                 admin,
                 seeds: table.list("seeds", parse_address),
                 store,
--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 mod client;
+mod link;
 mod lists;
 
 use std::{
@@ -39,6 +40,7 @@
 
 const CALLERS_PORT: u16 = 8080;
 const PEERS_PORT: u16 = 7070;
+const LINK_PORT: u16 = 7071;
 const ADMIN_PORT: u16 = 9090;
 const STORE_PORT: u16 = 2379;
 const BACKEND_PORT: u16 = 8000;
@@ -217,6 +219,9 @@
 /// A fleet under test.
 pub struct Fleet {
     network: (u8, u8),
+    has_links: bool,
+    /// Ways of peers to each host; set to cut.
+    pub links: Vec<Arc<AtomicBool>>,
     pub store: Arc<MemoryStore>,
     pub hosts: Vec<EntryHost>,
     pub backends: Vec<(HostEntry, Option<Process>)>,
@@ -260,6 +265,8 @@
     pub fn without_store() -> Self {
         Self {
             network: claim_network(),
+            has_links: false,
+            links: Vec::new(),
             store: Arc::new(MemoryStore::new()),
             hosts: Vec::new(),
             backends: Vec::new(),
@@ -273,6 +280,12 @@
         }
     }
 
+    /// Peers reach each host by a link that the test can cut.
+    pub fn with_links(mut self) -> Self {
+        self.has_links = true;
+        self
+    }
+
     /// Runs the hosts with the timings of the sample settings.
     pub fn with_default_timings(mut self) -> Self {
         self.timings = String::new();
@@ -405,11 +418,16 @@
             .unwrap_or(self.listed_hosts.len());
         let ip = self.ip(FIRST_HOST_IP + number as u8);
         if number == self.listed_hosts.len() {
+            let own = SocketAddr::new(ip, PEERS_PORT);
+            let link = SocketAddr::new(ip, LINK_PORT);
+            if self.has_links {
+                self.links.push(link::start(link, own));
+            }
             self.listed_hosts.push(HostEntry {
                 name: name.to_owned(),
                 role: HostRole::Entry,
                 zone: zone.to_owned(),
-                address: SocketAddr::new(ip, PEERS_PORT).to_string(),
+                address: if self.has_links { link } else { own }.to_string(),
                 pool: String::new(),
                 state: HostState::Live,
             });
@@ -454,9 +472,10 @@
             .iter()
             .map(|host| format!("\"{}\"", host.address))
             .collect();
+        let advertised = &self.listed_hosts[number].address;
         let text = format!(
             "name = \"{name}\"\nzone = \"{zone}\"\nsession_secret = \"a secret of the test fleet\"\nseeds = [{}]\n\
-             [listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\n\
+             [listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\nadvertised_peers = \"{advertised}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\n\
              [store]\naddress = \"{}\"\n\
              [limits]\n{}\n{}\n",
             seeds.join(", "),
