Choose between a cheap and a strong model at the lowest cost that keeps quality

Change: a plan may list cascades; the hosts learn from ratings, counted together, which kinds of requests the cheap model suffices for.

--- a/border/src/generated.rs
+++ b/border/src/generated.rs
@@ -1322,6 +1322,10 @@
 ///      "description": "Whether the answer was bad.",
 ///      "type": "boolean"
 ///    },
+///    "cascade": {
+///      "description": "Value of the answer's header `x-cascade`, if it had one.",
+///      "type": "string"
+///    },
 ///    "model": {
 ///      "description": "Model and version that answered, as `model@version`.",
 ///      "type": "string"
@@ -1334,6 +1338,9 @@
 pub struct Rating {
     ///Whether the answer was bad.
     pub bad: bool,
+    ///Value of the answer's header `x-cascade`, if it had one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub cascade: ::std::option::Option<::std::string::String>,
     ///Model and version that answered, as `model@version`.
     pub model: ::std::string::String,
 }
--- a/host/src/admin.rs
+++ b/host/src/admin.rs
@@ -12,7 +12,8 @@
 use tokio::runtime::Handle;
 
 use crate::{
-    board::Board, error::Error, peer_clients::PeerClients, peers::Shared, status::fleet_status,
+    board::Board, cascades, error::Error, peer_clients::PeerClients, peers::Shared,
+    status::fleet_status,
 };
 
 /// Connections that operators and probes may hold at once.
@@ -76,6 +77,9 @@
         match parse_model_reference(&rating.model) {
             Ok((_, Some(_))) => {
                 self.shared.quality.note_rating(&rating.model, rating.bad);
+                if let Some(label) = rating.cascade.filter(|label| cascades::is_label(label)) {
+                    self.shared.quality.note_cascade(&label, rating.bad);
+                }
                 text(StatusCode::ACCEPTED, "")
             }
             Ok((_, None)) => text(
--- a/host/src/callers.rs
+++ b/host/src/callers.rs
@@ -7,7 +7,7 @@
     catalogue::{AccountEntry, Catalogue},
     model::VersionState,
     names::digest_hex,
-    plan::Plan,
+    plan::{CascadeRule, Plan},
     retry::RetryBudget,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -182,8 +182,15 @@
             versions,
         })
     };
+    let cascade = |rule: &CascadeRule| ModelEntry {
+        id: rule.name.to_string(),
+        versions: Vec::new(),
+    };
+    let models = caller.plan.models.iter().filter_map(entry);
     let list = ModelList {
-        data: caller.plan.models.iter().filter_map(entry).collect(),
+        data: models
+            .chain(caller.plan.cascades.iter().map(cascade))
+            .collect(),
     };
     json_answer(
         StatusCode::OK,
--- a/host/src/completion.rs
+++ b/host/src/completion.rs
@@ -41,6 +41,8 @@
     pub(crate) deadline: Millis,
     pub(crate) priority: String,
     pub(crate) session_token: Option<String>,
+    /// Label of the answer's rating, if a cascade chose the model.
+    pub(crate) cascade: Option<String>,
     pub(crate) span: Span,
 }
 
--- a/host/src/gossip.rs
+++ b/host/src/gossip.rs
@@ -30,6 +30,7 @@
         expire(&board);
         shared.trials.expire();
         shared.quality.judge();
+        shared.cascades.update(&shared.quality);
         metrics::gauge!("clementinearch_members")
             .set((board.members.lock().peers().count() + 1) as f64);
         metrics::gauge!("clementinearch_servers_leaving")
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -14,6 +14,7 @@
     admin,
     board::Board,
     callers::{self, App},
+    cascades::Cascades,
     claims::Claims,
     clock,
     error::Error,
@@ -58,6 +59,7 @@
     let shared = Arc::new(Shared {
         trials: Arc::new(Trials::new(board.clone(), clients.clone())),
         quality: Quality::new(board.clone()),
+        cascades: Cascades::new(board.clone()),
     });
     let operators = admin::Operators {
         board: board.clone(),
--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod board;
 mod callers;
+mod cascades;
 mod chat;
 mod chat_answer;
 mod claims;
--- a/host/src/peers.rs
+++ b/host/src/peers.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     board::Board,
+    cascades::Cascades,
     clock,
     ledger::Ledger,
     peer_clients::framed,
@@ -106,6 +107,7 @@
 pub(crate) struct Shared {
     pub(crate) trials: Arc<Trials>,
     pub(crate) quality: Quality,
+    pub(crate) cascades: Cascades,
 }
 
 /// Serves peers at the host's peer address.
--- a/host/src/quality.rs
+++ b/host/src/quality.rs
@@ -5,7 +5,7 @@
 use clementinearch_policy::{
     model::{Model, VersionState},
     names::{FastMap, FastSet, Name, stable_hash},
-    quality::{CountRows, DriftWatch, Tally, must_halt},
+    quality::{CountRows, Counts, DriftWatch, Tally, must_halt},
 };
 use parking_lot::Mutex;
 
@@ -17,6 +17,13 @@
 /// One in this many exchanges also carries the counters of versions that are not in roll-out.
 const EXCHANGES_PER_ESTABLISHED: u64 = 10;
 
+/// Begins the subjects that count ratings within cascades.
+const CASCADE_PREFIX: &str = "cascade ";
+
+fn cascade_subject(label: &str) -> Name {
+    format!("{CASCADE_PREFIX}{label}").into()
+}
+
 /// What is counted of a version: its ratings or its errors.
 fn subject(version: &str, is_error: bool) -> Name {
     if is_error {
@@ -65,6 +72,26 @@
         self.tally.lock().add(&subject(version, true), is_error);
     }
 
+    /// Counts the rating of an answer within a cascade; `label` names plan, cascade, kind and tier.
+    pub(crate) fn note_cascade(&self, label: &str, is_bad: bool) {
+        self.tally.lock().add(&cascade_subject(label), is_bad);
+    }
+
+    /// What all hosts have counted under a cascade's label.
+    pub(crate) fn cascade_counts(&self, label: &str) -> Counts {
+        self.tally.lock().total(&cascade_subject(label))
+    }
+
+    /// Labels of cascades under which anything was counted.
+    pub(crate) fn cascade_labels(&self) -> Vec<Name> {
+        let tally = self.tally.lock();
+        tally
+            .subjects()
+            .filter_map(|subject| subject.strip_prefix(CASCADE_PREFIX))
+            .map(Name::from)
+            .collect()
+    }
+
     /// Halted versions of a model.
     pub(crate) fn halted(&self, model: &str) -> Vec<Name> {
         let verdicts = self.verdicts.lock();
@@ -108,9 +135,10 @@
             .lock()
             .halted
             .retain(|label| live.contains(label));
-        self.tally
-            .lock()
-            .retain(|subject| live.contains(subject.split(' ').next().unwrap_or_default()));
+        self.tally.lock().retain(|subject| {
+            subject.starts_with(CASCADE_PREFIX)
+                || live.contains(subject.split(' ').next().unwrap_or_default())
+        });
         let Some(in_force) = self.board.in_force() else {
             return;
         };
--- a/host/tests/rollouts.rs
+++ b/host/tests/rollouts.rs
@@ -46,6 +46,7 @@
             let rating = serde_json::to_string(&Rating {
                 model: "review@v2".to_owned(),
                 bad: true,
+                cascade: None,
             })
             .unwrap();
             assert_eq!(
--- a/policy/src/catalogue.rs
+++ b/policy/src/catalogue.rs
@@ -171,6 +171,16 @@
         }
     }
 
+    /// All plans by name.
+    pub fn plans(&self) -> impl Iterator<Item = (&str, &Arc<Plan>)> {
+        self.applied
+            .iter()
+            .filter_map(|(name, applied)| match &applied.item {
+                Item::Plan(plan) => Some((name.strip_prefix("plan/")?, plan)),
+                _ => None,
+            })
+    }
+
     /// All models by name.
     pub fn models(&self) -> impl Iterator<Item = (&str, &Arc<Model>)> {
         self.applied
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod cascade;
 pub mod catalogue;
 pub mod choose;
 pub mod claim;
--- a/policy/src/plan.rs
+++ b/policy/src/plan.rs
@@ -27,7 +27,7 @@
 }
 
 /// One customers' plan.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Client accounts on the plan.
     pub accounts: Vec<Account>,
@@ -35,6 +35,21 @@
     pub models: Vec<AllowedModel>,
     /// Plain services that the plan may call.
     pub services: Vec<Name>,
+    /// Names that callers use for "cheap or strong, as it fits".
+    pub cascades: Vec<CascadeRule>,
+}
+
+/// A choice between two models of the plan at the lowest cost that keeps the quality.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CascadeRule {
+    /// Name that callers ask for as a model.
+    pub name: Name,
+    /// The cheap model.
+    pub cheap: Name,
+    /// The strong model.
+    pub strong: Name,
+    /// Share of bad answers that the plan expects at most.
+    pub allowed_bad: f64,
 }
 
 impl Plan {
@@ -48,6 +63,7 @@
             let accounts = table.tables("account", read_account);
             let models = table.tables("allow", read_allowed);
             let services = table.names("services");
+            let cascades = table.tables("cascade", |table| read_cascade(table, &models));
             report_repeated(
                 table,
                 "account",
@@ -58,6 +74,7 @@
                 accounts,
                 models,
                 services,
+                cascades,
             }
         })
     }
@@ -89,6 +106,35 @@
     AllowedModel { model, versions }
 }
 
+/// Bad answers in a thousand that a cascade may give unless the list says otherwise.
+const DEFAULT_BAD_PER_THOUSAND: u64 = 50;
+
+fn read_cascade(table: &mut Table<'_>, models: &[AllowedModel]) -> CascadeRule {
+    let name = table.required_name("name");
+    let cheap = table.required_name("cheap");
+    let strong = table.required_name("strong");
+    let is_allowed = |model: &Name| models.iter().any(|allowed| allowed.model == *model);
+    for (field, model) in [("cheap", &cheap), ("strong", &strong)] {
+        if !model.is_empty() && !is_allowed(model) {
+            table.report(field, format!("the plan does not allow model `{model}`"));
+        }
+    }
+    if is_allowed(&name) {
+        table.report("name", format!("`{name}` is the name of an allowed model"));
+    }
+    let allowed_bad = table.number(
+        "allowed_bad_per_thousand",
+        1..=900,
+        DEFAULT_BAD_PER_THOUSAND,
+    );
+    CascadeRule {
+        name,
+        cheap,
+        strong,
+        allowed_bad: allowed_bad as f64 / 1000.0,
+    }
+}
+
 fn parse_key_digest(text: &str) -> Result<Name, String> {
     const HEX_DIGITS: usize = 64;
     let lower_hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
--- a/policy/src/quality.rs
+++ b/policy/src/quality.rs
@@ -210,6 +210,11 @@
         sum(sources.hosts.values().chain(sources.zones.values()))
     }
 
+    /// All subjects.
+    pub fn subjects(&self) -> impl Iterator<Item = &Name> {
+        self.subjects.keys()
+    }
+
     /// Forgets subjects that are no longer of interest.
     pub fn retain(&mut self, is_wanted: impl Fn(&str) -> bool) {
         self.subjects.retain(|subject, _| is_wanted(subject));
