Let a load spike meet a leaving server, and count store calls by purpose

Cause: leaving and spike together were not tried; calls to the store were counted by purpose at rest only.

Change: the leaving server's test sends 40 requests at once; a measurement counts calls by purpose at rest, for chats and for claimed calls, at three sizes.

--- a/host/benches/load.rs
+++ b/host/benches/load.rs
@@ -30,13 +30,14 @@
 fn main() {
     let runtime = Runtime::new().unwrap();
     type Measurement = (&'static str, fn(&Runtime));
-    let measurements: [Measurement; 6] = [
+    let measurements: [Measurement; 7] = [
         ("requests", measure_requests),
         ("tokens", measure_tokens),
         ("streams", measure_streams),
         ("first-token", measure_first_token),
         ("state", measure_state),
         ("bills", measure_bills),
+        ("store", measure_store_calls),
     ];
     // `cargo bench --bench load -- bills` runs one of them.
     let chosen: Vec<String> = std::env::args()
@@ -155,6 +156,77 @@
     }
 }
 
+/// Calls to the store by purpose, at rest and for chat requests and claimed calls.
+fn measure_store_calls(runtime: &Runtime) {
+    const REQUESTS: u64 = 500;
+    const CALLS: u64 = 100;
+    const WINDOW: Duration = Duration::from_secs(10);
+    println!(
+        "hosts  calls by purpose: at rest a second, then for {REQUESTS} chats, then for {CALLS} claimed calls"
+    );
+    for hosts in [3, 6, 12] {
+        let mut fleet = Fleet::new()
+            .with_default_timings()
+            .with_settings("ledger_period_ms = 1000\n");
+        fleet.engine("a", &["v1"]);
+        fleet.service("a", &[]);
+        fleet.edit(&[
+            ("model/review", &model(&[("v1", "established")])),
+            ("service/queue", "pool = \"queue\"\n"),
+            ("plan/one", &plan("one", &["v1"])),
+        ]);
+        fleet.start_hosts(&vec!["a"; hosts]);
+        fleet.wait_serving(0, "one");
+        std::thread::sleep(WINDOW);
+        let counts = || {
+            let mut sums = std::collections::BTreeMap::<String, u64>::new();
+            for ((_, purpose), count) in fleet.store.counts() {
+                *sums.entry(purpose).or_default() += count;
+            }
+            sums
+        };
+        let since = |before: &std::collections::BTreeMap<String, u64>| {
+            let now = counts();
+            let grown = now.iter().map(|(purpose, count)| {
+                (purpose.clone(), count - before.get(purpose).unwrap_or(&0))
+            });
+            grown.filter(|(_, count)| *count > 0).collect::<Vec<_>>()
+        };
+        let before = counts();
+        std::thread::sleep(WINDOW);
+        let rest: Vec<_> = since(&before)
+            .into_iter()
+            .map(|(purpose, n)| (purpose, n as f64 / 10.0))
+            .collect();
+        let before = counts();
+        for number in 0..REQUESTS {
+            let host = &fleet.hosts[number as usize % hosts];
+            runtime.block_on(stream(
+                host.callers(),
+                request(&format!("p {number}"), 1, "review"),
+                Arc::default(),
+            ));
+        }
+        std::thread::sleep(WINDOW);
+        let chats = since(&before);
+        let before = counts();
+        for number in 0..CALLS {
+            let host = &fleet.hosts[number as usize % hosts];
+            let id = clementinearch_policy::request_id::RequestId::new(fleet::now()).simple();
+            let answer = fleet::call(
+                host,
+                "one",
+                "queue/commit",
+                &[("idempotency-key", &id)],
+                "{}",
+            );
+            assert_eq!(answer.status, 200);
+        }
+        std::thread::sleep(WINDOW);
+        println!("{hosts:5}  {rest:?}  {chats:?}  {:?}", since(&before));
+    }
+}
+
 fn request(prompt: &str, tokens: u32, model: &str) -> String {
     let body = chat_body(prompt, tokens, true).replace("\"review\"", &format!("\"{model}\""));
     format!(
--- a/host/tests/stops.rs
+++ b/host/tests/stops.rs
@@ -121,17 +121,19 @@
         });
     }
     let before = starts();
-    for number in 0..40 {
-        assert_eq!(
-            chat(
-                &fleet.hosts[number % 2],
-                "one",
-                &[],
-                &chat_body("x", 1, false)
-            )
-            .status,
-            200
-        );
+    // A spike comes at the same time.
+    let spike: Vec<_> = (0..40)
+        .map(|number| {
+            let callers = fleet.hosts[number % 2].callers();
+            let body = chat_body(&format!("spike {number}"), 20, false);
+            let headers = [("authorization", "Bearer one")];
+            std::thread::spawn(move || {
+                send("POST", callers, "/v1/chat/completions", &headers, &body)
+            })
+        })
+        .collect();
+    for answer in spike {
+        assert_eq!(answer.join().unwrap().unwrap().status, 200);
     }
     assert_eq!(starts(), before, "a leaving server got new work");
 }
