Hand rejected bodies on, so that each host reports the same findings

Ruled out: waiting in the test (a host that is no relay would never have reported the line).

Change: a catalogue keeps accepted bodies that it cannot apply and hands them to peers beside the last good ones.

--- a/policy/src/catalogue.rs
+++ b/policy/src/catalogue.rs
@@ -55,6 +55,8 @@
 pub struct Catalogue {
     head: Arc<Head>,
     applied: FastMap<String, Applied>,
+    /// Accepted bodies that could not be applied, so that peers meet the same findings.
+    rejected: Bodies,
     accounts: FastMap<Name, AccountEntry>,
     findings: Findings,
 }
@@ -87,6 +89,7 @@
         }
         let mut findings = Findings::default();
         let mut applied = FastMap::default();
+        let mut rejected = Bodies::default();
         for (name, entry) in &head.items {
             let last_good = current.and_then(|current| current.applied.get(name));
             let unchanged = last_good.filter(|last| last.revision == entry.revision);
@@ -94,7 +97,9 @@
                 applied.insert(name.clone(), unchanged.clone());
                 continue;
             }
-            match read_item(name, bodies.get(&entry.digest), &entry.digest) {
+            let known = current.and_then(|current| current.rejected.get(&entry.digest));
+            let body = bodies.get(&entry.digest).or(known);
+            match read_item(name, body, &entry.digest) {
                 Ok((item, text)) => {
                     applied.insert(
                         name.clone(),
@@ -107,6 +112,9 @@
                 }
                 Err(found) => {
                     findings.0.extend(found.0);
+                    if let Some(body) = body {
+                        rejected.insert(entry.digest.clone(), body.clone());
+                    }
                     let kept = last_good
                         .cloned()
                         .or_else(|| read_fallback(name, fallbacks));
@@ -124,6 +132,7 @@
         Advance::Applied(Box::new(Self {
             head,
             applied,
+            rejected,
             accounts,
             findings,
         }))
@@ -205,6 +214,9 @@
         let mut bodies = Bodies::default();
         let mut fallbacks = Vec::new();
         for (name, entry) in &self.head.items {
+            if let Some(body) = self.rejected.get(&entry.digest) {
+                bodies.insert(entry.digest.clone(), body.clone());
+            }
             let Some(applied) = self.applied.get(name) else {
                 continue;
             };
--- a/policy/tests/versions.rs
+++ b/policy/tests/versions.rs
@@ -233,6 +233,60 @@
     check(property as fn(Vec<u8>) -> bool);
 }
 
+#[test]
+fn a_host_that_learns_of_a_bad_body_from_a_peer_meets_the_same_findings() {
+    let bad = "pol = \"p\"\n";
+    let items = |revision, text: &str| {
+        let item = HeadItem {
+            revision,
+            digest: digest_hex(text.as_bytes()),
+        };
+        [("service/s".to_owned(), item)].into_iter().collect()
+    };
+    let applied = |advance| match advance {
+        Advance::Applied(catalogue) => *catalogue,
+        Advance::NotNewer => panic!("the head is newer"),
+    };
+    let bad_head = Arc::new(Head {
+        revision: 2,
+        items: items(2, bad),
+        edits: Vec::new(),
+    });
+    let mut offered = bodies(1);
+    offered.insert(digest_hex(bad.as_bytes()), bad.into());
+    let first = applied(Catalogue::advance(None, head(1), &offered, &[]));
+    let relay = applied(Catalogue::advance(
+        Some(&first),
+        bad_head.clone(),
+        &offered,
+        &[],
+    ));
+    assert_eq!(relay.findings().0[0].place.line, 1, "{}", relay.findings());
+    // A peer that applies revision 1, a fresh one, and one that hears of the next head.
+    for current in [Some(&first), None] {
+        let (sent, fallbacks) = relay.bodies_since(current.map_or(0, Catalogue::revision));
+        let peer = applied(Catalogue::advance(
+            current,
+            bad_head.clone(),
+            &sent,
+            &fallbacks,
+        ));
+        assert_eq!(peer.findings(), relay.findings());
+        assert_eq!(&*peer.service("s").unwrap().pool, "p1");
+        let next = Arc::new(Head {
+            revision: 3,
+            ..(*bad_head).clone()
+        });
+        let later = applied(Catalogue::advance(
+            Some(&peer),
+            next,
+            &Bodies::default(),
+            &[],
+        ));
+        assert_eq!(later.findings(), relay.findings());
+    }
+}
+
 #[test]
 fn an_edit_is_accepted_once_and_expectations_are_checked_item_by_item() {
     let change = |item: &str, digest: &str, expected| ItemChange {
