Let a fresh host ask the store even if a peer was faster

Cause: a host that is no relay and heard of the configuration from a peer before its first reading of the store never asked the store, and so was never ready. It was seen with twelve hosts: "503, store and peers not asked yet".

Ruled out: colliding addresses (claims did not help), a peer's call without end (a limit on whole calls did not help either; it is kept, since a call whose connection takes no bytes has no deadline before it is sent).

Change: the keeper reads the store until it has asked it once. A test of three fleets of twelve hosts; a host that is not ready in time is reported with its own reason.

The store's calls at 12 hosts were not measured for it.

--- a/host/src/board.rs
+++ b/host/src/board.rs
@@ -191,6 +191,11 @@
         self.store_asked.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the store was asked once.
+    pub(crate) fn was_store_asked(&self) -> bool {
+        self.store_asked.load(Ordering::Relaxed)
+    }
+
     /// Notes that peers were asked once, with or without an answer.
     pub(crate) fn note_peers_asked(&self) {
         self.peers_asked.store(true, Ordering::Relaxed);
--- a/host/src/keeper.rs
+++ b/host/src/keeper.rs
@@ -40,9 +40,10 @@
     }
 }
 
-/// Whether this host is a relay of its zone, or has no configuration yet.
+/// Whether this host is a relay of its zone, or has not asked the store yet, or has no configuration.
+/// A fresh host asks the store even if a peer was faster: it is not ready before.
 fn must_read_store(board: &Board) -> bool {
-    if board.in_force().is_none() {
+    if board.in_force().is_none() || !board.was_store_asked() {
         return true;
     }
     board.is_relay()
--- a/host/src/peer_clients.rs
+++ b/host/src/peer_clients.rs
@@ -20,6 +20,9 @@
 /// Longest wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time for a call, the sending of its request included.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
 /// Largest message between peers, bytes: a configuration of many items.
 const MAX_FRAME_BYTES: usize = 64 << 20;
 
@@ -32,7 +35,7 @@
     /// The call failed.
     #[display("peer did not answer: {_0}")]
     Call(RpcError),
-    /// No connection in time.
+    /// No connection, or no end of the call, in time.
     #[display("peer not reached in time")]
     Timeout,
 }
@@ -70,11 +73,15 @@
         F: Future<Output = Result<T, RpcError>>,
     {
         let client = self.connect(address).await?;
-        let answer = call(client).await;
+        // The call has a deadline of its own; this one also ends a call whose connection takes no bytes.
+        let answer = match tokio::time::timeout(CALL_LIMIT, call(client)).await {
+            Ok(answer) => answer.map_err(PeerError::from),
+            Err(_) => Err(PeerError::Timeout),
+        };
         if answer.is_err() {
             self.kept.lock().remove(address);
         }
-        answer.map_err(PeerError::from)
+        answer
     }
 
     async fn connect(&self, address: &Name) -> Result<PeerClient, PeerError> {
--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -496,9 +496,17 @@
         }
         self.list_hosts();
         for host in &mut self.hosts {
+            let began = Instant::now();
             wait_until("the host is ready", || {
                 let ended = host.process.0.try_wait().unwrap();
                 assert!(ended.is_none(), "host {} ended: {ended:?}", host.name);
+                let is_late = began.elapsed() > HANG_GUARD / 2;
+                assert!(
+                    !is_late,
+                    "host {} is not ready: {:?}",
+                    host.name,
+                    try_get(host.admin(), "/readyz")
+                );
                 host.is_ready()
             });
         }
