Look a peer's address up in one place, and rebuild the index on change only

Cause: on reading the whole change: ledger and sessions each wrote the look-up of a peer's address again, four times in all; each reading of the host list built the index of servers anew, subsets included, though the list had not changed; two functions had no caller left.

Change: Board::address_of serves all four; an unchanged list ends the reading early; names::fast_hash, Cascade::share and Kind::ratings go. Behaviour and tests are as they were.

--- a/host/src/board.rs
+++ b/host/src/board.rs
@@ -12,7 +12,7 @@
 use clementinearch_policy::{
     catalogue::{Advance, Bodies, Catalogue, Fallback},
     member::{Member, MemberState, Members, incarnation},
-    names::rendezvous,
+    names::{Name, rendezvous},
     session::SessionSigner,
     time::Millis,
 };
@@ -224,6 +224,11 @@
         rendezvous("relay", zone.iter(), RELAYS_PER_ZONE).contains(&self.settings.name)
     }
 
+    /// Address at which peers reach the host of this name.
+    pub(crate) fn address_of(&self, host: &str) -> Option<Name> {
+        self.members.lock().get(host).map(|row| row.address.clone())
+    }
+
     /// Begins the planned stop.
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/host/src/ledger.rs
+++ b/host/src/ledger.rs
@@ -77,13 +77,7 @@
     }
 
     async fn send_to(&self, owner: &Name, bills: Vec<BillRecord>) -> bool {
-        let Some(address) = self
-            .board
-            .members
-            .lock()
-            .get(owner)
-            .map(|row| row.address.clone())
-        else {
+        let Some(address) = self.board.address_of(owner) else {
             return false;
         };
         let call = self.clients.call(&address, |peer| async move {
@@ -170,13 +164,7 @@
             if owner == self.board.settings.name {
                 continue;
             }
-            let Some(address) = self
-                .board
-                .members
-                .lock()
-                .get(&owner)
-                .map(|row| row.address.clone())
-            else {
+            let Some(address) = self.board.address_of(&owner) else {
                 continue;
             };
             let (clients, ids) = (self.clients.clone(), ids.clone());
--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -215,6 +215,15 @@
             }
             by_name.insert(name, server);
         }
+        let is_known = |(name, server): (&Name, &Arc<Server>)| {
+            index
+                .by_name
+                .get(name)
+                .is_some_and(|known| Arc::ptr_eq(known, server))
+        };
+        if by_name.len() == index.by_name.len() && by_name.iter().all(is_known) {
+            return;
+        }
         index.by_name = by_name;
         self.rebuild(&mut index);
     }
--- a/host/src/sessions.rs
+++ b/host/src/sessions.rs
@@ -126,19 +126,11 @@
         rendezvous(key, zone.iter(), OWNERS)
     }
 
-    fn address_of(&self, owner: &Name) -> Option<Name> {
-        self.board
-            .members
-            .lock()
-            .get(owner)
-            .map(|row| row.address.clone())
-    }
-
     async fn remember_at(&self, owner: &Name, pin: Pin) -> Option<Recollection> {
         if *owner == self.board.settings.name {
             return Some(self.remember(pin));
         }
-        let address = self.address_of(owner)?;
+        let address = self.board.address_of(owner)?;
         let call = self.clients.call(&address, |peer| async move {
             peer.remember(call_context(), vec![pin]).await
         });
@@ -149,7 +141,7 @@
         if *owner == self.board.settings.name {
             return self.correct(pin);
         }
-        let Some(address) = self.address_of(owner) else {
+        let Some(address) = self.board.address_of(owner) else {
             return;
         };
         let call = self.clients.call(&address, |peer| async move {
@@ -190,13 +182,7 @@
             if owner == self.board.settings.name {
                 continue;
             }
-            let Some(address) = self
-                .board
-                .members
-                .lock()
-                .get(&owner)
-                .map(|row| row.address.clone())
-            else {
+            let Some(address) = self.board.address_of(&owner) else {
                 continue;
             };
             for part in pins.chunks(PINS_PER_MESSAGE) {
--- a/policy/src/cascade.rs
+++ b/policy/src/cascade.rs
@@ -70,11 +70,6 @@
 }
 
 impl Kind {
-    fn ratings(&self) -> u64 {
-        let (cheap, strong) = (self.cheap.recent(), self.strong.recent());
-        cheap.good + cheap.bad + strong.good + strong.bad
-    }
-
     fn is_known(&self) -> bool {
         let cheap = self.cheap.recent();
         cheap.good + cheap.bad >= ENOUGH_RATINGS
@@ -154,11 +149,4 @@
             Tier::Strong
         }
     }
-
-    /// Share of a kind's requests that go to the cheap model, and the ratings it rests on.
-    pub fn share(&self, kind: &str) -> (f64, u64) {
-        self.kinds.get(kind).map_or((LEARNING_SHARE, 0), |kind| {
-            (kind.share_cheap, kind.ratings())
-        })
-    }
 }
--- a/policy/src/names.rs
+++ b/policy/src/names.rs
@@ -1,6 +1,6 @@
 //! Shared names, digests and the hash maps keyed by them.
 
-use std::{hash::Hasher, sync::Arc};
+use std::sync::Arc;
 
 use sha2::{Digest, Sha256};
 
@@ -32,13 +32,6 @@
     u64::from_le_bytes(first)
 }
 
-/// A cheap 64-bit hash that agrees between hosts of one release.
-pub fn fast_hash(text: &str) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    hasher.write(text.as_bytes());
-    hasher.finish()
-}
-
 /// The `count` candidates that rank highest for `key` (rendezvous hashing).
 ///
 /// Hosts that know the same candidates agree on the result, and one candidate
