Pack what a relay answers, and write it once for all followers

Ruled out: the processor (0.011 cores at most, log lines came at their usual pace), the servers (other hosts reached them), the callers' user timeout.

Change: rows are text where they are text, packed with zlib, and written once for all followers that lack the same changes; revision and age go in headers.

--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -98,6 +98,10 @@
         serde_json::from_str(&answer.body).unwrap()
     }
 
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEERS_PORT)
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([format!("-{name}"), self.process.id().to_string()])
@@ -221,7 +225,7 @@
     }
 }
 
-fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
     TcpStream::connect_timeout(&address, HANG_GUARD).ok()?;
     let mut connection = Connection::open(address);
     connection.send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -8,7 +8,7 @@
     platform_store::Way,
     scripted::{END, Received, Step, chunk, event, stream_head, whole},
 };
-use route::{Connection, Platform, ask, request, wait_until};
+use route::{Connection, Platform, ask, get, request, wait_until};
 use serde_json::{Value, json};
 
 fn ok(received: &Received) -> Vec<Step> {
@@ -116,6 +116,30 @@
     );
 }
 
+/// What one of 23 followers may cost its relay, bytes: changes of the configuration come every 0.3 s
+/// at worst, and the slowest link of a host carries 10 Mbit/s.
+const MAX_NEWS_BYTES: usize = 10_000_000 / 8 * 3 / 10 / 23;
+
+#[test]
+fn a_large_configuration_leaves_room_on_a_relays_link() {
+    let mut platform = Platform::new();
+    platform.backend("orders", "v1", |_, received| ok(received));
+    platform.start(1);
+    let host = &platform.hosts[0];
+    let known = host.status()["store_revision"].as_u64().unwrap();
+    let routes: Vec<Value> = (0..350)
+        .map(|number| json!({"name": format!("r-{number}"), "host": format!("h{number}.example"), "pathPrefix": format!("/p{number}/"), "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 2, "service": "orders", "maxAttempts": 2}))
+        .collect();
+    platform.configure(2, &json!(routes));
+    wait_until("the configuration is in force", || {
+        host.status()["routing_version"] == 2
+    });
+    let news = get(host.peers(), &format!("/changes/{known}")).unwrap();
+    assert_eq!(news.status, 200);
+    let length: usize = news.header("content-length").parse().unwrap();
+    assert!(length > 0 && length <= MAX_NEWS_BYTES, "{length} bytes");
+}
+
 #[test]
 fn a_history_that_the_store_forgot_is_read_anew() {
     let mut platform = Platform::new();
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -26,6 +26,8 @@
     is_ready: bool,
     is_stopping: bool,
     routing_version: u64,
+    /// Revision of the store that the host's view is complete up to.
+    store_revision: u64,
     store_age_ms: u64,
     servers: usize,
     hosts: usize,
@@ -65,6 +67,7 @@
         is_ready: board.is_ready(),
         is_stopping: board.is_stopping(),
         routing_version: board.table_version(),
+        store_revision: board.view.lock().store_revision(),
         store_age_ms: now.since(board.store_heard()).as_millis() as u64,
         servers: board.servers.names().len(),
         hosts: board.fleet.lock().size(now),
--- a/router/src/relayed.rs
+++ b/router/src/relayed.rs
@@ -1,22 +1,30 @@
 //! Hosts learn the store's items from each other: one host of a zone reads the store for the
 //! others, and a host that is cut off from the store asks any peer that knows more.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io::{self, Read, Write},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
+use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use tokio::{net::TcpListener, time::timeout};
 
 use crate::{
     board::Board,
     connections::{Connection, Sent, connect},
-    view::ViewRows,
+    view::{Span, ViewRows},
 };
 
 /// Longest that a peer is kept waiting for news: a relay that lost the store is noticed after it.
@@ -25,25 +33,88 @@
 /// Longest wait for a peer's answer beyond that.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest answer that is read, bytes.
+/// Largest answer that is read, bytes as they come and unpacked.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Header with the revision that the sender's view is complete up to.
+const STORE_REVISION: &str = "store-revision";
+
+/// Header with the time since the store answered the sender, milliseconds.
+const STORE_AGE: &str = "store-age-ms";
+
+/// Answers that are kept written: peers are a few changes behind at most.
+const KEPT_ANSWERS: usize = 4;
+
 /// Longest wait for a peer's next request.
 const IDLE: Duration = Duration::from_secs(5);
 
 /// Path of the changes after the revision behind it.
 const CHANGES_PATH: &str = "/changes/";
 
+/// What a peer's view told, and how complete and old it is.
+pub(crate) struct PeerView {
+    /// The changes.
+    pub(crate) rows: ViewRows,
+    /// Revision that the peer's view is complete up to.
+    pub(crate) store_revision: u64,
+    /// Time since the store answered the peer.
+    pub(crate) age: Duration,
+}
+
+/// Answers to peers, each written once for all peers that are equally far behind: a large
+/// configuration would else fill the link of a small host.
+#[derive(Default)]
+struct Answers {
+    /// The latest ones, the oldest first.
+    written: Mutex<Vec<(Span, Bytes)>>,
+}
+
+impl Answers {
+    /// The packed rows after a revision, and the revision that the view is complete up to.
+    fn after(&self, board: &Board, after: u64) -> io::Result<(Bytes, u64)> {
+        let mut written = self.written.lock();
+        let view = board.view.lock();
+        let span = view.span_after(after);
+        let store_revision = view.store_revision();
+        if let Some((_, body)) = written.iter().find(|(of, _)| *of == span) {
+            return Ok((body.clone(), store_revision));
+        }
+        let rows = view.rows(span);
+        drop(view);
+        let body = pack(&rows)?;
+        if written.len() >= KEPT_ANSWERS {
+            written.remove(0);
+        }
+        written.push((span, body.clone()));
+        Ok((body, store_revision))
+    }
+}
+
+fn pack(rows: &ViewRows) -> io::Result<Bytes> {
+    let mut packer = ZlibEncoder::new(Vec::new(), Compression::fast());
+    packer.write_all(&serde_json::to_vec(rows)?)?;
+    Ok(packer.finish()?.into())
+}
+
+fn unpack(body: &[u8]) -> io::Result<ViewRows> {
+    let mut rows = Vec::new();
+    ZlibDecoder::new(body)
+        .take(MAX_ANSWER_BYTES as u64)
+        .read_to_end(&mut rows)?;
+    Ok(serde_json::from_slice(&rows)?)
+}
+
 /// Serves this host's view to peers.
 pub(crate) async fn serve(board: Arc<Board>, listener: TcpListener) {
+    let answers = Arc::new(Answers::default());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let board = board.clone();
+        let (board, answers) = (board.clone(), answers.clone());
         let service = service_fn(move |req: Request<Incoming>| {
-            let board = board.clone();
-            async move { Ok::<_, Infallible>(answer(&board, req.uri().path()).await) }
+            let (board, answers) = (board.clone(), answers.clone());
+            async move { Ok::<_, Infallible>(answer(&board, &answers, req.uri().path()).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -54,7 +125,7 @@
     }
 }
 
-async fn answer(board: &Board, path: &str) -> Response<Full<Bytes>> {
+async fn answer(board: &Board, answers: &Answers, path: &str) -> Response<Full<Bytes>> {
     let after = path
         .strip_prefix(CHANGES_PATH)
         .and_then(|revision| revision.parse().ok());
@@ -62,12 +133,15 @@
         return with_status(StatusCode::NOT_FOUND, Bytes::new());
     };
     board.wait_for_news(after, NEWS_WAIT).await;
+    let Ok((body, store_revision)) = answers.after(board, after) else {
+        return with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+    };
     let age = board.now().since(board.store_heard());
-    let rows = board.view.lock().rows_after(after, age);
-    match serde_json::to_vec(&rows) {
-        Ok(body) => with_status(StatusCode::OK, body.into()),
-        Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
-    }
+    let mut answer = with_status(StatusCode::OK, body);
+    let headers = answer.headers_mut();
+    headers.insert(STORE_REVISION, store_revision.into());
+    headers.insert(STORE_AGE, (age.as_millis() as u64).into());
+    answer
 }
 
 fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
@@ -92,13 +166,13 @@
         &mut self,
         peer: SocketAddr,
         revision: u64,
-    ) -> io::Result<ViewRows> {
+    ) -> io::Result<PeerView> {
         let kept = self.kept.take().filter(|(address, _)| *address == peer);
         let limit = NEWS_WAIT + ANSWER_TIMEOUT;
         let read = timeout(limit, read(kept.map(|(_, it)| it), peer, revision)).await;
-        let (rows, connection) = read.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        let (view, connection) = read.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         self.kept = Some((peer, connection));
-        Ok(rows)
+        Ok(view)
     }
 }
 
@@ -106,7 +180,7 @@
     kept: Option<Connection>,
     peer: SocketAddr,
     revision: u64,
-) -> io::Result<(ViewRows, Connection)> {
+) -> io::Result<(PeerView, Connection)> {
     let mut connection = match kept {
         Some(connection) if connection.is_open() => connection,
         _ => connect(peer).await?,
@@ -118,10 +192,21 @@
     let Sent::Answered(answer) = connection.send(req).await else {
         return Err(io::ErrorKind::ConnectionReset.into());
     };
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+    let (parts, body) = answer.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(io::Error::other)?;
-    let rows = serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)?;
-    Ok((rows, connection))
+    let view = PeerView {
+        rows: unpack(&body.to_bytes())?,
+        store_revision: read_number(&parts.headers, STORE_REVISION)?,
+        age: Duration::from_millis(read_number(&parts.headers, STORE_AGE)?),
+    };
+    Ok((view, connection))
+}
+
+fn read_number(headers: &HeaderMap, name: &str) -> io::Result<u64> {
+    let text = headers.get(name).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok())
+        .ok_or_else(|| io::Error::other(format!("a peer's answer has no number in {name}")))
 }
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -50,28 +50,55 @@
     removals_from: u64,
 }
 
+/// A value on its way between hosts: most are text, which packs better than base64.
+#[derive(Debug, Serialize, Deserialize)]
+enum RowValue {
+    Text(String),
+    Base64(String),
+}
+
+impl RowValue {
+    fn new(value: &[u8]) -> Self {
+        match std::str::from_utf8(value) {
+            Ok(text) => Self::Text(text.to_owned()),
+            Err(_) => Self::Base64(STANDARD.encode(value)),
+        }
+    }
+
+    fn into_bytes(self) -> Result<Vec<u8>, base64::DecodeError> {
+        match self {
+            Self::Text(text) => Ok(text.into_bytes()),
+            Self::Base64(text) => STANDARD.decode(text),
+        }
+    }
+}
+
 /// One item on its way between hosts.
 #[derive(Debug, Serialize, Deserialize)]
 struct ItemRow {
     key: String,
-    /// Base64.
-    value: String,
+    value: RowValue,
     revision: u64,
 }
 
 /// Changes of a view, or all of it, on their way between hosts.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct ViewRows {
-    /// Revision that the sender's view is complete up to.
-    pub(crate) store_revision: u64,
-    /// Time since the store answered the sender, milliseconds.
-    pub(crate) age_ms: u64,
     /// Whether these are all items, not only changes.
     is_whole: bool,
     items: Vec<ItemRow>,
     removed: Vec<(String, u64)>,
 }
 
+/// Which changes rows hold: rows of equal spans tell a peer the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Span {
+    /// Revision of the last change before them; none if they are all items.
+    from: Option<u64>,
+    /// Revision of the last one that matters to peers.
+    to: u64,
+}
+
 impl View {
     /// Revision that the view is complete up to; zero before the first read.
     pub(crate) fn store_revision(&self) -> u64 {
@@ -215,44 +242,63 @@
         updates
     }
 
-    /// What a peer needs that knows everything up to `after`.
-    pub(crate) fn rows_after(&self, after: u64, age: Duration) -> ViewRows {
+    /// Revisions of the changes that matter to peers, in no order.
+    fn material_revisions(&self) -> impl Iterator<Item = u64> {
+        let written = self.items.values().map(|held| held.material);
+        written.chain(self.removals.iter().map(|(_, at)| *at))
+    }
+
+    /// The changes that a peer needs that knows everything up to `after`.
+    pub(crate) fn span_after(&self, after: u64) -> Span {
         let is_whole = after == 0 || after < self.removals_from;
+        let known = self.material_revisions().filter(|at| *at <= after);
+        Span {
+            from: (!is_whole).then(|| known.max().unwrap_or(0)),
+            to: self.material_revisions().max().unwrap_or(0),
+        }
+    }
+
+    /// The rows of a span that is up to date.
+    pub(crate) fn rows(&self, span: Span) -> ViewRows {
+        let is_whole = span.from.is_none();
+        let after = span.from.unwrap_or(0);
         let wanted = self
             .items
             .iter()
             .filter(|(_, held)| is_whole || held.material > after);
         let row = |(key, held): (&String, &Held)| ItemRow {
             key: key.clone(),
-            value: STANDARD.encode(&held.value),
+            value: RowValue::new(&held.value),
             revision: held.revision,
         };
         let removed = self.removals.iter().filter(|(_, at)| *at > after);
         ViewRows {
-            store_revision: self.store_revision,
-            age_ms: age.as_millis() as u64,
             is_whole,
             items: wanted.map(row).collect(),
             removed: removed.cloned().collect(),
         }
     }
 
-    /// Takes in a peer's rows if they are newer.
+    /// Takes in rows of a peer whose view is complete up to `store_revision`, if they are newer.
     ///
     /// # Errors
     ///
     /// Returns an error if a value is not base64; nothing is taken in then.
-    pub(crate) fn merge(&mut self, rows: ViewRows) -> Result<Vec<Update>, base64::DecodeError> {
+    pub(crate) fn merge(
+        &mut self,
+        rows: ViewRows,
+        store_revision: u64,
+    ) -> Result<Vec<Update>, base64::DecodeError> {
         let mut items = Vec::with_capacity(rows.items.len());
         for row in rows.items {
             items.push(StoredItem {
                 key: row.key,
-                value: STANDARD.decode(row.value)?,
+                value: row.value.into_bytes()?,
                 revision: row.revision,
             });
         }
         if rows.is_whole {
-            return Ok(self.replace(items, rows.store_revision, None));
+            return Ok(self.replace(items, store_revision, None));
         }
         let written = items.into_iter().map(ItemChange::Written);
         let removed = rows
@@ -260,6 +306,6 @@
             .into_iter()
             .map(|(key, revision)| ItemChange::Removed { key, revision });
         let changes = written.chain(removed).collect();
-        Ok(self.apply(changes, rows.store_revision, None))
+        Ok(self.apply(changes, store_revision, None))
     }
 }
--- a/router/src/view_keeper.rs
+++ b/router/src/view_keeper.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     board::Board,
-    relayed::RelayClient,
-    view::{Update, ViewRows},
+    relayed::{PeerView, RelayClient},
+    view::Update,
 };
 
 /// Longest that the store is asked to wait for changes; a silent store is noticed after it.
@@ -77,15 +77,15 @@
         let Some(relay) = relay.filter(|_| revision != 0 && !self.is_lost) else {
             return false;
         };
-        let Ok(rows) = self.relays.changes(relay, revision).await else {
+        let Ok(view) = self.relays.changes(relay, revision).await else {
             return false;
         };
-        let age = Duration::from_millis(rows.age_ms);
+        let age = view.age;
         if age > RELAY_AGE {
             return false;
         }
         let now = self.board.now();
-        self.take_in(rows);
+        self.take_in(view);
         self.board
             .note_store_heard(Millis(now.0.saturating_sub(age.as_millis() as u64)));
         self.expire(now);
@@ -230,15 +230,17 @@
     async fn learn_from(&mut self, peer: std::net::SocketAddr) {
         let revision = self.board.view.lock().store_revision();
         match self.relays.changes(peer, revision).await {
-            Ok(rows) => self.take_in(rows),
+            Ok(view) => self.take_in(view),
             Err(e) => self
                 .board
                 .log_belief("peer_view_failed", "", &e.to_string(), &[]),
         }
     }
 
-    fn take_in(&self, rows: ViewRows) {
-        let merged = self.board.view.lock().merge(rows);
+    fn take_in(&self, peer: PeerView) {
+        let mut view = self.board.view.lock();
+        let merged = view.merge(peer.rows, peer.store_revision);
+        drop(view);
         match merged {
             Ok(updates) => self.board.carry_out(updates),
             Err(e) => self
