Tell latencies by route and phase, and refusals by reason, in metrics

Cause: the users' request names counters and latency histograms on the metrics address; there were four counters and no histogram.

Change: one module sets them up and bounds them: 40 routes with histograms of their own, further ones as one; reasons and ends are constants of the code. Gauges are read off the board at a scrape.

Ruled out: a library's summary quantiles (they cannot be added up over hosts).

--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -464,3 +464,63 @@
     assert_eq!(line["why"], "connection broke before an answer");
     assert!(host.metrics().contains("clementinearch_requests_total"));
 }
+
+#[test]
+fn metrics_tell_refusals_by_reason_and_latencies_by_route_and_phase() {
+    let mut platform = Platform::new();
+    platform.backend("orders", "v1", |_, received| ok(received));
+    platform.start(1);
+    let host = &platform.hosts[0];
+    assert_eq!(ask(host, "GET /look/1", "id-1", "", "").status, 200);
+    assert_eq!(ask(host, "GET /nowhere/1", "id-2", "", "").status, 404);
+    assert_eq!(ask(host, "GET /draft/1", "id-3", "", "").status, 503);
+    let metrics = host.metrics();
+    let expected = [
+        "clementinearch_request_seconds_count{route=\"look\",phase=\"wait\"} 1",
+        "clementinearch_request_seconds_count{route=\"look\",phase=\"connect\"} 1",
+        "clementinearch_request_seconds_count{route=\"look\",phase=\"answer\"} 1",
+        "clementinearch_request_seconds_count{route=\"look\",phase=\"whole\"} 1",
+        "clementinearch_refusals_total{reason=\"no route\"} 1",
+        "clementinearch_refusals_total{reason=\"not run: no server left\"} 1",
+        "clementinearch_attempts_total{end=\"answered\"} 1",
+        "clementinearch_requests_running 0",
+        "clementinearch_servers 1",
+        "clementinearch_servers_left_alone 0",
+    ];
+    for line in expected {
+        assert!(metrics.contains(line), "{line} is not in\n{metrics}");
+    }
+    for name in [
+        "clementinearch_store_age_seconds",
+        "clementinearch_repeat_budget_used{service=\"orders\"}",
+        "clementinearch_store_calls_total{purpose=\"start\",outcome=\"answered\"}",
+    ] {
+        assert!(metrics.contains(name), "{name} is not in\n{metrics}");
+    }
+}
+
+/// Lines that the histograms of one host may take, whatever the configuration: 41 routes, 5 phases,
+/// 15 lines each.
+const MAX_HISTOGRAM_LINES: usize = 41 * 5 * 15;
+
+#[test]
+fn many_routes_leave_the_metrics_bounded() {
+    let mut platform = Platform::new();
+    platform.backend("orders", "v1", |_, received| ok(received));
+    let routes: Vec<Value> = (0..60)
+        .map(|number| json!({"name": format!("r-{number}"), "host": "a.example", "pathPrefix": format!("/p{number}/"), "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "orders"}))
+        .collect();
+    platform.configure(2, &json!(routes));
+    platform.start(1);
+    let host = &platform.hosts[0];
+    for number in 0..60 {
+        let answer = ask(host, &format!("GET /p{number}/1"), "id-1", "", "");
+        assert_eq!(answer.status, 200);
+    }
+    let metrics = host.metrics();
+    let lines = metrics
+        .lines()
+        .filter(|line| line.starts_with("clementinearch_request_seconds"));
+    assert!(lines.count() <= MAX_HISTOGRAM_LINES);
+    assert!(metrics.contains("route=\"other\""));
+}
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
-use crate::board::Board;
+use crate::{board::Board, measures};
 
 /// Idle time of a probe's connection.
 const IDLE: Duration = Duration::from_secs(10);
@@ -51,7 +51,10 @@
 /// Answers operators.
 pub(crate) fn operators(board: Arc<Board>, metrics: PrometheusHandle) -> Answerer {
     Arc::new(move |path| match path {
-        "/metrics" => with_status(StatusCode::OK, metrics.render().into()),
+        "/metrics" => {
+            measures::set_gauges(&board, board.now());
+            with_status(StatusCode::OK, metrics.render().into())
+        }
         "/status" => match serde_json::to_vec(&status(&board)) {
             Ok(body) => with_status(StatusCode::OK, body.into()),
             Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -11,6 +11,7 @@
     call::Call,
     connections::{Connection, Sent, connect},
     dialect::{AnswerHead, AttemptOrder},
+    measures::Phase,
     server::{InFlight, Server},
 };
 
@@ -192,12 +193,9 @@
         let was_kept = kept.is_some();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => match connect(server.entry.address).await {
-                Ok(connection) => connection,
-                Err(_) => {
-                    note_outcome(board, &server, Sign::Unreachable, board.now());
-                    return Attempted::NotRun { why: NOT_REACHED };
-                }
+            None => match self.connect(&server).await {
+                Some(connection) => connection,
+                None => return Attempted::NotRun { why: NOT_REACHED },
             },
         };
         let sent_at = board.now();
@@ -239,6 +237,24 @@
         self.read_head(response, connection, in_flight, sent_at)
     }
 
+    async fn connect(&self, server: &Server) -> Option<Connection> {
+        let began = self.board.now();
+        let connected = connect(server.entry.address).await;
+        let now = self.board.now();
+        match connected {
+            Ok(connection) => {
+                let route = &self.call.head.route.name;
+                let span = now.since(began);
+                self.board.measures.note(route, Phase::Connect, span);
+                Some(connection)
+            }
+            Err(_) => {
+                note_outcome(self.board, server, Sign::Unreachable, now);
+                None
+            }
+        }
+    }
+
     fn request(&self, server: &Server, now: Millis) -> Option<Request<Full<hyper::body::Bytes>>> {
         let remaining = self.call.remaining(now);
         if remaining.is_zero() {
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -25,6 +25,7 @@
     dialect::{Dialect, Item, Translator},
     fleet::Fleet,
     gossip::News,
+    measures::Measures,
     rollouts::Rollouts,
     servers::{Change, Servers},
     settings::Settings,
@@ -53,6 +54,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) view: Mutex<View>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) measures: Measures,
     repeats: Mutex<FastMap<Name, RepeatBudget>>,
     /// Usual time to the first event by route and model size, milliseconds.
     pub(crate) latencies: Mutex<FastMap<(Name, usize), f64>>,
@@ -93,6 +95,7 @@
             settings,
             view: Mutex::default(),
             suspects: Mutex::default(),
+            measures: Measures::default(),
             repeats: Mutex::default(),
             latencies: Mutex::default(),
             table: RwLock::default(),
@@ -192,6 +195,17 @@
         work(budget, &self.settings.bounds.repeats, hosts)
     }
 
+    /// Part of each service's budget of repeats that is used.
+    pub(crate) fn repeats_used(&self, now: Millis) -> Vec<(Name, f64)> {
+        let hosts = self.fleet.lock().size(now);
+        let bound = &self.settings.bounds.repeats;
+        let mut repeats = self.repeats.lock();
+        let used = |(service, budget): (&Name, &mut RepeatBudget)| {
+            (service.clone(), budget.used(bound, hosts, now))
+        };
+        repeats.iter_mut().map(used).collect()
+    }
+
     /// Time to read a prompt token with a size of a service's models, milliseconds.
     pub(crate) fn ms_per_token(&self, service: &str, size: usize) -> f64 {
         let paces = self.paces.lock();
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -9,7 +9,7 @@
 
 use clementinearch_storage::{KeyStore, Reason, Transaction};
 use derive_more::{Display, Error};
-use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
@@ -27,7 +27,7 @@
     dialect::{Dialect, Translator},
     gossip::{Gossip, News},
     ingress::Ingress,
-    relayed,
+    measures, relayed,
     rollouts::DueStatus,
     settings::Settings,
     view_keeper::ViewKeeper,
@@ -83,9 +83,8 @@
     translator: Arc<dyn Translator>,
     store: Arc<dyn KeyStore>,
 ) -> Result<(), StartError> {
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
-        .map_err(|e| StartError::at("set up metrics")(io::Error::other(e)))?;
+    let metrics =
+        measures::install().map_err(|e| StartError::at("set up metrics")(io::Error::other(e)))?;
     let log = DecisionLog::start(settings.limits.log_lines_per_s)
         .map_err(StartError::at("start the log"))?;
     let (news, told_news) = mpsc::unbounded_channel();
@@ -127,7 +126,7 @@
 async fn serve(
     board: Arc<Board>,
     store: Arc<dyn KeyStore>,
-    metrics: metrics_exporter_prometheus::PrometheusHandle,
+    metrics: PrometheusHandle,
     mut signals: mpsc::UnboundedReceiver<Signal>,
     news: mpsc::UnboundedReceiver<News>,
 ) -> Result<(), StartError> {
@@ -143,13 +142,13 @@
     tokio::spawn(admin::serve(readiness, admin::readiness(board.clone())));
     tokio::spawn(admin::serve(
         operators,
-        admin::operators(board.clone(), metrics),
+        admin::operators(board.clone(), metrics.clone()),
     ));
     tokio::spawn(relayed::serve(board.clone(), peers));
     tokio::spawn(Gossip::new(board.clone(), datagrams, news).run());
     tokio::spawn(ViewKeeper::new(board.clone(), store.clone()).run());
     tokio::spawn(step_rollouts(board.clone(), store));
-    tokio::spawn(sweep(board.clone()));
+    tokio::spawn(sweep(board.clone(), metrics));
     tokio::spawn(attempt::probe_unreachable(board.clone()));
     let (close, closing) = watch::channel(false);
     let ingress = Ingress::new(board.clone(), closing);
@@ -183,9 +182,10 @@
     Ok(())
 }
 
-async fn sweep(board: Arc<Board>) {
+async fn sweep(board: Arc<Board>, metrics: PrometheusHandle) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
+        metrics.run_upkeep();
         let now = board.now();
         for server in board.servers.all() {
             server.sweep_connections(now);
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -25,7 +25,7 @@
 use crate::{
     board::Board,
     call::{Call, hash_bytes, origin_form},
-    pipeline,
+    measures, pipeline,
     refusal::Refusal,
 };
 
@@ -123,6 +123,7 @@
     let mut answer = match read_call(&board, req).await {
         Ok(call) => pipeline::serve(board.clone(), call).await,
         Err((refusal, id)) => {
+            measures::count_refusal(&refusal);
             let why = refusal.to_string();
             board.log_belief("request_refused", id.as_deref().unwrap_or(""), &why, &[]);
             let mut answer = board.dialect.refuse(&refusal, id.as_deref());
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod host;
 mod ingress;
 mod judging;
+mod measures;
 mod pipeline;
 mod refusal;
 mod relay;
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -18,6 +18,7 @@
     choice::choose,
     decision_log::{Decision, Weight},
     ingress::{AnswerBody, full_body},
+    measures::{self, Phase},
     refusal::Refusal,
     relay::{EventSource, Next, Relay},
 };
@@ -51,6 +52,7 @@
     may_have_run: bool,
     pub(crate) size: usize,
     has_ended: bool,
+    first_sent: Option<Millis>,
     first_event: Option<Millis>,
     /// What was expected of the last attempt, for the log.
     pending_ms: f64,
@@ -99,6 +101,7 @@
             sends: 0,
             may_have_run: false,
             has_ended: false,
+            first_sent: None,
             first_event: None,
             pending_ms: 0.0,
             reading_ms: 0.0,
@@ -168,9 +171,26 @@
         self.log(weight, "ended", "", why, &inputs);
         metrics::counter!("clementinearch_requests_total", "outcome" => why.to_owned())
             .increment(1);
+        self.note_times(now);
+    }
+
+    fn note_times(&self, now: Millis) {
+        let route = &self.call.head.route;
+        let arrived = self.call.arrived;
+        let note = |phase, span| self.board.measures.note(&route.name, phase, span);
+        note(Phase::Whole, now.since(arrived));
+        if let Some(sent) = self.first_sent {
+            note(Phase::Wait, sent.since(arrived));
+            let answered = self.first_event.unwrap_or(now);
+            note(Phase::Answer, answered.since(self.last_sent));
+        }
+        if let Some(first) = self.first_event {
+            note(Phase::FirstEvent, first.since(arrived));
+        }
     }
 
     fn refused(&mut self, refusal: Refusal) -> Refusal {
+        measures::count_refusal(&refusal);
         self.end(&refusal.to_string(), 0);
         refusal
     }
@@ -274,6 +294,7 @@
             let in_flight = choice.in_flight;
             let server = in_flight.server().clone();
             self.sends += 1;
+            self.first_sent.get_or_insert(now);
             self.last_sent = now;
             self.tried.push(server.hash);
             let query = AttemptQuery {
@@ -286,17 +307,20 @@
             };
             match query.run(in_flight).await {
                 Attempted::Answered(answer) => {
+                    measures::count_attempt("answered");
                     self.runs += 1;
                     self.may_have_run = true;
                     return Ok(*answer);
                 }
                 Attempted::NotRun { why } => {
+                    measures::count_attempt(why);
                     if why == NOT_REACHED {
                         self.give_back(now);
                     }
                     self.log_step("attempt_not_run", &server.entry.name, why, &[]);
                 }
                 Attempted::Lost { why } => {
+                    measures::count_attempt(why);
                     self.runs += 1;
                     self.may_have_run = true;
                     self.log_step("attempt_lost", &server.entry.name, why, &[]);
@@ -305,6 +329,7 @@
                     }
                 }
                 Attempted::OutOfTime => {
+                    measures::count_attempt("time limit passed");
                     self.may_have_run = true;
                     return Err(Refusal::OutOfTime);
                 }
