--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -5,6 +5,7 @@
 use clementinearch_policy::{repeats::RepeatBound, routes::CallerLimits};
 use clementinearch_router::{Bounds, DataPath, Limits, Listen, Settings as PathSettings};
 use clementinearch_storage::{HostSource, Store};
+use metrics_exporter_prometheus::PrometheusHandle;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -51,6 +52,9 @@
     window: Duration::from_secs(10),
 };
 
+/// Time between two sweeps of idle connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time that the runtime gets to end its tasks.
 const RUNTIME_STOP: Duration = Duration::from_secs(1);
 
@@ -101,7 +105,12 @@
         ledger,
         board,
     });
-    runtime.block_on(serve(app.clone(), clients.clone(), stop))?;
+    runtime.block_on(serve(
+        app.clone(),
+        clients.clone(),
+        telemetry.metrics.clone(),
+        stop,
+    ))?;
     // What no peer took over is written now, whether or not this host should be first.
     app.ledger.write_due(&*store, runtime.handle(), true);
     runtime.block_on(leave(&app, &clients));
@@ -130,6 +139,7 @@
 async fn serve(
     app: Arc<App>,
     clients: Arc<PeerClients>,
+    metrics: PrometheusHandle,
     stop: oneshot::Receiver<()>,
 ) -> Result<(), Error> {
     let board = app.board.clone();
@@ -156,6 +166,8 @@
         board.settings.name
     );
     let path = data_path(&app).map_err(Error::io("start the data path"))?;
+    let path = Arc::new(path);
+    tokio::spawn(sweep(board.clone(), path.clone(), metrics));
     let stopping = board.clone();
     let stop = async move {
         let _ = stop.await;
@@ -216,6 +228,17 @@
     }
 }
 
+/// Closes idle connections and lets the metrics' samples not pile up.
+async fn sweep(board: Arc<Board>, path: Arc<DataPath>, metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        metrics.run_upkeep();
+        for server in board.servers.all() {
+            server.path.sweep_connections(path.now());
+        }
+    }
+}
+
 async fn sweep_sessions(sessions: Arc<Sessions>) {
     loop {
         tokio::time::sleep(sessions::SWEEP_PERIOD).await;
--- a/host/src/servers.rs
+++ b/host/src/servers.rs
@@ -326,6 +326,11 @@
         best.cloned()
     }
 
+    /// All servers.
+    pub(crate) fn all(&self) -> Vec<Arc<Server>> {
+        self.index.read().by_name.values().cloned().collect()
+    }
+
     /// Slots of all servers of a pool that take work, as far as they reported.
     pub(crate) fn slots_of(&self, pool: &Name) -> u32 {
         let index = self.index.read();
--- a/host/src/telemetry.rs
+++ b/host/src/telemetry.rs
@@ -2,7 +2,7 @@
 
 use flexi_logger::{Logger, LoggerHandle};
 use hyper::HeaderMap;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use opentelemetry::{
     Context, KeyValue, global,
     propagation::{Extractor, Injector, TextMapPropagator},
@@ -40,9 +40,7 @@
         LogFormat::Json => logger.format(flexi_logger::json_format),
     };
     let logger = logger.log_to_stderr().start().map_err(|e| failed(&e))?;
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
-        .map_err(|e| failed(&e))?;
+    let metrics = clementinearch_router::install_metrics().map_err(|e| failed(&e))?;
     let traces = settings.export_traces.then(|| {
         let exporter = opentelemetry_stdout::SpanExporter::default();
         let provider = SdkTracerProvider::builder()
--- a/host/tests/billing.rs
+++ b/host/tests/billing.rs
@@ -147,3 +147,24 @@
     });
     ledger(&fleet);
 }
+
+/// Opens a long stream and reads until its first chunk.
+fn begin_long_stream(fleet: &Fleet, id: &str) -> impl Iterator<Item = String> {
+    let headers = [("authorization", "Bearer one"), ("x-request-id", id)];
+    let path = "/v1/chat/completions";
+    let body = chat_body("side A", 100_000, true);
+    let response = open("POST", fleet.hosts[0].callers(), path, &headers, &body);
+    let mut lines = lines(response.unwrap());
+    assert!(lines.any(|line| line.starts_with("data: ")));
+    lines
+}
+
+#[test]
+fn an_answer_whose_caller_left_is_billed_as_far_as_it_came() {
+    let fleet = Fleet::serving("", 1, &["a"]);
+    let id = new_id();
+    drop(begin_long_stream(&fleet, &id));
+    wait_billed(&fleet, std::slice::from_ref(&id));
+    let bill = &ledger(&fleet)[&id];
+    assert!(!bill.whole && bill.completion_tokens > 0, "{bill:?}");
+}
--- a/host/tests/whole_path.rs
+++ b/host/tests/whole_path.rs
@@ -97,3 +97,22 @@
         "a withdrawn version got new work"
     );
 }
+
+#[test]
+fn metrics_tell_latencies_by_model_and_refusals_by_reason() {
+    let fleet = Fleet::serving("", 1, &["a"]);
+    let host = &fleet.hosts[0];
+    let body = fleet::chat_body("x", 3, true);
+    assert!(fleet::chat(host, "one", &[], &body).is_whole());
+    assert_eq!(fleet::chat(host, "nobody", &[], &body).status, 401);
+    let (_, metrics) = fleet::try_get(host.admin(), "/metrics").unwrap();
+    for name in [
+        "clementinearch_request_seconds_bucket{route=\"review\",phase=\"first_event\",le=\"1\"}",
+        "clementinearch_request_seconds_count{route=\"review\",phase=\"whole\"}",
+        "clementinearch_refusals_total{reason=\"unauthorized\"} 1",
+        "clementinearch_answers_total{status=\"401\"} 1",
+        "clementinearch_attempts_total{end=\"answered\"}",
+    ] {
+        assert!(metrics.contains(name), "{name} is not in\n{metrics}");
+    }
+}
--- a/router/src/data_path.rs
+++ b/router/src/data_path.rs
@@ -6,7 +6,10 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use clementinearch_policy::routes::{CallerLimits, RoutingTable};
+use clementinearch_policy::{
+    routes::{CallerLimits, RoutingTable},
+    time::Millis,
+};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -50,6 +53,11 @@
         })
     }
 
+    /// The present time, as the path's servers know it.
+    pub fn now(&self) -> Millis {
+        self.board.now()
+    }
+
     /// Serves callers until `stop` resolves, then lets running requests finish for as long as the
     /// settings grant a planned stop. Returns how many connections were still open then.
     pub async fn serve(&self, callers: TcpListener, stop: impl Future<Output = ()>) -> usize {
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -84,8 +84,8 @@
     translator: Arc<dyn Translator>,
     store: Arc<dyn KeyStore>,
 ) -> Result<(), StartError> {
-    let metrics =
-        measures::install().map_err(|e| StartError::at("set up metrics")(io::Error::other(e)))?;
+    let metrics = measures::install_metrics()
+        .map_err(|e| StartError::at("set up metrics")(io::Error::other(e)))?;
     let log = DecisionLog::start(settings.limits.log_lines_per_s)
         .map_err(StartError::at("start the log"))?;
     let (news, told_news) = mpsc::unbounded_channel();
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -42,6 +42,7 @@
 };
 pub use host::{StartError, run};
 pub use ingress::{AnswerBody, full_body};
+pub use measures::install_metrics;
 pub use refusal::{Refusal, TypedRefusal, Work};
 pub use rollouts::{RolloutOrder, RolloutState, RolloutStatus};
 pub use server::{Server, ServerEntry, ServerState};
--- a/router/src/measures.rs
+++ b/router/src/measures.rs
@@ -87,12 +87,12 @@
     }
 }
 
-/// Installs the recorder of all metrics.
+/// Installs the recorder of all metrics. Its `run_upkeep` must be called every few seconds.
 ///
 /// # Errors
 ///
 /// Returns an error if another recorder stands already.
-pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
+pub fn install_metrics() -> Result<PrometheusHandle, BuildError> {
     PrometheusBuilder::new()
         .set_buckets(&LATENCY_BUCKETS_S)?
         .install_recorder()
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -313,7 +313,7 @@
     }
 
     /// Closes idle connections that have been idle for too long.
-    pub(crate) fn sweep_connections(&self, now: Millis) {
+    pub fn sweep_connections(&self, now: Millis) {
         self.kept
             .lock()
             .retain(|connection| connection.is_usable(now));
