Give the host rooms, split the path's longest files, tell a request's cause

Rooms: host/src had 40 flat files and two circles of 4 and 6 that imported each other. They stand in backends, peers, shared, requests and controllers now; no file is in a circle. What untied them: the protocol between hosts (messages and trait) apart from its server, what callers ask for apart from the dialect. In router, run is apart from pipeline, news from gossip, bodies of answers from ingress; one circle is left: board, control and choice, since a control decides with what the board knows.

clemctl explain tells the cause of a request from its lines and the beliefs around them, lists failures of one outcome (--why), and takes lines from a time on (--since).

--- a/ctl/src/cmd/explain.rs
+++ b/ctl/src/cmd/explain.rs
@@ -1,7 +1,7 @@
 //! `clemctl explain`.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::{self, Read},
     path::{Path, PathBuf},
@@ -11,7 +11,10 @@
 use serde_json::Value;
 
 use super::Explain;
-use crate::error::{EXIT_NOT_IN_FORCE, Error};
+use crate::{
+    cause::{Told, cause},
+    error::{EXIT_NOT_IN_FORCE, Error},
+};
 
 /// How a request ended that nobody need explain.
 const ENDED_WELL: &str = "complete";
@@ -35,6 +38,8 @@
 /// A line of a host's log.
 struct Line {
     source: String,
+    /// First word before the object, such as a collector's time.
+    time: String,
     ms: u64,
     event: String,
     value: Value,
@@ -45,9 +50,11 @@
     fn read(source: &str, text: &str) -> Option<Self> {
         let begin = text.find('{')?;
         let value: Value = serde_json::from_str(&text[begin..]).ok()?;
-        let prefix = text[..begin].split_whitespace().last().unwrap_or(source);
+        let mut words = text[..begin].split_whitespace();
+        let time = words.next().unwrap_or_default().to_owned();
         Some(Self {
-            source: prefix.to_owned(),
+            source: words.next_back().unwrap_or(source).to_owned(),
+            time,
             ms: value["ms"].as_u64()?,
             event: value["event"].as_str()?.to_owned(),
             value,
@@ -58,6 +65,23 @@
         self.value[field].as_str().unwrap_or_default()
     }
 
+    /// Whether a collector took the line in at `since` or later; numbers are compared as such.
+    fn is_since(&self, since: &str) -> bool {
+        match (self.time.parse::<f64>(), since.parse::<f64>()) {
+            (Ok(time), Ok(since)) => time >= since,
+            _ => self.time.as_str() >= since,
+        }
+    }
+
+    fn told(&self) -> Told<'_> {
+        Told {
+            event: &self.event,
+            id: self.text("id"),
+            server: self.text("server"),
+            why: self.text("why"),
+        }
+    }
+
     /// Whether the line is about a request: some beliefs name it elsewhere.
     fn names(&self, id: &str) -> bool {
         ["id", "server", "why"]
@@ -85,10 +109,14 @@
 impl Explain {
     /// Tells the story of a request, or counts how requests ended; exit code 1 if nothing was found.
     pub(crate) fn run(self) -> Result<ExitCode, Error> {
-        let lines = read_all(&self.logs)?;
-        let found = match &self.id {
-            Some(id) => tell(&lines, id),
-            None => count(&lines),
+        let mut lines = read_all(&self.logs)?;
+        if let Some(since) = &self.since {
+            lines.retain(|line| line.is_since(since));
+        }
+        let found = match (&self.id, &self.why) {
+            (Some(id), _) => tell(&lines, id),
+            (None, Some(why)) => list(&lines, why),
+            (None, None) => count(&lines),
         };
         Ok(if found {
             ExitCode::SUCCESS
@@ -121,39 +149,56 @@
     fs::read_to_string(path)
 }
 
-/// Prints a request's lines by host, with what the host came to believe meanwhile.
+/// The lines of one host that tell a request's story, in their order.
+fn story<'a>(lines: &'a [Line], host: &str, id: &str) -> Vec<&'a Line> {
+    let of_host = || lines.iter().filter(|line| line.source == host);
+    let own = || of_host().filter(|line| line.names(id));
+    let first = own().map(|line| line.ms).min().unwrap_or_default();
+    let last = own().map(|line| line.ms).max().unwrap_or_default();
+    let around = first.saturating_sub(BELIEFS_BEFORE_MS)..=last;
+    let is_told = |line: &&Line| {
+        let is_belief = BELIEFS.contains(&line.event.as_str()) && around.contains(&line.ms);
+        line.names(id) || is_belief
+    };
+    let mut story: Vec<&Line> = of_host().filter(is_told).collect();
+    story.sort_by_key(|line| line.ms);
+    story
+}
+
+fn cause_in(story: &[&Line], id: &str) -> String {
+    let told: Vec<Told<'_>> = story.iter().map(|line| line.told()).collect();
+    cause(&told, id)
+}
+
+/// Prints a request's lines by host, with what the host came to believe meanwhile, and the cause.
 fn tell(lines: &[Line], id: &str) -> bool {
-    let mut hosts: BTreeMap<&str, Vec<&Line>> = BTreeMap::new();
-    for line in lines.iter().filter(|line| line.names(id)) {
-        hosts.entry(&line.source).or_default().push(line);
-    }
-    for (host, own) in &hosts {
-        let first = own.iter().map(|line| line.ms).min().unwrap_or_default();
-        let last = own.iter().map(|line| line.ms).max().unwrap_or_default();
+    let named = lines.iter().filter(|line| line.names(id));
+    let hosts: BTreeSet<&str> = named.map(|line| line.source.as_str()).collect();
+    for host in &hosts {
         println!("{host}");
-        let is_told = |line: &&Line| {
-            line.source == *host
-                && (line.names(id)
-                    || (BELIEFS.contains(&line.event.as_str())
-                        && (first.saturating_sub(BELIEFS_BEFORE_MS)..=last).contains(&line.ms)))
-        };
-        let mut story: Vec<&Line> = lines.iter().filter(is_told).collect();
-        story.sort_by_key(|line| line.ms);
-        for line in story {
-            line.print(first);
+        let story = story(lines, host, id);
+        let own = story.iter().find(|line| line.names(id));
+        let since = own.map_or(0, |line| line.ms);
+        for line in &story {
+            line.print(since);
         }
+        println!("cause: {}", cause_in(&story, id));
     }
     !hosts.is_empty()
 }
 
+/// Whether the line ends a request that somebody may ask about.
+fn is_failure(line: &Line) -> bool {
+    matches!(line.event.as_str(), "ended" | "request_refused") && line.text("why") != ENDED_WELL
+}
+
 /// Prints how many requests ended in each way, by route.
 fn count(lines: &[Line]) -> bool {
     let mut endings: BTreeMap<(&str, &str), u64> = BTreeMap::new();
-    for line in lines {
-        let why = line.text("why");
-        if matches!(line.event.as_str(), "ended" | "request_refused") && why != ENDED_WELL {
-            *endings.entry((why, line.text("route"))).or_default() += 1;
-        }
+    for line in lines.iter().filter(|line| is_failure(line)) {
+        *endings
+            .entry((line.text("why"), line.text("route")))
+            .or_default() += 1;
     }
     let mut rows: Vec<(&(&str, &str), &u64)> = endings.iter().collect();
     rows.sort_by(|left, right| right.1.cmp(left.1));
@@ -162,3 +207,19 @@
     }
     !rows.is_empty()
 }
+
+/// Prints the requests that ended in a way that contains `why`, each with its host and cause.
+fn list(lines: &[Line], why: &str) -> bool {
+    let wanted = |line: &&Line| is_failure(line) && line.text("why").contains(why);
+    let mut found = false;
+    for line in lines.iter().filter(wanted) {
+        let id = match line.text("id") {
+            "" => line.text("server"),
+            id => id,
+        };
+        let cause = cause_in(&story(lines, &line.source, id), id);
+        println!("{:>12}  {:<24} {id}  {cause}", line.time, line.source);
+        found = true;
+    }
+    found
+}
--- a/ctl/src/cmd/mod.rs
+++ b/ctl/src/cmd/mod.rs
@@ -108,6 +108,12 @@
     /// the request's id (default: count all failures by cause)
     #[argh(option)]
     id: Option<String>,
+    /// list the failures whose outcome contains this, each with its cause
+    #[argh(option)]
+    why: Option<String>,
+    /// only lines that a collector took in at this time or later
+    #[argh(option)]
+    since: Option<String>,
     /// log files of one or more hosts; - for standard input
     #[argh(positional)]
     logs: Vec<PathBuf>,
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command: checks, applies, compares and reports configuration.
 
+mod cause;
 mod cmd;
 mod error;
 mod lists;
--- a/ctl/tests/explain.rs
+++ b/ctl/tests/explain.rs
@@ -61,3 +61,27 @@
     let output = explain("absent.log", &["--id", "r-none"]);
     assert_eq!(output.status.code(), Some(1));
 }
+
+#[test]
+fn the_cause_follows_from_the_lines_and_beliefs() {
+    let output = explain("cause.log", &["--id", "r-7"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let cause = "cause: may have run: connection broke before an answer; before it i-1: connection broke before an answer";
+    assert!(text.contains(cause), "{text}");
+    let output = explain("cause-refused.log", &["--id", "r-9"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        text.contains("cause: the host was in a planned stop"),
+        "{text}"
+    );
+}
+
+#[test]
+fn failures_of_one_outcome_are_listed_since_a_time() {
+    let output = explain("why.log", &["--why", "not run", "--since", "4.25"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains("host-b") && text.contains("r-9"), "{text}");
+    let output = explain("late.log", &["--why", "not run", "--since", "5"]);
+    assert_eq!(output.status.code(), Some(1));
+}
--- a/host/src/probe.rs
+++ b/host/src/backends/probe.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_border::LoadReport;
 
-use crate::{board::Board, clock, servers::Server};
+use crate::{backends::servers::Server, board::Board, clock};
 
 /// Time between two probes.
 const PERIOD: Duration = Duration::from_millis(200);
--- a/host/src/servers.rs
+++ b/host/src/backends/servers.rs
@@ -13,7 +13,7 @@
 use clementinearch_router::{ServerEntry, ServerState as PathState};
 use parking_lot::{Mutex, RwLock};
 
-use crate::backend_calls::KeptConnection;
+use crate::backends::calls::KeptConnection;
 
 /// How long a server that said it leaves is left alone, unless it says otherwise.
 const AVOID_LEAVING: Duration = Duration::from_secs(30);
--- a/host/src/board.rs
+++ b/host/src/board.rs
@@ -23,7 +23,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 
-use crate::{servers::Servers, settings::Settings};
+use crate::{backends::servers::Servers, settings::Settings};
 
 /// Hosts of a zone that read the platform for the others.
 const RELAYS_PER_ZONE: usize = 2;
--- a/host/src/admin.rs
+++ b/host/src/controllers/admin.rs
@@ -12,8 +12,8 @@
 use tokio::runtime::Handle;
 
 use crate::{
-    board::Board, cascades, error::Error, peer_clients::PeerClients, peers::Shared,
-    status::fleet_status,
+    board::Board, controllers::status::fleet_status, error::Error, peers::clients::PeerClients,
+    shared::cascades, shared::learned::Shared,
 };
 
 /// Connections that operators and probes may hold at once.
--- a/host/src/gossip.rs
+++ b/host/src/controllers/gossip.rs
@@ -11,8 +11,9 @@
 use crate::{
     board::Board,
     clock,
-    peer_clients::{PeerClients, PeerError, call_context},
-    peers::{Shared, apply_snapshot, own_digest, snapshot_for, take_in},
+    controllers::peer_server::{apply_snapshot, own_digest, snapshot_for, take_in},
+    peers::clients::{PeerClients, PeerError, call_context},
+    shared::learned::Shared,
 };
 
 /// Peers told at once of a new configuration or a state of this host.
--- a/host/src/orders.rs
+++ b/host/src/controllers/orders.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use tokio::runtime::Handle;
 
-use crate::{backend_calls, board::Board, clock};
+use crate::{backends::calls as backend_calls, board::Board, clock};
 
 /// Hosts of the fleet that try to hold a pool's lease.
 const CANDIDATES: usize = 2;
--- a/host/src/peers.rs
+++ b/host/src/controllers/peer_server.rs
@@ -1,19 +1,12 @@
-//! The protocol between entry hosts: a tarpc service and its implementation.
+//! This host's side of the protocol between entry hosts, and what it says of itself in an exchange.
 
-use std::{future::Future, io, sync::Arc, time::Duration};
+use std::{future::Future, io, sync::Arc};
 
-use clementinearch_border::{BillRecord, Head};
+use clementinearch_border::BillRecord;
 use clementinearch_policy::{
-    catalogue::{Bodies, Fallback},
-    ledger::PageId,
-    member::Member,
-    names::Name,
-    quality::CountRows,
-    suspect::SuspectRow,
-    time::Millis,
+    catalogue::Bodies, ledger::PageId, member::Member, names::Name, time::Millis,
 };
 use futures::StreamExt;
-use serde::{Deserialize, Serialize};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -22,80 +15,15 @@
 
 use crate::{
     board::Board,
-    cascades::Cascades,
     clock,
-    ledger::Ledger,
-    peer_clients::framed,
-    quality::Quality,
-    sessions::{Pin, Recollection, Sessions},
-    status::{StatusReport, own_status},
-    trials::Trials,
+    controllers::status::own_status,
+    peers::clients::framed,
+    peers::protocol::{Digest, Peer, Pin, Recollection, Reply, Snapshot, StatusReport},
+    shared::learned::Shared,
+    shared::ledger::Ledger,
+    shared::sessions::Sessions,
 };
 
-/// A configuration on its way between hosts.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Snapshot {
-    head: Head,
-    bodies: Vec<(String, Name)>,
-    fallbacks: Vec<Fallback>,
-}
-
-/// What a host says of itself in an exchange.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Digest {
-    pub(crate) from: Member,
-    pub(crate) table_hash: u64,
-    pub(crate) revision: u64,
-    pub(crate) has_findings: bool,
-    /// Items that the sender applies some good body of.
-    pub(crate) items_in_force: usize,
-    /// Age of the moment when the revision was known to be the newest one.
-    pub(crate) confirmed_age: Option<Duration>,
-    /// Backend servers that told the sender they leave, and how long ago.
-    pub(crate) leaving: Vec<(Name, Duration)>,
-    /// Requests that crashed servers, by content.
-    pub(crate) suspects: Vec<SuspectRow>,
-    /// Counted ratings and errors of versions.
-    pub(crate) counts: Vec<CountRows>,
-    /// Halted versions as `model@version`.
-    pub(crate) halted: Vec<Name>,
-}
-
-/// Answer to a digest.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Reply {
-    pub(crate) digest: Digest,
-    /// The whole table, if the sender's differs.
-    pub(crate) rows: Vec<Member>,
-    /// The configuration, if the sender's is older.
-    pub(crate) snapshot: Option<Snapshot>,
-}
-
-/// What one entry host asks of another.
-#[tarpc::service]
-pub(crate) trait Peer {
-    /// Compares views and returns what the sender lacks.
-    async fn exchange(digest: Digest) -> Reply;
-    /// Hands over rows that the receiver lacks.
-    async fn tell(rows: Vec<Member>);
-    /// Hands over a configuration that the receiver lacks.
-    async fn offer(snapshot: Snapshot);
-    /// What the host says of its configuration.
-    async fn status() -> StatusReport;
-    /// Remembers sessions; answers what is remembered of each.
-    async fn remember(pins: Vec<Pin>) -> Vec<Recollection>;
-    /// Replaces what is remembered of a session.
-    async fn correct(pin: Pin);
-    /// Holds bills until they are in the store; false if the host is leaving and will not.
-    async fn hold_bills(bills: Vec<BillRecord>) -> bool;
-    /// Forgets bills of a page that are in the store.
-    async fn forget_bills(epoch: u64, shard: u64, ids: Vec<String>);
-    /// Reserves a server for a suspect; false if another one is on trial there.
-    async fn begin_trial(content: u64, server: Name) -> bool;
-    /// Ends a trial.
-    async fn end_trial(content: u64, server: Name);
-}
-
 /// This host's side of the protocol.
 #[derive(Clone)]
 pub(crate) struct PeerServer {
@@ -105,13 +33,6 @@
     pub(crate) shared: Arc<Shared>,
 }
 
-/// What hosts learn from each other beside membership and configuration.
-pub(crate) struct Shared {
-    pub(crate) trials: Arc<Trials>,
-    pub(crate) quality: Quality,
-    pub(crate) cascades: Cascades,
-}
-
 /// Serves peers at the host's peer address.
 pub(crate) async fn serve(server: PeerServer) -> io::Result<impl Future<Output = ()>> {
     let listener = TcpListener::bind(server.board.settings.peers).await?;
--- a/host/src/status.rs
+++ b/host/src/controllers/status.rs
@@ -4,24 +4,13 @@
 
 use clementinearch_border::{FleetStatus, HostStatus};
 use clementinearch_policy::member::Member;
-use serde::{Deserialize, Serialize};
 
 use crate::{
     board::Board,
-    peer_clients::{PeerClients, PeerError, call_context},
-    peers::PeerClient,
+    peers::clients::{PeerClients, PeerError, call_context},
+    peers::protocol::{PeerClient, StatusReport},
 };
 
-/// A host's own word on its configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct StatusReport {
-    pub(crate) revision: u64,
-    pub(crate) since_ms: u64,
-    pub(crate) newest_heard: u64,
-    pub(crate) findings: Vec<String>,
-    pub(crate) readiness: Result<(), String>,
-}
-
 /// This host's own word on its configuration.
 pub(crate) fn own_status(board: &Board) -> StatusReport {
     let in_force = board.in_force();
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -13,27 +13,30 @@
 use tokio::{net::TcpListener, runtime::Builder, sync::oneshot};
 
 use crate::{
-    admin,
+    backends::listing,
+    backends::probe,
     board::Board,
-    callers::App,
-    cascades::Cascades,
-    claims::Claims,
     clock,
-    control::ProductControl,
-    dialect::ProductDialect,
+    controllers::admin,
+    controllers::gossip,
+    controllers::keeper,
+    controllers::orders,
+    controllers::peer_server::{self, PeerServer},
     error::Error,
-    gate::{self, Gate},
-    gossip, keeper,
-    ledger::Ledger,
-    listing, orders,
-    peer_clients::PeerClients,
-    peers::{self, PeerServer, Shared},
-    probe,
-    quality::Quality,
-    sessions::{self, Sessions},
+    peers::clients::PeerClients,
+    requests::callers::App,
+    requests::claims::Claims,
+    requests::control::ProductControl,
+    requests::dialect::ProductDialect,
+    requests::gate::{self, Gate},
     settings::Settings,
+    shared::cascades::Cascades,
+    shared::learned::Shared,
+    shared::ledger::Ledger,
+    shared::quality::Quality,
+    shared::sessions::{self, Sessions},
+    shared::trials::Trials,
     telemetry::Telemetry,
-    trials::Trials,
 };
 
 /// Threads that serve callers and peers.
@@ -150,7 +153,7 @@
         ledger: app.ledger.clone(),
         shared: app.shared.clone(),
     };
-    let peers = peers::serve(server)
+    let peers = peer_server::serve(server)
         .await
         .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
     tokio::spawn(peers);
--- a/host/src/peer_clients.rs
+++ b/host/src/peers/clients.rs
@@ -15,7 +15,7 @@
 };
 use tokio::net::TcpStream;
 
-use crate::{board::Board, counted::CountedStream, peers::PeerClient};
+use crate::{board::Board, peers::counted::CountedStream, peers::protocol::PeerClient};
 
 /// Longest wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
--- a/host/src/callers.rs
+++ b/host/src/requests/callers.rs
@@ -13,12 +13,12 @@
 
 use crate::{
     board::Board,
-    claims::Claims,
-    gate::Gate,
-    ledger::Ledger,
-    peers::Shared,
     refusal::{Answer, Refusal, json_answer},
-    sessions::Sessions,
+    requests::claims::Claims,
+    requests::gate::Gate,
+    shared::learned::Shared,
+    shared::ledger::Ledger,
+    shared::sessions::Sessions,
 };
 
 /// What the handlers of callers' requests share.
--- a/host/src/chat.rs
+++ b/host/src/requests/chat.rs
@@ -18,11 +18,11 @@
 use parking_lot::Mutex;
 
 use crate::{
-    callers::{App, Caller},
     clock,
-    dialect::{Asked, next_position, route},
+    peers::protocol::Pin,
     refusal::Refusal,
-    sessions::Pin,
+    requests::asked::{Asked, next_position, route},
+    requests::callers::{App, Caller},
     telemetry::Span,
 };
 
--- a/host/src/chat_events.rs
+++ b/host/src/requests/chat_events.rs
@@ -10,7 +10,7 @@
 use futures::{FutureExt, StreamExt};
 use hyper::body::Bytes;
 
-use crate::chat::ChatJob;
+use crate::requests::chat::ChatJob;
 
 const END_MARKER: &str = "[DONE]";
 
--- a/host/src/control.rs
+++ b/host/src/requests/control.rs
@@ -12,12 +12,12 @@
 use hyper::Response;
 
 use crate::{
-    callers::{App, list_models},
-    chat::{self, ChatJob},
     clock,
-    dialect::{Asked, Target},
     refusal::Refusal,
-    services::{self, ServiceCall},
+    requests::asked::{Asked, Target},
+    requests::callers::{App, list_models},
+    requests::chat::{self, ChatJob},
+    requests::services::{self, ServiceCall},
 };
 
 /// A process that dies may take connections for a moment after its first ones broke, so that one
--- a/host/src/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -4,28 +4,26 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_border::RunState;
-use clementinearch_policy::{
-    routes::{Kind, Route, RoutingTable},
-    time::Millis,
-};
+use clementinearch_policy::routes::{Kind, Route, RoutingTable};
 use clementinearch_router::{
     AnswerBody, AnswerHead, AttemptOrder, Call, CallHead, Dialect, EventReader, ModelChoice,
     Refusal as PathRefusal, TypedRefusal, Verdict, Work,
 };
 use hyper::{
-    HeaderMap, Method, Response, StatusCode,
+    HeaderMap, Response, StatusCode,
     body::Bytes,
     header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue},
     http::{request, response},
 };
 
 use crate::{
-    callers::{App, Caller},
-    chat::ChatJob,
-    chat_events::{ChunkReader, whole_answer},
     clock,
     refusal::{Refusal, json_answer},
-    services::{ServiceCall, ServiceTarget},
+    requests::asked::{Asked, next_position, read_target, route},
+    requests::callers::App,
+    requests::chat::ChatJob,
+    requests::chat_events::{ChunkReader, whole_answer},
+    requests::services::ServiceCall,
     telemetry::Span,
 };
 
@@ -35,29 +33,6 @@
 /// When to come back after no server could take the request.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
 
-/// Longest time of a request; its own deadline comes first.
-const LONGEST: Duration = Duration::from_secs(24 * 3600);
-
-/// What a caller asks for.
-pub(crate) enum Target {
-    /// An answer of a model.
-    Chat,
-    /// The models of its plan.
-    Models,
-    /// A call to a plain service.
-    Service(ServiceTarget),
-}
-
-/// A request whose body has not come yet.
-pub(crate) struct Asked {
-    pub(crate) caller: Caller,
-    pub(crate) target: Target,
-    pub(crate) headers: HeaderMap,
-    /// When the head was read, by the clock that deadlines are told by.
-    pub(crate) at: Millis,
-    pub(crate) span: Span,
-}
-
 /// Translates the product's requests and answers.
 pub(crate) struct ProductDialect {
     app: Arc<App>,
@@ -65,24 +40,6 @@
     unread: Arc<Route>,
 }
 
-/// A route of the path for one kind of request.
-pub(crate) fn route(name: &str, kind: Kind, max_attempts: u32, patience: Duration) -> Arc<Route> {
-    Arc::new(Route {
-        name: name.into(),
-        host: "".into(),
-        prefix: "/".into(),
-        kind,
-        timeout: LONGEST,
-        objective: patience,
-        gap_objective: patience,
-        priority: 0,
-        max_attempts,
-        is_anonymous: false,
-        sizes: Vec::new(),
-        targets: Vec::new(),
-    })
-}
-
 fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
     // Ids and names were checked when they were read; one that cannot be a header is left out.
     if let Ok(value) = HeaderValue::from_str(value) {
@@ -155,25 +112,6 @@
     }
 }
 
-fn read_target(head: &request::Parts) -> Result<Target, Refusal> {
-    let path = head.uri.path();
-    if head.method == Method::POST && path == "/v1/chat/completions" {
-        return Ok(Target::Chat);
-    }
-    if head.method == Method::GET && path == "/v1/models" {
-        return Ok(Target::Models);
-    }
-    if let Some(target) = path.strip_prefix("/services/") {
-        let method = head.method.clone();
-        return ServiceTarget::new(method, target, head.uri.query()).map(Target::Service);
-    }
-    Err(Refusal::not_run(
-        StatusCode::NOT_FOUND,
-        "no_such_path",
-        format!("nothing is served at {path}"),
-    ))
-}
-
 impl Dialect for ProductDialect {
     fn read_call(
         &self,
@@ -281,12 +219,6 @@
     }
 }
 
-/// Position of the first token that an attempt is to generate.
-pub(crate) fn next_position(order: &AttemptOrder<'_>) -> u32 {
-    let next = order.resume_after.map_or(0, |last| last + 1);
-    u32::try_from(next).unwrap_or(u32::MAX)
-}
-
 /// What an engine's status says of the request.
 fn read_engine_status(status: StatusCode) -> Verdict {
     match status {
--- /dev/null
+++ b/host/src/requests/mod.rs
@@ -0,0 +1,11 @@
+//! Callers' requests: their words, and what is decided about them on the data path.
+
+pub(crate) mod asked;
+pub(crate) mod callers;
+pub(crate) mod chat;
+pub(crate) mod chat_events;
+pub(crate) mod claims;
+pub(crate) mod control;
+pub(crate) mod dialect;
+pub(crate) mod gate;
+pub(crate) mod services;
--- a/host/src/services.rs
+++ b/host/src/requests/services.rs
@@ -5,23 +5,23 @@
 use clementinearch_border::{BillRecord, ClaimState};
 use clementinearch_policy::{
     claim::{claim_key, done, new_claim, with_state},
-    names::{Name, digest_hex, rendezvous},
+    names::{Name, rendezvous},
     request_id::RequestId,
     routes::Kind,
     time::Millis,
 };
 use clementinearch_router::{AnswerBody, AttemptOrder, Call, CallEnd, Choosing};
 use clementinearch_storage::{Claim, Taken};
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::{Response, StatusCode, Uri};
 use parking_lot::Mutex;
 
 use crate::{
-    callers::{App, Caller},
-    chat::{read_deadline, read_request_id},
+    backends::servers::Server,
     clock,
-    dialect::{Asked, route},
     refusal::{Refusal, json_answer},
-    servers::Server,
+    requests::asked::{Asked, ServiceTarget, route},
+    requests::callers::{App, Caller},
+    requests::chat::{read_deadline, read_request_id},
     telemetry::Span,
 };
 
@@ -34,49 +34,6 @@
 /// Header with the id of a call that must not be repeated.
 const ID_HEADER: &str = "idempotency-key";
 
-/// A plain service, and the path and query towards it.
-pub(crate) struct ServiceTarget {
-    method: Method,
-    service: Name,
-    path: String,
-}
-
-impl ServiceTarget {
-    /// Reads `SERVICE/PATH` behind the prefix of service calls.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no service is named.
-    pub(crate) fn new(method: Method, target: &str, query: Option<&str>) -> Result<Self, Refusal> {
-        let (service, path) = target.split_once('/').unwrap_or((target, ""));
-        if service.is_empty() {
-            let message = "a service call goes to /services/NAME/PATH";
-            return Err(Refusal::not_run(
-                StatusCode::NOT_FOUND,
-                "no_such_path",
-                message,
-            ));
-        }
-        let query = query.map(|query| format!("?{query}")).unwrap_or_default();
-        Ok(Self {
-            method,
-            service: service.into(),
-            path: format!("/{path}{query}"),
-        })
-    }
-
-    /// Whether the call may be sent twice.
-    fn is_read(&self) -> bool {
-        self.method == Method::GET || self.method == Method::HEAD
-    }
-
-    /// Tells calls apart that use the same id.
-    fn digest(&self, body: &[u8]) -> String {
-        let head = format!("{} {} {}\n", self.method, self.service, self.path);
-        digest_hex(&[head.as_bytes(), body].concat())
-    }
-}
-
 /// What lets a call run at most once.
 enum Guard {
     /// It may run any number of times.
--- a/host/src/cascades.rs
+++ b/host/src/shared/cascades.rs
@@ -10,7 +10,7 @@
 };
 use parking_lot::Mutex;
 
-use crate::{board::Board, quality::Quality};
+use crate::{board::Board, shared::quality::Quality};
 
 /// Kinds of requests that one cascade tells apart; further ones count as [`OTHER_KIND`].
 const MAX_KINDS: usize = 64;
--- a/host/src/ledger.rs
+++ b/host/src/shared/ledger.rs
@@ -15,10 +15,10 @@
 use tokio::runtime::Handle;
 
 use crate::{
-    backlog::Backlog,
     board::Board,
     clock,
-    peer_clients::{PeerClients, call_context},
+    peers::clients::{PeerClients, call_context},
+    shared::backlog::Backlog,
 };
 
 /// Hosts that hold a bill until it is in the store.
--- a/host/src/sessions.rs
+++ b/host/src/shared/sessions.rs
@@ -7,13 +7,13 @@
     names::{Name, rendezvous},
     time::Millis,
 };
-use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::{
     board::Board,
     clock,
-    peer_clients::{PeerClients, call_context},
+    peers::clients::{PeerClients, call_context},
+    peers::protocol::{Pin, Recollection},
     sharded::Sharded,
 };
 
@@ -32,22 +32,6 @@
 /// Pins in one message of a planned stop.
 const PINS_PER_MESSAGE: usize = 1000;
 
-/// A session and the version it began on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Pin {
-    /// Account, model and session id.
-    pub(crate) key: Name,
-    pub(crate) version: Name,
-}
-
-/// What an owner remembers of a session.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Recollection {
-    pub(crate) version: Name,
-    /// Whether it knew the session before it was asked.
-    pub(crate) was_known: bool,
-}
-
 struct Remembered {
     version: Name,
     last_used: Millis,
--- a/host/src/trials.rs
+++ b/host/src/shared/trials.rs
@@ -11,11 +11,11 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    backends::servers::Server,
     board::Board,
     clock,
-    peer_clients::{PeerClients, call_context},
+    peers::clients::{PeerClients, call_context},
     refusal::Refusal,
-    servers::Server,
 };
 
 /// When to come back while every server is taken by another suspect.
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
+use clementinearch_policy::time::Millis;
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
@@ -14,7 +15,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
-use crate::{board::Board, measures};
+use crate::board::Board;
 
 /// Idle time of a probe's connection.
 const IDLE: Duration = Duration::from_secs(10);
@@ -52,7 +53,7 @@
 pub(crate) fn operators(board: Arc<Board>, metrics: PrometheusHandle) -> Answerer {
     Arc::new(move |path| match path {
         "/metrics" => {
-            measures::set_gauges(&board, board.now());
+            set_gauges(&board, board.now());
             with_status(StatusCode::OK, metrics.render().into())
         }
         "/status" => match serde_json::to_vec(&status(&board)) {
@@ -77,6 +78,23 @@
     }
 }
 
+/// Sets what is read off the board at a scrape.
+fn set_gauges(board: &Board, now: Millis) {
+    let servers = board.servers.all();
+    let running: u32 = servers.iter().map(|server| server.own_running()).sum();
+    let paused = servers.iter().filter(|server| server.is_paused(now));
+    metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
+    metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
+    metrics::gauge!("clementinearch_servers_left_alone").set(paused.count() as f64);
+    metrics::gauge!("clementinearch_hosts_heard").set(board.fleet.lock().size(now) as f64);
+    let store_age = now.since(board.store_heard());
+    metrics::gauge!("clementinearch_store_age_seconds").set(store_age.as_secs_f64());
+    for (service, used) in board.repeats_used(now) {
+        metrics::gauge!("clementinearch_repeat_budget_used", "service" => service.to_string())
+            .set(used);
+    }
+}
+
 fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(body));
     *answer.status_mut() = status;
--- /dev/null
+++ b/router/src/answer_body.rs
@@ -0,0 +1,15 @@
+//! Bodies of answers to callers.
+
+use std::{convert::Infallible, io};
+
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::body::Bytes;
+
+/// Body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A body that is known as a whole.
+pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    let body = Full::new(bytes.into());
+    UnsyncBoxBody::new(body.map_err(|never: Infallible| match never {}))
+}
--- a/router/src/choice.rs
+++ b/router/src/choice.rs
@@ -10,10 +10,9 @@
 use crate::{
     board::Board,
     call::Call,
-    control::Permit,
-    gossip::{News, Reading},
+    news::{News, Reading},
     rollouts::VersionRule,
-    server::{InFlight, Server},
+    server::{InFlight, Permit, Server},
 };
 
 /// Odds that the server of the first rank keeps a prompt's shared parts by other hosts' requests.
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -1,24 +1,21 @@
 //! What whoever runs the data path decides about a request: whether it may run, where, and what is
 //! kept of it. The defaults are the path's own decisions.
 
-use std::{any::Any, net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{suspect::Standing, time::Millis};
 use futures::future::{BoxFuture, ready};
 use hyper::{Response, StatusCode, body::Bytes};
 
 use crate::{
+    answer_body::AnswerBody,
     board::Board,
     call::Call,
     choice::{Choice, choose},
-    ingress::AnswerBody,
     refusal::Refusal,
-    server::Server,
+    server::{AttemptAt, Permit, Server},
 };
 
-/// Something that a request holds for as long as it runs; dropping it gives it back.
-pub type Permit = Box<dyn Any + Send + Sync>;
-
 /// A request that is decided about, with what the host knows.
 #[derive(Clone, Copy)]
 pub struct Asking<'a> {
@@ -45,17 +42,6 @@
     }
 }
 
-/// The server of an attempt, as those who decide know it.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptAt<'a> {
-    /// Its name.
-    pub name: &'a str,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Whether the attempt was a trial of a suspect request.
-    pub is_trial: bool,
-}
-
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -14,24 +14,13 @@
 };
 
 use crate::{
+    answer_body::{AnswerBody, full_body},
     call::{Call, CallHead},
-    ingress::{AnswerBody, full_body},
     refusal::Refusal,
     rollouts::{RolloutOrder, RolloutStatus},
-    server::ServerEntry,
+    server::{LoadReport, ServerEntry},
 };
 
-/// What a backend server says of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
 /// One attempt, as the backend server is told of it.
 pub struct AttemptOrder<'a> {
     /// The request.
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -15,6 +15,7 @@
 use crate::{
     board::Board,
     fleet::{PEERS_PER_PERIOD, PeerWord},
+    news::{News, Reading},
     rollouts::{RolloutWord, SessionWord},
 };
 
@@ -30,32 +31,6 @@
 /// Prompts, or sessions, that one datagram tells of.
 const ROWS_PER_DATAGRAM: usize = 40;
 
-/// Something that peers are to be told soon.
-#[derive(Clone, Debug)]
-pub(crate) enum News {
-    /// A prompt was sent.
-    Reading(Reading),
-    /// A session's request ran.
-    Session(SessionWord),
-}
-
-/// A prompt that a host sent to a server.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Reading {
-    /// Hash of the server's name.
-    #[serde(rename = "s")]
-    pub(crate) server: u64,
-    /// Expected time to read it, milliseconds.
-    #[serde(rename = "t")]
-    pub(crate) ms: u32,
-    /// Size of the model.
-    #[serde(rename = "z")]
-    pub(crate) size: usize,
-    /// Parts of the prompt that other requests share.
-    #[serde(rename = "p")]
-    pub(crate) shared: Vec<u64>,
-}
-
 /// A datagram between hosts.
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    io,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -11,7 +10,7 @@
 };
 
 use clementinearch_policy::routes::CallerLimits;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -23,21 +22,13 @@
 use tokio::{net::TcpListener, sync::watch, time::timeout};
 
 use crate::{
+    answer_body::AnswerBody,
     board::Board,
     call::{Call, CallHead, hash_bytes, origin_form},
     measures, pipeline,
     refusal::Refusal,
 };
 
-/// Body of an answer to a caller.
-pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
-
-/// A body that is known as a whole.
-pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
-    let body = Full::new(bytes.into());
-    UnsyncBoxBody::new(body.map_err(|never: Infallible| match never {}))
-}
-
 /// Buffer for the head of a request, bytes; heads beyond it are refused.
 const HEAD_BUFFER_BYTES: usize = 64 << 10;
 
--- a/router/src/judging.rs
+++ b/router/src/judging.rs
@@ -8,9 +8,7 @@
     time::Millis,
 };
 
-use crate::{
-    attempt::Answer, call::ModelChoice, decision_log::Weight, pipeline::Run, server::Server,
-};
+use crate::{attempt::Answer, call::ModelChoice, decision_log::Weight, run::Run, server::Server};
 
 /// Part of the repeat budget that dropped answers of small models may use.
 const ESCALATION_PART: f64 = 0.8;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! agree on goes through the key store, what they tell each other is advice.
 
 mod admin;
+mod answer_body;
 mod attempt;
 mod board;
 mod call;
@@ -21,29 +22,29 @@
 mod ingress;
 mod judging;
 mod measures;
+mod news;
 mod pipeline;
 mod refusal;
 mod relay;
 mod relayed;
 mod rollouts;
+mod run;
 mod server;
 mod servers;
 mod settings;
 mod view;
 mod view_keeper;
 
+pub use answer_body::{AnswerBody, full_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
 pub use choice::Choice;
 pub use connections::{Connection, Sent, connect};
-pub use control::{Asking, AttemptAt, AttemptEnd, CallEnd, Choosing, Control, OwnControl, Permit};
+pub use control::{Asking, AttemptEnd, CallEnd, Choosing, Control, OwnControl};
 pub use data_path::DataPath;
-pub use dialect::{
-    AnswerHead, AttemptOrder, Dialect, EventReader, Item, LoadReport, Translator, Verdict,
-};
+pub use dialect::{AnswerHead, AttemptOrder, Dialect, EventReader, Item, Translator, Verdict};
 pub use host::{StartError, run};
-pub use ingress::{AnswerBody, full_body};
 pub use measures::install_metrics;
 pub use refusal::{Refusal, TypedRefusal, Work};
 pub use rollouts::{RolloutOrder, RolloutState, RolloutStatus};
-pub use server::{Server, ServerEntry, ServerState};
+pub use server::{AttemptAt, LoadReport, Permit, Server, ServerEntry, ServerState};
 pub use settings::{Bounds, Limits, Listen, Settings};
--- a/router/src/measures.rs
+++ b/router/src/measures.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use clementinearch_policy::{
-    names::{FastMap, Name},
-    time::Millis,
-};
+use clementinearch_policy::names::{FastMap, Name};
 use metrics::Histogram;
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use parking_lot::Mutex;
 
-use crate::{board::Board, refusal::Refusal};
+use crate::refusal::Refusal;
 
 /// Upper bounds of the histograms' buckets, seconds: from a hop within a zone to the longest
 /// time limit of a route.
@@ -108,20 +105,3 @@
 pub(crate) fn count_attempt(end: &'static str) {
     metrics::counter!("clementinearch_attempts_total", "end" => end).increment(1);
 }
-
-/// Sets what is read off the board at a scrape.
-pub(crate) fn set_gauges(board: &Board, now: Millis) {
-    let servers = board.servers.all();
-    let running: u32 = servers.iter().map(|server| server.own_running()).sum();
-    let paused = servers.iter().filter(|server| server.is_paused(now));
-    metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
-    metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
-    metrics::gauge!("clementinearch_servers_left_alone").set(paused.count() as f64);
-    metrics::gauge!("clementinearch_hosts_heard").set(board.fleet.lock().size(now) as f64);
-    let store_age = now.since(board.store_heard());
-    metrics::gauge!("clementinearch_store_age_seconds").set(store_age.as_secs_f64());
-    for (service, used) in board.repeats_used(now) {
-        metrics::gauge!("clementinearch_repeat_budget_used", "service" => service.to_string())
-            .set(used);
-    }
-}
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -14,8 +14,8 @@
     connections::Connection,
     control::{AttemptEnd, CallEnd},
     dialect::EventReader,
-    pipeline::Run,
     refusal::Refusal,
+    run::Run,
     server::InFlight,
 };
 
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -1,6 +1,6 @@
 //! A backend server as one host knows it: what it says of itself, and what the host saw.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{any::Any, collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
     names::{FastMap, Name},
@@ -13,8 +13,6 @@
 use crate::{
     call::{Prompt, hash_bytes},
     connections::Connection,
-    control::{AttemptAt, Permit},
-    dialect::LoadReport,
 };
 
 /// Idle connections that one host keeps to one server.
@@ -59,6 +57,17 @@
     pub born: u64,
 }
 
+/// What a backend server says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
 /// What this host saw of a server.
 #[derive(Debug, Default)]
 struct Seen {
@@ -320,6 +329,20 @@
     }
 }
 
+/// Something that a request holds for as long as it runs; dropping it gives it back.
+pub type Permit = Box<dyn Any + Send + Sync>;
+
+/// The server of an attempt, as those who decide know it.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptAt<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether the attempt was a trial of a suspect request.
+    pub is_trial: bool,
+}
+
 /// A request that runs on a server, or is on its way there.
 pub(crate) struct InFlight {
     server: Arc<Server>,
