Tell early refusals by their ids, and what a missing line means

Change: a dialect names the id of a request that it cannot read; explain reads broken answers, and lists the hosts that started if no line tells of an id. Test: a_request_that_met_a_fresh_host_is_told_by_its_id, and explain's.

Tried and reverted: details that wait for a flush each second instead of waking the writer.

--- a/ctl/src/cause.rs
+++ b/ctl/src/cause.rs
@@ -37,7 +37,13 @@
     if let Some(crash) = crash {
         return format!("backend server {} crashed under it", crash.server);
     }
-    let lost = own("attempt_lost").or(own("stream_broken"));
+    let losses = [
+        "attempt_lost",
+        "stream_broken",
+        "answer_broken",
+        "answer_spoiled",
+    ];
+    let lost = losses.iter().find_map(|event| own(event));
     match ended.why {
         "complete" => "none: it ended well".to_owned(),
         "failure of the server passed on" => match own("server_failed") {
--- a/ctl/src/cmd/explain.rs
+++ b/ctl/src/cmd/explain.rs
@@ -118,12 +118,14 @@
             (None, Some(why)) => list(&lines, why),
             (None, None) => count(&lines),
         };
-        Ok(if found {
-            ExitCode::SUCCESS
-        } else {
-            eprintln!("clemctl: no line tells of it");
-            ExitCode::from(EXIT_NOT_IN_FORCE)
-        })
+        if found {
+            return Ok(ExitCode::SUCCESS);
+        }
+        eprintln!("clemctl: no line tells of it");
+        if self.id.is_some() {
+            tell_starts(&lines);
+        }
+        Ok(ExitCode::from(EXIT_NOT_IN_FORCE))
     }
 }
 
@@ -165,6 +167,14 @@
     story
 }
 
+/// Prints which hosts started, since a host that ends takes the lines of its requests along.
+fn tell_starts(lines: &[Line]) {
+    println!("cause: it reached no host, or its host ended before its end; hosts that started:");
+    for line in lines.iter().filter(|line| line.event == "started") {
+        println!("{:>12}  {}", line.time, line.source);
+    }
+}
+
 fn cause_in(story: &[&Line], id: &str) -> String {
     let told: Vec<Told<'_>> = story.iter().map(|line| line.told()).collect();
     cause(&told, id)
--- a/ctl/tests/explain.rs
+++ b/ctl/tests/explain.rs
@@ -13,6 +13,7 @@
   4.2 host-a {"ms":1004201,"event":"ended","id":"r-7","route":"pay","why":"may have run: connection broke before an answer","inputs":[["sends",1.0]]}
   4.3 host-b {"ms":1000300,"event":"ended","id":"r-8","route":"look","why":"complete"}
   4.4 host-b {"ms":1000400,"event":"request_refused","server":"r-9","why":"not run: planned stop"}
+  4.0 host-c {"ms":1000000,"event":"started","server":"host-c","why":"west"}
   not a line of ours
 "#;
 
@@ -34,6 +35,7 @@
     let text = String::from_utf8(output.stdout).unwrap();
     let events: Vec<&str> = text
         .lines()
+        .filter(|line| !line.starts_with("cause:"))
         .filter_map(|line| line.split_whitespace().nth(2))
         .collect();
     assert_eq!(
@@ -60,6 +62,8 @@
     assert!(!text.contains("complete"), "{text}");
     let output = explain("absent.log", &["--id", "r-none"]);
     assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("4.0  host-c"), "{text}");
 }
 
 #[test]
--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -113,6 +113,12 @@
 }
 
 impl Dialect for ProductDialect {
+    fn request_id<'a>(&self, head: &'a request::Parts) -> Option<&'a str> {
+        let id = head.headers.get("x-request-id");
+        let id = id.or_else(|| head.headers.get("idempotency-key"));
+        id.and_then(|value| value.to_str().ok())
+    }
+
     fn read_call(
         &self,
         head: &request::Parts,
--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -524,3 +524,19 @@
     assert!(lines.count() <= MAX_HISTOGRAM_LINES);
     assert!(metrics.contains("route=\"other\""));
 }
+
+#[test]
+fn a_request_that_met_a_fresh_host_is_told_by_its_id() {
+    let mut platform = Platform::new();
+    platform.store.remove("op/config");
+    platform.launch();
+    let host = &platform.hosts[0];
+    wait_until("the host listens", || {
+        std::net::TcpStream::connect(host.callers()).is_ok()
+    });
+    assert_eq!(ask(host, "GET /look/1", "id-early", "", "").status, 503);
+    wait_until("a line tells of it", || {
+        let refused = host.logged("request_refused");
+        refused.iter().any(|line| line["server"] == "id-early")
+    });
+}
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -123,6 +123,9 @@
 
 /// Translates requests and answers.
 pub trait Dialect: Send + Sync {
+    /// The caller's id of a request, for the log of one that cannot be read.
+    fn request_id<'a>(&self, head: &'a request::Parts) -> Option<&'a str>;
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -15,6 +15,7 @@
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
     header::{CONNECTION, HeaderValue},
+    http::request,
     server::conn::http1,
     service::service_fn,
 };
@@ -108,10 +109,12 @@
 }
 
 async fn answer(board: Arc<Board>, req: Request<Incoming>) -> Response<AnswerBody> {
-    let mut answer = match read_call(&board, req).await {
+    let (parts, body) = req.into_parts();
+    let mut answer = match read_call(&board, &parts, body).await {
         Ok(call) => serve(board.clone(), call).await,
         Err((refusal, head)) => {
-            let mut answer = refuse(&board, &refusal, head.as_ref());
+            let id = board.dialect.request_id(&parts).unwrap_or_default();
+            let mut answer = refuse(&board, &refusal, head.as_ref(), id);
             if answer.status() != StatusCode::NOT_FOUND
                 && answer.status() != StatusCode::UNAUTHORIZED
             {
@@ -134,13 +137,17 @@
     match prepared {
         Ok(None) => pipeline::serve(board, call).await,
         Ok(Some(answer)) => answer,
-        Err(refusal) => refuse(&board, &refusal, Some(&call.head)),
+        Err(refusal) => refuse(&board, &refusal, Some(&call.head), &call.head.id),
     }
 }
 
-fn refuse(board: &Board, refusal: &Refusal, head: Option<&CallHead>) -> Response<AnswerBody> {
+fn refuse(
+    board: &Board,
+    refusal: &Refusal,
+    head: Option<&CallHead>,
+    id: &str,
+) -> Response<AnswerBody> {
     measures::count_refusal(refusal);
-    let id = head.map_or("", |head| &head.id);
     board.log_belief("request_refused", id, &refusal.to_string(), &[]);
     board.dialect.refuse(refusal, head)
 }
@@ -154,17 +161,17 @@
 /// Reads a request; a refusal comes with the request's head if it could be read.
 async fn read_call(
     board: &Board,
-    req: Request<Incoming>,
+    parts: &request::Parts,
+    body: Incoming,
 ) -> Result<Call, (Refusal, Option<CallHead>)> {
     let arrived = board.now();
-    let (parts, body) = req.into_parts();
     let table = board
         .first_table(FIRST_TABLE_WAIT)
         .await
         .ok_or((Refusal::NotReady, None))?;
     let head = board
         .dialect
-        .read_call(&parts, &table)
+        .read_call(parts, &table)
         .map_err(|refusal| (refusal, None))?;
     if board.might_outlast_stop(&head.route, arrived) {
         // Another host takes it from the start.
@@ -193,7 +200,7 @@
         deadline: arrived.after(patience),
         service,
         target,
-        method: parts.method,
+        method: parts.method.clone(),
         body,
         arrived,
         head,
