Read the store stale at first, and keep fewer idle connections at many hosts

The bound of the configuration was read and never used.

Change: idle connections take at most half of what a server takes, over all hosts that are known. First reads are stale; a configuration that they bring is not in force before the changes since are read.

--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -140,6 +140,36 @@
     assert!(length > 0 && length <= MAX_NEWS_BYTES, "{length} bytes");
 }
 
+#[test]
+fn hosts_that_start_while_the_stores_rate_is_used_up_become_ready() {
+    let mut platform = Platform::new();
+    platform.backend("orders", "v1", |_, received| ok(received));
+    platform.store.set_over_rate(true);
+    platform.start(3);
+    for host in &platform.hosts {
+        assert_eq!(ask(host, "GET /look/1", "id-1", "", "").status, 200);
+    }
+}
+
+#[test]
+fn a_stale_first_read_never_puts_an_old_configuration_in_force() {
+    let mut platform = Platform::new();
+    let (gone, _) = platform.backend("orders", "v1", |_, received| ok(received));
+    platform.store.hold_stale();
+    platform.configure(2, &new_route());
+    platform.store.remove(&format!("servers/{gone}"));
+    let (_, server) = platform.backend("orders", "v1", |_, received| ok(received));
+    platform.start(1);
+    let host = &platform.hosts[0];
+    assert_eq!(ask(host, "GET /new/1", "id-1", "", "").status, 200);
+    assert_eq!(server.seen().len(), 1);
+    wait_until("the log tells what is in force", || {
+        !host.logged("routing_in_force").is_empty()
+    });
+    let versions = host.logged("routing_in_force");
+    assert_eq!(versions[0]["inputs"][0][1], 2.0, "{versions:?}");
+}
+
 #[test]
 fn a_history_that_the_store_forgot_is_read_anew() {
     let mut platform = Platform::new();
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalogue;
 pub mod choose;
 pub mod claim;
+pub mod connections;
 pub mod event_stream;
 pub mod findings;
 pub mod head;
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -9,6 +9,7 @@
 };
 
 use clementinearch_policy::{
+    connections::idle_allowed,
     names::{FastMap, Name},
     reading_pace::ReadingPace,
     repeats::{RepeatBound, RepeatBudget},
@@ -28,6 +29,7 @@
     measures::Measures,
     news::News,
     rollouts::Rollouts,
+    server::KEPT_CONNECTIONS,
     servers::{Change, Servers},
     settings::Settings,
     view::{Update, View},
@@ -199,6 +201,15 @@
         work(budget, &self.settings.bounds.repeats, hosts)
     }
 
+    /// Idle connections that this host may keep to a server of a service.
+    pub(crate) fn idle_allowed(&self, service: &str) -> usize {
+        let table = self.table();
+        let spec = table.as_ref().and_then(|table| table.services.get(service));
+        let max_connections = spec.map_or(0, |spec| spec.max_connections);
+        let hosts = self.fleet.lock().known();
+        idle_allowed(max_connections, hosts, KEPT_CONNECTIONS)
+    }
+
     /// Part of each service's budget of repeats that is used.
     pub(crate) fn repeats_used(&self, now: Millis) -> Vec<(Name, f64)> {
         let hosts = self.fleet.lock().size(now);
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -92,6 +92,11 @@
         self.peers.iter().filter(move |(_, peer)| is_heard(peer))
     }
 
+    /// Hosts that are known, alive or not, this one included.
+    pub(crate) fn known(&self) -> usize {
+        1 + self.peers.len()
+    }
+
     /// Hosts that are alive, this one included.
     pub(crate) fn size(&self, now: Millis) -> usize {
         1 + self.alive(now).count()
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -138,7 +138,8 @@
                 let mut connection = answer.connection;
                 if !answer.head.is_closing {
                     connection.set_idle(answer.head.keep_alive, now);
-                    server.keep_connection(connection);
+                    let most = self.board.idle_allowed(&self.call.service);
+                    server.keep_connection(connection, most);
                 }
                 Some(Failure {
                     parts,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -132,7 +132,7 @@
                     return Next::Broken("stream without events");
                 }
                 Ok(None) => {
-                    self.keep_connection(now);
+                    self.keep_connection(run, now);
                     self.has_ended = true;
                     run.note_attempt(&self.in_flight, AttemptEnd::Whole);
                 }
@@ -185,12 +185,13 @@
             .then_some("server silent")
     }
 
-    fn keep_connection(&mut self, now: Millis) {
+    fn keep_connection(&mut self, run: &Run, now: Millis) {
         if let Some(mut connection) = self.connection.take()
             && !self.is_closing
         {
             connection.set_idle(self.keep_alive, now);
-            self.in_flight.server().keep_connection(connection);
+            let most = run.board.idle_allowed(&run.call.service);
+            self.in_flight.server().keep_connection(connection, most);
         }
     }
 }
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -15,8 +15,8 @@
     connections::Connection,
 };
 
-/// Idle connections that one host keeps to one server.
-const KEPT_CONNECTIONS: usize = 8;
+/// Idle connections that one host keeps to one server at most.
+pub(crate) const KEPT_CONNECTIONS: usize = 8;
 
 /// Reports of load older than this count less than what this host knows itself.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
@@ -313,10 +313,10 @@
         None
     }
 
-    /// Keeps an idle connection for the next request.
-    pub(crate) fn keep_connection(&self, connection: Connection) {
+    /// Keeps an idle connection for the next request, unless `most` are kept.
+    pub(crate) fn keep_connection(&self, connection: Connection, most: usize) {
         let mut kept = self.kept.lock();
-        if kept.len() < KEPT_CONNECTIONS {
+        if kept.len() < most {
             kept.push(connection);
         }
     }
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -37,6 +37,15 @@
     Lapsed { key: String },
 }
 
+impl Update {
+    /// The item's key.
+    pub(crate) fn key(&self) -> &str {
+        match self {
+            Self::Written { key, .. } | Self::Removed { key } | Self::Lapsed { key } => key,
+        }
+    }
+}
+
 /// Items by key, the revision that they are complete up to, and removals that wait.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
--- a/router/src/view_keeper.rs
+++ b/router/src/view_keeper.rs
@@ -1,13 +1,19 @@
 //! Keeps this host's view of the store: reads everything once, then changes in a steady period,
 //! and asks peers while the store is out of reach.
+//!
+//! The first read may be stale: hosts that all start at once would ask for more pages than the store
+//! gives out in a minute. What it brought counts only with the changes since, from the store or a peer.
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::time::Millis;
-use clementinearch_storage::{Changes, KeyStore, Reason, StoreError, StoredItem, Transaction};
+use clementinearch_policy::{names::FastSet, time::Millis};
+use clementinearch_storage::{
+    Changes, Freshness, KeyStore, Reason, StoreError, StoredItem, Transaction,
+};
 
 use crate::{
     board::Board,
+    dialect::Item,
     relayed::{PeerView, RelayClient},
     view::Update,
 };
@@ -44,6 +50,8 @@
     is_store_up: bool,
     own_entry_tried: Option<Millis>,
     relays: RelayClient,
+    /// Updates of a stale read, which wait for the changes since.
+    unconfirmed: Vec<Update>,
 }
 
 impl ViewKeeper {
@@ -58,6 +66,7 @@
             is_store_up: false,
             own_entry_tried: None,
             relays: RelayClient::default(),
+            unconfirmed: Vec::new(),
         }
     }
 
@@ -97,16 +106,15 @@
     async fn read_store(&mut self) {
         let began = self.board.now();
         let revision = self.board.view.lock().store_revision();
-        let read = if revision == 0 {
-            self.read_all().await
-        } else {
-            self.read_changes(revision).await
-        };
+        if revision == 0 {
+            return self.read_stale().await;
+        }
+        let read = self.read_changes(revision).await;
         let now = self.board.now();
         match read {
             Ok(updates) => {
                 self.note_answer(now);
-                self.board.carry_out(updates);
+                self.carry_out(updates);
                 self.expire(now);
                 self.write_own_entry(now).await;
                 if self.board.fleet.lock().relay(now).is_none() {
@@ -118,6 +126,38 @@
         }
     }
 
+    /// Reads everything as it may have been seconds ago.
+    async fn read_stale(&mut self) {
+        match self.read_all(Freshness::Stale).await {
+            Ok(updates) => {
+                self.learn_hosts(&updates);
+                self.unconfirmed = updates;
+            }
+            Err(e) => self.go_without(&e).await,
+        }
+    }
+
+    /// Learns of peers at once: one of them may tell the changes since.
+    fn learn_hosts(&self, updates: &[Update]) {
+        for update in updates {
+            let Update::Written { key, value } = update else {
+                continue;
+            };
+            if let Ok(Item::Host { name, address }) = self.board.translator.read(key, value) {
+                self.board.fleet.lock().learn(name, address);
+            }
+        }
+    }
+
+    /// Carries out what a stale read brought, then `updates`, which are newer.
+    fn carry_out(&mut self, updates: Vec<Update>) {
+        let mut all = std::mem::take(&mut self.unconfirmed);
+        let newer: FastSet<&str> = updates.iter().map(Update::key).collect();
+        all.retain(|old| !newer.contains(old.key()));
+        all.extend(updates);
+        self.board.carry_out(all);
+    }
+
     /// Hosts that start together, or watch together, do not ask in step.
     fn period(&self) -> Duration {
         self.board
@@ -153,7 +193,7 @@
             .filter(|at| now.since(*at) <= RETURN_WINDOW)
     }
 
-    async fn read_all(&self) -> Result<Vec<Update>, StoreError> {
+    async fn read_all(&self, freshness: Freshness) -> Result<Vec<Update>, StoreError> {
         let mut items: Vec<StoredItem> = Vec::new();
         let mut revision = u64::MAX;
         for prefix in self.board.translator.prefixes() {
@@ -161,7 +201,7 @@
             loop {
                 let page = self
                     .store
-                    .range(&prefix, after.as_deref(), Reason::Start)
+                    .range(&prefix, after.as_deref(), freshness, Reason::Start)
                     .await?;
                 // Pages are no snapshot: changes are read from the earliest one on.
                 revision = revision.min(page.store_revision);
@@ -179,16 +219,22 @@
     }
 
     async fn read_changes(&self, revision: u64) -> Result<Vec<Update>, StoreError> {
+        // A host that knows nothing for sure does not wait for news.
+        let wait = if self.unconfirmed.is_empty() {
+            WATCH_WAIT
+        } else {
+            Duration::ZERO
+        };
         let mut updates = Vec::new();
         for prefix in self.board.translator.prefixes() {
             let read = self
                 .store
-                .changes(&prefix, revision, WATCH_WAIT, Reason::Changes)
+                .changes(&prefix, revision, wait, Reason::Changes)
                 .await?;
             match read {
                 Changes::Compacted => {
                     self.board.log_belief("history_compacted", "", "", &[]);
-                    return self.read_all().await;
+                    return self.read_all(Freshness::Fresh).await;
                 }
                 Changes::Since {
                     changes,
@@ -237,12 +283,12 @@
         }
     }
 
-    fn take_in(&self, peer: PeerView) {
+    fn take_in(&mut self, peer: PeerView) {
         let mut view = self.board.view.lock();
         let merged = view.merge(peer.rows, peer.store_revision);
         drop(view);
         match merged {
-            Ok(updates) => self.board.carry_out(updates),
+            Ok(updates) => self.carry_out(updates),
             Err(e) => self
                 .board
                 .log_belief("peer_view_unreadable", "", &e.to_string(), &[]),
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -34,13 +34,20 @@
 
 #[derive(Default)]
 struct State {
-    items: BTreeMap<String, (Vec<u8>, u64)>,
+    items: Items,
     history: Vec<Change>,
     compacted_to: u64,
     revision: u64,
     calls: BTreeMap<String, u64>,
+    /// What stale reads see, if not the present state.
+    stale: Option<(Items, u64)>,
+    /// Whether fresh reads of prefixes are beyond the store's rate.
+    is_over_rate: bool,
 }
 
+/// Values and revisions by key.
+type Items = BTreeMap<String, (Vec<u8>, u64)>;
+
 /// The store.
 #[derive(Default)]
 pub struct PlatformStore {
@@ -102,16 +109,34 @@
         state.history.clear();
     }
 
+    /// From now on stale reads see the items as they are at this moment.
+    pub fn hold_stale(&self) {
+        let mut state = self.state.lock();
+        state.stale = Some((state.items.clone(), state.revision));
+    }
+
+    /// Refuses fresh reads of prefixes, as a store whose rate is used up, or takes them again.
+    pub fn set_over_rate(&self, is_over_rate: bool) {
+        self.state.lock().is_over_rate = is_over_rate;
+    }
+
     /// Calls of a path so far.
     pub fn calls(&self, path: &str) -> u64 {
         self.state.lock().calls.get(path).copied().unwrap_or(0)
     }
 
-    fn range(&self, prefix: &str, after: &str) -> Value {
+    /// A page of a prefix; none if it is beyond the store's rate.
+    fn range(&self, prefix: &str, after: &str, is_stale: bool) -> Option<Value> {
         const PAGE: usize = 100;
         let state = self.state.lock();
-        let matching = state
-            .items
+        if state.is_over_rate && !is_stale {
+            return None;
+        }
+        let (seen, store_revision) = match &state.stale {
+            Some((items, revision)) if is_stale => (items, *revision),
+            _ => (&state.items, state.revision),
+        };
+        let matching = seen
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let mut items: Vec<Value> = matching
@@ -120,7 +145,7 @@
             .collect();
         let is_truncated = items.len() > PAGE;
         items.truncate(PAGE);
-        json!({"items": items, "truncated": is_truncated, "storeRevision": state.revision})
+        Some(json!({"items": items, "truncated": is_truncated, "storeRevision": store_revision}))
     }
 
     /// Changes after a revision; none if the history no longer holds them.
@@ -221,8 +246,12 @@
         let prefix = text_query(&req, "pathPrefix");
         match path {
             "/v1/kv-range" => {
-                let page = self.store.range(&prefix, &text_query(&req, "after"));
-                Ok(text(StatusCode::OK, page.to_string()))
+                let is_stale = text_query(&req, "serializable") == "1";
+                let after = text_query(&req, "after");
+                Ok(match self.store.range(&prefix, &after, is_stale) {
+                    Some(page) => text(StatusCode::OK, page.to_string()),
+                    None => text(StatusCode::TOO_MANY_REQUESTS, ""),
+                })
             }
             "/v1/kv-watch" => {
                 let after = query(&req, "after").unwrap_or_default();
--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// How new a read's answer must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Everything acknowledged before the read.
+    Fresh,
+    /// It may be seconds old; such reads are cheap and not limited.
+    Stale,
+}
+
 /// An item as it is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredItem {
@@ -111,6 +120,7 @@
         &'a self,
         prefix: &'a str,
         after: Option<&'a str>,
+        freshness: Freshness,
         reason: Reason,
     ) -> BoxFuture<'a, Result<Page, StoreError>>;
 
--- a/storage/src/lib.rs
+++ b/storage/src/lib.rs
@@ -18,7 +18,7 @@
 pub use edits::{EditError, EditOutcome, ItemWrite, read_head, write_edit};
 pub use http::HttpStore;
 pub use key_store::{
-    Changes, Committed, ItemChange, KeyStore, Page, Reason, StoredItem, Transaction,
+    Changes, Committed, Freshness, ItemChange, KeyStore, Page, Reason, StoredItem, Transaction,
 };
 pub use leases::{Lease, Tenure};
 pub use pages::{PageWrite, write_page};
