--- a/host/src/controllers/orders.rs
+++ b/host/src/controllers/orders.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use tokio::runtime::Handle;
 
-use crate::{backends::calls as backend_calls, board::Board, clock};
+use crate::{backends::calls, board::Board, clock};
 
 /// Hosts of the fleet that try to hold a pool's lease.
 const CANDIDATES: usize = 2;
@@ -138,7 +138,7 @@
         .ok_or_else(|| std::io::Error::other("not listed"))?;
     let path = format!("/orders?fence={fence}&load={}", u8::from(order.load));
     let headers = [("x-version-name", order.version.to_string())];
-    let req = backend_calls::request(
+    let req = calls::request(
         Method::POST,
         server.address,
         &path,
@@ -147,7 +147,7 @@
     )?;
     let sending = async {
         let mut connection = connect(server.address).await?;
-        let (status, _) = backend_calls::send(&mut connection, req).await?;
+        let (status, _) = calls::send(&mut connection, req).await?;
         Ok(status)
     };
     tokio::time::timeout(ORDER_TIMEOUT, sending)
--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -15,19 +15,33 @@
     vec![Step::Send(whole(received, "200 OK", "", "done"))]
 }
 
-fn new_route() -> Value {
-    json!([{"name": "new", "host": "a.example", "pathPrefix": "/new/", "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "orders", "maxAttempts": 2}])
+/// Hosts that serve before one server of plain calls.
+fn serving(hosts: usize) -> Platform {
+    let mut platform = Platform::new();
+    platform.backend("orders", "v1", |_, received| ok(received));
+    platform.start(hosts);
+    platform
 }
 
-#[test]
-fn a_host_without_configuration_denies_nothing() {
+/// A host that listens before a store without configuration.
+fn unconfigured() -> Platform {
     let mut platform = Platform::new();
     platform.store.remove("op/config");
     platform.launch();
-    let host = &platform.hosts[0];
     wait_until("the host listens", || {
-        std::net::TcpStream::connect(host.callers()).is_ok()
+        std::net::TcpStream::connect(platform.hosts[0].callers()).is_ok()
     });
+    platform
+}
+
+fn new_route() -> Value {
+    json!([{"name": "new", "host": "a.example", "pathPrefix": "/new/", "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "service": "orders", "maxAttempts": 2}])
+}
+
+#[test]
+fn a_host_without_configuration_denies_nothing() {
+    let platform = unconfigured();
+    let host = &platform.hosts[0];
     let answer = ask(host, "GET /look/1", "id-1", "", "");
     assert_eq!(answer.status, 503);
     assert!(!answer.header("retry-after").is_empty());
@@ -36,9 +50,7 @@
 
 #[test]
 fn keys_and_routes_follow_the_configuration() {
-    let mut platform = Platform::new();
-    platform.backend("orders", "v1", |_, received| ok(received));
-    platform.start(1);
+    let platform = serving(1);
     let host = &platform.hosts[0];
     assert_eq!(ask(host, "GET /new/1", "id-1", "", "").status, 404);
     platform.configure(2, &new_route());
@@ -89,9 +101,7 @@
 
 #[test]
 fn a_host_that_the_store_turns_away_learns_from_its_peers() {
-    let mut platform = Platform::new();
-    platform.backend("orders", "v1", |_, received| ok(received));
-    platform.start(2);
+    let platform = serving(2);
     wait_until("the hosts know each other", || {
         platform
             .hosts
@@ -122,9 +132,7 @@
 
 #[test]
 fn a_large_configuration_leaves_room_on_a_relays_link() {
-    let mut platform = Platform::new();
-    platform.backend("orders", "v1", |_, received| ok(received));
-    platform.start(1);
+    let platform = serving(1);
     let host = &platform.hosts[0];
     let known = host.status()["store_revision"].as_u64().unwrap();
     let routes: Vec<Value> = (0..350)
@@ -458,9 +466,7 @@
 
 #[test]
 fn a_log_that_nobody_reads_stops_nothing() {
-    let mut platform = Platform::new();
-    platform.backend("orders", "v1", |_, received| ok(received));
-    platform.start(1);
+    let platform = serving(1);
     let host = &platform.hosts[0];
     {
         // While the log is locked its reader stands still, and the pipe fills.
@@ -497,9 +503,7 @@
 
 #[test]
 fn metrics_tell_refusals_by_reason_and_latencies_by_route_and_phase() {
-    let mut platform = Platform::new();
-    platform.backend("orders", "v1", |_, received| ok(received));
-    platform.start(1);
+    let platform = serving(1);
     let host = &platform.hosts[0];
     assert_eq!(ask(host, "GET /look/1", "id-1", "", "").status, 200);
     assert_eq!(ask(host, "GET /nowhere/1", "id-2", "", "").status, 404);
@@ -557,13 +561,8 @@
 
 #[test]
 fn a_request_that_met_a_fresh_host_is_told_by_its_id() {
-    let mut platform = Platform::new();
-    platform.store.remove("op/config");
-    platform.launch();
+    let platform = unconfigured();
     let host = &platform.hosts[0];
-    wait_until("the host listens", || {
-        std::net::TcpStream::connect(host.callers()).is_ok()
-    });
     assert_eq!(ask(host, "GET /look/1", "id-early", "", "").status, 503);
     wait_until("a line tells of it", || {
         let refused = host.logged("request_refused");
--- a/policy/src/placement.rs
+++ b/policy/src/placement.rs
@@ -33,8 +33,6 @@
 /// A server as the choice sees it.
 #[derive(Clone, Debug)]
 pub struct ServerView {
-    /// Hash of the server's name.
-    pub hash: u64,
     /// Its zone.
     pub zone: Name,
     /// Requests that it runs, as far as is known.
--- a/policy/tests/placement.rs
+++ b/policy/tests/placement.rs
@@ -10,9 +10,8 @@
 const SMALL: f64 = 0.004;
 const LARGE: f64 = 0.035;
 
-fn idle(index: usize) -> ServerView {
+fn idle() -> ServerView {
     ServerView {
-        hash: index as u64,
         zone: "a".into(),
         running: 0.0,
         waiting: 0.0,
@@ -54,7 +53,7 @@
         let views: Vec<ServerView> = (0..SERVERS)
             .map(|index| ServerView {
                 pending_ms: (known_until[host][index] - now).max(0.0),
-                ..idle(index)
+                ..idle()
             })
             .collect();
         let index = choose_server(&views, &query(tokens, ms_per_token)).unwrap();
@@ -97,9 +96,9 @@
 fn a_kept_part_is_left_only_when_waiting_costs_more_than_reading() {
     let mut keeper = ServerView {
         kept_tokens: 5_000.0,
-        ..idle(0)
+        ..idle()
     };
-    let other = idle(1);
+    let other = idle();
     let album = query(6_000.0, LARGE);
     keeper.pending_ms = 100.0;
     assert_eq!(
@@ -115,12 +114,12 @@
     let full = ServerView {
         running: 6.0,
         slots: 6.0,
-        ..idle(0)
+        ..idle()
     };
     let away = ServerView {
         zone: "b".into(),
         slots: 6.0,
-        ..idle(1)
+        ..idle()
     };
     let plain = query(0.0, 0.0);
     assert_eq!(
@@ -139,11 +138,11 @@
     let slow = ServerView {
         slowness: 5.0,
         running: 2.0,
-        ..idle(0)
+        ..idle()
     };
     let sound = ServerView {
         running: 6.0,
-        ..idle(1)
+        ..idle()
     };
     let prompt = query(2_000.0, LARGE);
     assert!(placement_cost(&slow, &prompt) > placement_cost(&sound, &prompt));
--- a/router/src/choice.rs
+++ b/router/src/choice.rs
@@ -158,7 +158,6 @@
             _ => 0.0,
         };
         ServerView {
-            hash: server.hash,
             zone: server.entry.zone.clone(),
             running: load.running,
             waiting: load.waiting,
