Say an answer's head, a small server and a drain once each

Read over the whole change. Behaviour is meant to stay as it is.

- Received repeated Answer without what counts the request, only to be turned into it; the head was a placeholder until it was read.
An attempt takes its place on the server by value now and returns the Answer.
- An answer's parts and body were split, joined, split and wrapped again on their way to a stream.
Answer holds both; the wrapper goes.
- Keeping a connection (closing, idle time, bound over all hosts) stood in relay and pipeline; settling a plain answer stood twice; the end of a stream in three places.
Each stands once.
- Operators' and peers' listeners were two copies of one accept loop, the planned stops of serve and route two copies of one drain: paths and Drain.
- has_news computed what material_revisions gives; with the same meaning for removals, which are in the order of their revisions.
- Failure also named answers that are no failure: WholeAnswer.

Left: a resumed stream is not asked for the server's signature as a first one is.

--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -1,21 +1,17 @@
 //! Readiness for the balancer, and metrics and status for operators.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{future::ready, sync::Arc, time::Duration};
 
 use clementinearch_policy::time::Millis;
-use http_body_util::Full;
-use hyper::{
-    Request, Response, StatusCode,
-    body::{Bytes, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{StatusCode, body::Bytes};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use tokio::net::TcpListener;
 
-use crate::board::Board;
+use crate::{
+    board::Board,
+    paths::{self, PathAnswer, with_status},
+};
 
 /// Idle time of a probe's connection.
 const IDLE: Duration = Duration::from_secs(10);
@@ -34,34 +30,41 @@
     hosts: usize,
 }
 
-/// What a listener answers by path.
-type Answerer = Arc<dyn Fn(&str) -> Response<Full<Bytes>> + Send + Sync>;
-
-/// Answers every path with whether the host is ready.
-pub(crate) fn readiness(board: Arc<Board>) -> Answerer {
-    Arc::new(move |_| {
+/// Answers every path of the balancer's probes with whether the host is ready.
+pub(crate) async fn serve_readiness(listener: TcpListener, board: Arc<Board>) {
+    let answer = move |_| {
         let status = if board.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        with_status(status, Bytes::new())
-    })
+        ready(with_status(status, Bytes::new()))
+    };
+    paths::serve(listener, IDLE, answer).await;
 }
 
 /// Answers operators.
-pub(crate) fn operators(board: Arc<Board>, metrics: PrometheusHandle) -> Answerer {
-    Arc::new(move |path| match path {
+pub(crate) async fn serve_operators(
+    listener: TcpListener,
+    board: Arc<Board>,
+    metrics: PrometheusHandle,
+) {
+    let answer = move |path: String| ready(answer_operator(&board, &metrics, &path));
+    paths::serve(listener, IDLE, answer).await;
+}
+
+fn answer_operator(board: &Board, metrics: &PrometheusHandle, path: &str) -> PathAnswer {
+    match path {
         "/metrics" => {
-            set_gauges(&board, board.now());
-            with_status(StatusCode::OK, metrics.render().into())
+            set_gauges(board, board.now());
+            with_status(StatusCode::OK, metrics.render())
         }
-        "/status" => match serde_json::to_vec(&status(&board)) {
-            Ok(body) => with_status(StatusCode::OK, body.into()),
+        "/status" => match serde_json::to_vec(&status(board)) {
+            Ok(body) => with_status(StatusCode::OK, body),
             Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
         },
         _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
-    })
+    }
 }
 
 fn status(board: &Board) -> Status {
@@ -94,29 +97,3 @@
             .set(used);
     }
 }
-
-fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(body));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// Serves a listener until the process ends.
-pub(crate) async fn serve(listener: TcpListener, answerer: Answerer) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let answerer = answerer.clone();
-        let service = service_fn(move |req: Request<Incoming>| {
-            let answer = answerer(req.uri().path());
-            async move { Ok::<_, Infallible>(answer) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE)
-            .serve_connection(TokioIo::new(stream), service);
-        // The prober meets the error too.
-        tokio::spawn(async move { drop(connection.await) });
-    }
-}
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_policy::{event_stream::EventCutter, server_health::Sign, time::Millis};
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode, body::Incoming, http::response};
 
 use crate::{
     board::Board,
@@ -44,40 +44,18 @@
 /// The head of an answer, with all that keeps it coming.
 pub(crate) struct Answer {
     pub(crate) head: AnswerHead,
-    pub(crate) response: Response<Incoming>,
+    pub(crate) parts: response::Parts,
+    pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) in_flight: InFlight,
     pub(crate) reader: Box<dyn EventReader>,
     pub(crate) sent_at: Millis,
 }
 
-/// An answer of a server, before it is known what counts the request there.
-pub(crate) struct Received {
-    head: AnswerHead,
-    response: Response<Incoming>,
-    connection: Connection,
-    reader: Box<dyn EventReader>,
-    sent_at: Millis,
-}
-
-impl Received {
-    /// The answer to the request that `in_flight` counts.
-    pub(crate) fn into_answer(self, in_flight: InFlight) -> Answer {
-        Answer {
-            head: self.head,
-            response: self.response,
-            connection: self.connection,
-            in_flight,
-            reader: self.reader,
-            sent_at: self.sent_at,
-        }
-    }
-}
-
 /// What became of an attempt.
 pub(crate) enum Attempted {
     /// The head of an answer came.
-    Answered(Box<Received>),
+    Answered(Box<Answer>),
     /// The request did not run there and will not.
     NotRun {
         /// Why.
@@ -223,7 +201,7 @@
 
 impl AttemptQuery<'_> {
     /// Sends the request to the server that `in_flight` counts it on.
-    pub(crate) async fn run(&self, in_flight: &InFlight) -> Attempted {
+    pub(crate) async fn run(&self, in_flight: InFlight) -> Attempted {
         let server = in_flight.server().clone();
         let board = self.board;
         let kept = if self.call.head.route.kind.may_repeat() {
@@ -257,7 +235,7 @@
             Waited::Sent(Sent::Unknown) => {
                 // A kept connection may just have been closed as idle.
                 if !was_kept {
-                    note_break(board, self.call, in_flight, now).await;
+                    note_break(board, self.call, &in_flight, now).await;
                 }
                 return Attempted::Lost {
                     why: "connection broke before an answer",
@@ -275,15 +253,24 @@
             Waited::OutOfTime => return Attempted::OutOfTime,
         };
         server.note_heard(now);
+        let (parts, body) = response.into_parts();
+        let head = board.dialect.read_answer(&parts, self.call);
+        if let Some(load) = head.load {
+            server.note_load(load, now);
+        }
+        if let Some(attempted) = self.refused(&head.verdict, parts.status, &server, now) {
+            return attempted;
+        }
         let reader = board.dialect.event_reader(&self.order(&server, now));
-        let received = Received {
-            head: AnswerHead::default(),
-            response,
+        Attempted::Answered(Box::new(Answer {
+            head,
+            parts,
+            body,
             connection,
+            in_flight,
             reader: reader.unwrap_or_else(|| Box::new(EventCutter::new(self.resume_after))),
             sent_at,
-        };
-        self.read_head(received, &server, now)
+        }))
     }
 
     fn order<'a>(&'a self, server: &'a Server, now: Millis) -> AttemptOrder<'a> {
@@ -364,38 +351,35 @@
         }
     }
 
-    fn read_head(&self, received: Received, server: &Server, now: Millis) -> Attempted {
-        let board = self.board;
-        let (parts, body) = received.response.into_parts();
-        let head = board.dialect.read_answer(&parts, self.call);
-        if let Some(load) = head.load {
-            server.note_load(load, now);
-        }
-        match head.verdict {
-            Verdict::NotOwn => Attempted::Lost {
+    /// What became of the attempt if the answer is none to this request.
+    fn refused(
+        &self,
+        verdict: &Verdict,
+        status: StatusCode,
+        server: &Server,
+        now: Millis,
+    ) -> Option<Attempted> {
+        match verdict {
+            Verdict::Own => None,
+            Verdict::NotOwn => Some(Attempted::Lost {
                 why: "answer to another request",
-            },
+            }),
             Verdict::NotRun => {
-                if parts.status == StatusCode::MISDIRECTED_REQUEST {
+                if status == StatusCode::MISDIRECTED_REQUEST {
                     // Another server has the address: the one that was meant is gone.
-                    note_outcome(board, server, Sign::Unreachable, now);
+                    note_outcome(self.board, server, Sign::Unreachable, now);
                 }
-                Attempted::NotRun {
+                Some(Attempted::NotRun {
                     why: "server refused",
-                }
+                })
             }
             Verdict::Failed => {
-                note_outcome(board, server, Sign::Failed, now);
-                Attempted::Lost {
+                note_outcome(self.board, server, Sign::Failed, now);
+                Some(Attempted::Lost {
                     why: "server failed",
-                }
+                })
             }
-            Verdict::Rejected(refusal) => Attempted::Rejected(refusal),
-            Verdict::Own => Attempted::Answered(Box::new(Received {
-                head,
-                response: Response::from_parts(parts, body),
-                ..received
-            })),
+            Verdict::Rejected(refusal) => Some(Attempted::Rejected(refusal.clone())),
         }
     }
 }
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -61,7 +61,7 @@
     pub(crate) measures: Measures,
     repeats: Mutex<FastMap<Name, RepeatBudget>>,
     /// Usual time to the first event by route and model size, milliseconds.
-    pub(crate) latencies: Mutex<FastMap<(Name, usize), f64>>,
+    latencies: Mutex<FastMap<(Name, usize), f64>>,
     /// Time to read a prompt token by service.
     paces: Mutex<FastMap<Name, ReadingPace>>,
     /// What peers are to be told soon.
--- a/router/src/data_path.rs
+++ b/router/src/data_path.rs
@@ -1,26 +1,18 @@
 //! The data path inside a process that has a control plane of its own.
 
-use std::{
-    future::Future,
-    io,
-    sync::{Arc, atomic::Ordering},
-};
+use std::{future::Future, io, sync::Arc};
 
 use clementinearch_policy::{
     routes::{CallerLimits, RoutingTable},
     time::Millis,
 };
-use tokio::{
-    net::TcpListener,
-    sync::{mpsc, watch},
-};
+use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
     board::Board,
     control::Control,
     decision_log::DecisionLog,
     dialect::{Dialect, NoItems},
-    host::DRAIN_LOOK,
     ingress::Ingress,
     settings::Settings,
 };
@@ -61,19 +53,11 @@
     /// Serves callers until `stop` resolves, then lets running requests finish for as long as the
     /// settings grant a planned stop. Returns how many connections were still open then.
     pub async fn serve(&self, callers: TcpListener, stop: impl Future<Output = ()>) -> usize {
-        let (close, closing) = watch::channel(false);
-        let ingress = Ingress::new(self.board.clone(), closing);
-        let open = ingress.open();
+        let (ingress, drain) = Ingress::new(self.board.clone());
         let accepting = tokio::spawn(ingress.run(callers));
         stop.await;
         accepting.abort();
-        // Nobody is left to hear it if all connections have ended.
-        let _ = close.send(true);
-        let began = self.board.now();
         let grace = self.board.settings.limits.grace;
-        while open.load(Ordering::Relaxed) > 0 && self.board.now().since(began) < grace {
-            tokio::time::sleep(DRAIN_LOOK).await;
-        }
-        open.load(Ordering::Relaxed)
+        drain.run(self.board.now().after(grace)).await
     }
 }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -1,11 +1,6 @@
 //! Runs one entry host on the data path: starts its controllers, waits for SIGTERM, stops as planned.
 
-use std::{
-    io,
-    sync::{Arc, atomic::Ordering},
-    thread,
-    time::Duration,
-};
+use std::{io, sync::Arc, thread, time::Duration};
 
 use clementinearch_storage::{KeyStore, Reason, Transaction};
 use derive_more::{Display, Error};
@@ -17,7 +12,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     runtime::Builder,
-    sync::{mpsc, watch},
+    sync::mpsc,
 };
 
 use crate::{
@@ -42,9 +37,6 @@
 /// Time before the end of a planned stop at which the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
-/// Time between two looks whether all connections have ended.
-pub(crate) const DRAIN_LOOK: Duration = Duration::from_millis(50);
-
 /// Time between two steps of roll-outs.
 const ROLLOUT_PERIOD: Duration = Duration::from_millis(250);
 
@@ -149,10 +141,11 @@
         .await
         .map_err(StartError::at(format!("listen for words at {}", at.peers)))?;
     board.log_belief("started", &board.settings.name, &board.settings.zone, &[]);
-    tokio::spawn(admin::serve(readiness, admin::readiness(board.clone())));
-    tokio::spawn(admin::serve(
+    tokio::spawn(admin::serve_readiness(readiness, board.clone()));
+    tokio::spawn(admin::serve_operators(
         operators,
-        admin::operators(board.clone(), metrics.clone()),
+        board.clone(),
+        metrics.clone(),
     ));
     tokio::spawn(relayed::serve(board.clone(), peers));
     tokio::spawn(Gossip::new(board.clone(), datagrams, news).run());
@@ -160,9 +153,7 @@
     tokio::spawn(step_rollouts(board.clone(), store));
     tokio::spawn(sweep(board.clone(), metrics));
     tokio::spawn(attempt::probe_unreachable(board.clone()));
-    let (close, closing) = watch::channel(false);
-    let ingress = Ingress::new(board.clone(), closing);
-    let open = ingress.open();
+    let (ingress, drain) = Ingress::new(board.clone());
     tokio::spawn(ingress.run(callers));
     while let Some(signal) = signals.recv().await {
         if signal == Signal::Stop {
@@ -173,21 +164,11 @@
     board.stop();
     let began = board.now();
     let connections = |count: usize| [("connections", count as f64)];
-    board.log_belief(
-        "stopping",
-        "",
-        "planned stop",
-        &connections(open.load(Ordering::Relaxed)),
-    );
+    board.log_belief("stopping", "", "planned stop", &connections(drain.open()));
     // The balancer goes on sending until it notices; those requests are served.
     let grace = board.settings.limits.grace.saturating_sub(EXIT_MARGIN);
     tokio::time::sleep(DRAIN_NOTICE.min(grace)).await;
-    // Nobody is left to hear it if all connections have ended.
-    let _ = close.send(true);
-    while open.load(Ordering::Relaxed) > 0 && board.now().since(began) < grace {
-        tokio::time::sleep(DRAIN_LOOK).await;
-    }
-    let left = open.load(Ordering::Relaxed);
+    let left = drain.run(began.after(grace)).await;
     board.log_belief("stopped", "", "planned stop", &connections(left));
     Ok(())
 }
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use clementinearch_policy::routes::CallerLimits;
+use clementinearch_policy::{routes::CallerLimits, time::Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
@@ -43,6 +43,9 @@
 /// When to come back, at another host, after a refusal by a host that stops.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(20);
 
+/// Time between two looks whether all connections have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
 /// Callers' connections of this host.
 pub(crate) struct Ingress {
     board: Arc<Board>,
@@ -50,19 +53,46 @@
     closing: watch::Receiver<bool>,
 }
 
-impl Ingress {
-    /// Serves callers of `board`'s host until `closing` turns true, then lets requests finish.
-    pub(crate) fn new(board: Arc<Board>, closing: watch::Receiver<bool>) -> Self {
-        Self {
-            board,
-            open: Arc::default(),
-            closing,
+/// Ends callers' connections as their requests do.
+pub(crate) struct Drain {
+    board: Arc<Board>,
+    open: Arc<AtomicUsize>,
+    close: watch::Sender<bool>,
+}
+
+impl Drain {
+    /// Connections that are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Lets requests finish until `end`. Returns how many connections were still open then.
+    pub(crate) async fn run(self, end: Millis) -> usize {
+        // Nobody is left to hear it if all connections have ended.
+        let _ = self.close.send(true);
+        while self.open() > 0 && self.board.now() < end {
+            tokio::time::sleep(DRAIN_LOOK).await;
         }
+        self.open()
     }
+}
 
-    /// Counter of open connections.
-    pub(crate) fn open(&self) -> Arc<AtomicUsize> {
-        self.open.clone()
+impl Ingress {
+    /// Serves callers of `board`'s host until the drain runs.
+    pub(crate) fn new(board: Arc<Board>) -> (Self, Drain) {
+        let (close, closing) = watch::channel(false);
+        let open: Arc<AtomicUsize> = Arc::default();
+        let drain = Drain {
+            board: board.clone(),
+            open: open.clone(),
+            close,
+        };
+        let ingress = Self {
+            board,
+            open,
+            closing,
+        };
+        (ingress, drain)
     }
 
     /// Accepts callers until the process ends.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod judging;
 mod measures;
 mod news;
+mod paths;
 mod pipeline;
 mod refusal;
 mod relay;
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -20,8 +20,8 @@
 /// Largest answer of a plain service that is held until it is whole, bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
-/// A server's failure that is passed on if no other server does better.
-struct Failure {
+/// An answer that came to its end.
+struct WholeAnswer {
     parts: response::Parts,
     body: Bytes,
 }
@@ -85,36 +85,33 @@
                 failure = Some(whole);
                 continue;
             }
-            self.settle(CallEnd::Answered {
-                status,
-                body: &whole.body,
-            })
-            .await;
-            return Ok(self.pass_on(whole));
+            return Ok(self.pass_on(whole).await);
         }
     }
 
     /// The last failure of a server, which the caller gets if there is nothing better.
     async fn pass_on_failure(
         &mut self,
-        failure: Option<Failure>,
+        failure: Option<WholeAnswer>,
         refusal: Refusal,
     ) -> Result<Response<AnswerBody>, Refusal> {
         match failure {
             Some(failure) => {
-                self.settle(CallEnd::Answered {
-                    status: failure.parts.status,
-                    body: &failure.body,
-                })
-                .await;
+                let answer = self.pass_on(failure).await;
                 self.end("failure of the server passed on", 0);
-                Ok(self.pass_on(failure))
+                Ok(answer)
             }
             None => Err(self.refused(refusal).await),
         }
     }
 
-    fn pass_on(&self, whole: Failure) -> Response<AnswerBody> {
+    /// The answer for the caller, once what must be kept of the request is kept.
+    async fn pass_on(&self, whole: WholeAnswer) -> Response<AnswerBody> {
+        self.settle(CallEnd::Answered {
+            status: whole.parts.status,
+            body: &whole.body,
+        })
+        .await;
         let mut answer = Response::new(full_body(whole.body));
         *answer.status_mut() = whole.parts.status;
         let headers = whole.parts.headers;
@@ -123,10 +120,10 @@
     }
 
     /// Reads an answer to its end; none if it broke off or is not the server's own.
-    async fn read_whole(&mut self, answer: Answer) -> Option<Failure> {
+    async fn read_whole(&mut self, answer: Answer) -> Option<WholeAnswer> {
         let server = answer.in_flight.server().clone();
-        let (parts, body) = answer.response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES);
+        let parts = answer.parts;
+        let body = Limited::new(answer.body, MAX_ANSWER_BYTES);
         let remaining = self.call.remaining(self.board.now());
         let read = tokio::time::timeout(remaining, body.collect()).await;
         let now = self.board.now();
@@ -134,14 +131,9 @@
         match read {
             Ok(Ok(body)) if is_own && !answer.head.is_encoded => {
                 server.note_heard(now);
-                self.note_attempt(&answer.in_flight, AttemptEnd::Whole);
-                let mut connection = answer.connection;
-                if !answer.head.is_closing {
-                    connection.set_idle(answer.head.keep_alive, now);
-                    let most = self.board.idle_allowed(&self.call.service);
-                    server.keep_connection(connection, most);
-                }
-                Some(Failure {
+                self.note_attempt(answer.in_flight.at(), AttemptEnd::Whole);
+                self.keep_connection(&server, answer.connection, &answer.head, now);
+                Some(WholeAnswer {
                     parts,
                     body: body.to_bytes(),
                 })
@@ -153,7 +145,7 @@
             }
             Ok(Err(_)) => {
                 self.log_step("answer_broken", &server.entry.name, "broke off", &[]);
-                self.note_attempt(&answer.in_flight, AttemptEnd::Broken);
+                self.note_attempt(answer.in_flight.at(), AttemptEnd::Broken);
                 note_break(&self.board, &self.call, &answer.in_flight, now).await;
                 None
             }
@@ -170,7 +162,7 @@
                 Ok(answer) => answer,
                 Err(refusal) => return self.pass_on_failure(failure, refusal).await,
             };
-            let status = answer.response.status();
+            let status = answer.parts.status;
             if !status.is_success() {
                 if let Some(read) = self.read_failure(answer, status).await {
                     failure = Some(read);
@@ -188,8 +180,7 @@
                 continue;
             }
             let sent_at = answer.sent_at;
-            let (parts, head_less) = split(answer);
-            let mut source = EventSource::new(head_less, resume_after.is_some());
+            let (parts, mut source) = EventSource::new(answer, resume_after.is_some());
             match source.next(&self).await {
                 Next::Events(first) => {
                     let now = self.board.now();
@@ -241,7 +232,7 @@
     }
 
     /// A server's failure on a stream's route.
-    async fn read_failure(&mut self, answer: Answer, status: StatusCode) -> Option<Failure> {
+    async fn read_failure(&mut self, answer: Answer, status: StatusCode) -> Option<WholeAnswer> {
         let server = answer.in_flight.server().clone();
         let sent_at = answer.sent_at;
         let whole = self.read_whole(answer).await?;
@@ -252,12 +243,3 @@
         (!self.board.dialect.promises_not_run(status)).then_some(whole)
     }
 }
-
-/// Takes the head of an answer apart from what brings its body.
-fn split(answer: Answer) -> (response::Parts, Answer) {
-    let (parts, body) = answer.response.into_parts();
-    let mut response = Response::new(body);
-    *response.status_mut() = parts.status;
-    let rest = Answer { response, ..answer };
-    (parts, rest)
-}
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -6,14 +6,17 @@
 use clementinearch_policy::{routes::Kind, server_health::Sign, time::Millis};
 use futures::{Stream, StreamExt};
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::{
+    body::{Bytes, Frame, Incoming},
+    http::response,
+};
 use tokio::sync::mpsc;
 
 use crate::{
     attempt::{Answer, is_dark, is_silent_for_too_long, note_break, note_outcome, patience},
     connections::Connection,
     control::{AttemptEnd, CallEnd},
-    dialect::EventReader,
+    dialect::{AnswerHead, EventReader},
     refusal::Refusal,
     run::Run,
     server::InFlight,
@@ -46,8 +49,7 @@
     reader: Box<dyn EventReader>,
     connection: Option<Connection>,
     in_flight: InFlight,
-    keep_alive: Option<Duration>,
-    is_closing: bool,
+    head: AnswerHead,
     is_resumed: bool,
     has_ended: bool,
     /// When the last event came, or the request was sent.
@@ -55,19 +57,19 @@
 }
 
 impl EventSource {
-    /// Events of an answer, which goes on after an earlier one if `is_resumed`.
-    pub(crate) fn new(answer: Answer, is_resumed: bool) -> Self {
-        Self {
-            body: answer.response.into_body(),
+    /// The head of an answer, and its events, which go on after earlier ones if `is_resumed`.
+    pub(crate) fn new(answer: Answer, is_resumed: bool) -> (response::Parts, Self) {
+        let source = Self {
+            body: answer.body,
             reader: answer.reader,
             connection: Some(answer.connection),
             in_flight: answer.in_flight,
-            keep_alive: answer.head.keep_alive,
-            is_closing: answer.head.is_closing,
+            head: answer.head,
             is_resumed,
             has_ended: false,
             last_event: answer.sent_at,
-        }
+        };
+        (answer.parts, source)
     }
 
     /// Id of the last whole event.
@@ -114,9 +116,8 @@
                         Ok(events) => events,
                         Err(bad) => return self.broken(run, bad.reason()),
                     };
-                    self.has_ended = self.reader.has_ended();
-                    if self.has_ended {
-                        run.note_attempt(&self.in_flight, AttemptEnd::Whole);
+                    if self.reader.has_ended() {
+                        self.end(run);
                     }
                     if !events.is_empty() {
                         self.last_event = now;
@@ -128,13 +129,14 @@
                 Ok(None) if !self.reader.is_whole(true) => {
                     return Next::Broken("stream ended within an event");
                 }
-                Ok(None) if self.reader.events() == 0 && self.is_without_events() => {
+                Ok(None) if self.is_without_events() => {
                     return Next::Broken("stream without events");
                 }
                 Ok(None) => {
-                    self.keep_connection(run, now);
-                    self.has_ended = true;
-                    run.note_attempt(&self.in_flight, AttemptEnd::Whole);
+                    if let Some(connection) = self.connection.take() {
+                        run.keep_connection(self.in_flight.server(), connection, &self.head, now);
+                    }
+                    self.end(run);
                 }
                 Err(_) => {
                     if let Some(why) = self.stall(run, now).await {
@@ -147,7 +149,13 @@
 
     /// Whether a clean end now would leave the caller with nothing at all.
     fn is_without_events(&self) -> bool {
-        !self.is_resumed && !self.reader.is_whole(false)
+        self.reader.events() == 0 && !self.is_resumed && !self.reader.is_whole(false)
+    }
+
+    /// The stream is complete.
+    fn end(&mut self, run: &Run) {
+        self.has_ended = true;
+        run.note_attempt(self.in_flight.at(), AttemptEnd::Whole);
     }
 
     /// The stream broke, unless what came proves the answer whole.
@@ -155,8 +163,7 @@
         if !self.reader.is_whole(false) {
             return Next::Broken(why);
         }
-        self.has_ended = true;
-        run.note_attempt(&self.in_flight, AttemptEnd::Whole);
+        self.end(run);
         Next::End
     }
 
@@ -184,16 +191,6 @@
             .await
             .then_some("server silent")
     }
-
-    fn keep_connection(&mut self, run: &Run, now: Millis) {
-        if let Some(mut connection) = self.connection.take()
-            && !self.is_closing
-        {
-            connection.set_idle(self.keep_alive, now);
-            let most = run.board.idle_allowed(&run.call.service);
-            self.in_flight.server().keep_connection(connection, most);
-        }
-    }
 }
 
 /// Why a stream cannot be completed.
@@ -350,9 +347,9 @@
                 Ok(answer) => answer,
                 Err(refusal) => return Err(Uncompleted { why, refusal }),
             };
-            if answer.response.status().is_success() && !answer.head.is_encoded {
+            if answer.parts.status.is_success() && !answer.head.is_encoded {
                 // The old run ends here: its connection closes with it.
-                self.source = EventSource::new(answer, true);
+                (_, self.source) = EventSource::new(answer, true);
                 return Ok(());
             }
             let server = answer.in_flight.server();
@@ -367,7 +364,7 @@
         let in_flight = source.in_flight();
         let server = in_flight.server();
         let now = self.board.now();
-        self.note_attempt(in_flight, AttemptEnd::Broken);
+        self.note_attempt(in_flight.at(), AttemptEnd::Broken);
         self.log_step(
             "stream_broken",
             &server.entry.name,
--- a/router/src/relayed.rs
+++ b/router/src/relayed.rs
@@ -2,7 +2,6 @@
 //! others, and a host that is cut off from the store asks any peer that knows more.
 
 use std::{
-    convert::Infallible,
     io::{self, Read, Write},
     net::SocketAddr,
     sync::Arc,
@@ -11,19 +10,14 @@
 
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::{Bytes, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{HeaderMap, Request, StatusCode, body::Bytes};
 use parking_lot::Mutex;
 use tokio::{net::TcpListener, time::timeout};
 
 use crate::{
     board::Board,
     connections::{Connection, Sent, connect},
+    paths::{self, PathAnswer, with_status},
     view::{Span, ViewRows},
 };
 
@@ -107,25 +101,14 @@
 /// Serves this host's view to peers.
 pub(crate) async fn serve(board: Arc<Board>, listener: TcpListener) {
     let answers = Arc::new(Answers::default());
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+    let answer = move |path: String| {
         let (board, answers) = (board.clone(), answers.clone());
-        let service = service_fn(move |req: Request<Incoming>| {
-            let (board, answers) = (board.clone(), answers.clone());
-            async move { Ok::<_, Infallible>(answer(&board, &answers, req.uri().path()).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE)
-            .serve_connection(TokioIo::new(stream), service);
-        // The peer meets the error too.
-        tokio::spawn(async move { drop(connection.await) });
-    }
+        async move { answer(&board, &answers, &path).await }
+    };
+    paths::serve(listener, IDLE, answer).await;
 }
 
-async fn answer(board: &Board, answers: &Answers, path: &str) -> Response<Full<Bytes>> {
+async fn answer(board: &Board, answers: &Answers, path: &str) -> PathAnswer {
     let after = path
         .strip_prefix(CHANGES_PATH)
         .and_then(|revision| revision.parse().ok());
@@ -144,12 +127,6 @@
     answer
 }
 
-fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(body));
-    *answer.status_mut() = status;
-    answer
-}
-
 /// Reads changes from peers, over one kept connection.
 #[derive(Debug, Default)]
 pub(crate) struct RelayClient {
--- a/router/src/run.rs
+++ b/router/src/run.rs
@@ -14,11 +14,13 @@
     board::Board,
     call::{Call, ModelChoice},
     choice::Choice,
+    connections::Connection,
     control::{Asking, AttemptEnd, CallEnd, Choosing},
     decision_log::{Decision, Weight},
+    dialect::AnswerHead,
     measures::{self, Phase},
     refusal::Refusal,
-    server::{InFlight, Permit},
+    server::{AttemptAt, Permit, Server},
 };
 
 /// Sends of one request, refused ones included.
@@ -44,7 +46,7 @@
     /// Servers that began, or may have begun, to run the request.
     runs: u32,
     sends: u32,
-    pub(crate) may_have_run: bool,
+    may_have_run: bool,
     pub(crate) size: usize,
     has_ended: bool,
     /// The place that the request holds until its end.
@@ -188,9 +190,24 @@
     }
 
     /// Takes in how an attempt ended.
-    pub(crate) fn note_attempt(&self, in_flight: &InFlight, end: AttemptEnd) {
-        let control = &self.board.control;
-        control.note_attempt(&self.call, in_flight.at(), end);
+    pub(crate) fn note_attempt(&self, at: AttemptAt<'_>, end: AttemptEnd) {
+        self.board.control.note_attempt(&self.call, at, end);
+    }
+
+    /// Keeps a connection whose answer came to its end, unless the server closes it.
+    pub(crate) fn keep_connection(
+        &self,
+        server: &Server,
+        mut connection: Connection,
+        head: &AnswerHead,
+        now: Millis,
+    ) {
+        if head.is_closing {
+            return;
+        }
+        connection.set_idle(head.keep_alive, now);
+        let most = self.board.idle_allowed(&self.call.service);
+        server.keep_connection(connection, most);
     }
 
     /// Ends the request without an answer of a server.
@@ -334,6 +351,7 @@
             self.running = choice.running;
             let in_flight = choice.in_flight;
             let server = in_flight.server().clone();
+            let at = server.at(in_flight.is_trial());
             self.sends += 1;
             self.first_sent.get_or_insert(now);
             self.last_sent = now;
@@ -348,26 +366,26 @@
                 pending: Duration::from_secs_f64(self.pending_ms / 1_000.0),
                 may_give_up: &|now| self.attempts_left() > 1 && self.may_give_up(now),
             };
-            match query.run(&in_flight).await {
-                Attempted::Answered(received) => {
+            match query.run(in_flight).await {
+                Attempted::Answered(answer) => {
                     measures::count_attempt("answered");
                     self.runs += 1;
                     self.may_have_run = true;
-                    return Ok(received.into_answer(in_flight));
+                    return Ok(*answer);
                 }
                 Attempted::NotRun { why } => {
                     measures::count_attempt(why);
                     if why == NOT_REACHED {
                         self.give_back(now);
                     }
-                    self.note_attempt(&in_flight, AttemptEnd::NotRun);
+                    self.note_attempt(at, AttemptEnd::NotRun);
                     self.log_step("attempt_not_run", &server.entry.name, why, &[]);
                 }
                 Attempted::Lost { why } => {
                     measures::count_attempt(why);
                     self.runs += 1;
                     self.may_have_run = true;
-                    self.note_attempt(&in_flight, AttemptEnd::Broken);
+                    self.note_attempt(at, AttemptEnd::Broken);
                     self.log_step("attempt_lost", &server.entry.name, why, &[]);
                     if !self.call.head.route.kind.may_repeat() {
                         return Err(Refusal::MayHaveRun { reason: why });
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -204,6 +204,15 @@
         &self.entry
     }
 
+    /// The server of an attempt, as those who decide know it.
+    pub(crate) fn at(&self, is_trial: bool) -> AttemptAt<'_> {
+        AttemptAt {
+            name: &self.entry.name,
+            address: self.entry.address,
+            is_trial,
+        }
+    }
+
     /// Requests of this host that run on it.
     pub fn own_running(&self) -> u32 {
         self.seen.lock().own_running
@@ -382,13 +391,14 @@
         self
     }
 
+    /// Whether the attempt is the trial of a suspect request.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     /// The server as those who decide know it.
     pub(crate) fn at(&self) -> AttemptAt<'_> {
-        AttemptAt {
-            name: &self.server.entry.name,
-            address: self.server.entry.address,
-            is_trial: self.trial.is_some(),
-        }
+        self.server.at(self.is_trial())
     }
 
     /// The server.
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -133,8 +133,7 @@
 
     /// Whether anything that matters to peers changed after `revision`.
     pub(crate) fn has_news(&self, revision: u64) -> bool {
-        let removed = self.removals.back().is_some_and(|(_, at)| *at > revision);
-        removed || self.items.values().any(|held| held.material > revision)
+        self.material_revisions().any(|at| at > revision)
     }
 
     /// Takes in all items of the store. `grace_from` is set if the store was away until then.
