Hold a refusal once, and the spans of attempts in one type

The product's Refusal repeated the fields of the path's TypedRefusal, with a mapping of what is known of the work in both directions. It wraps it now and maps once, where the wire's type is written. Chat requests and service calls each held a span and the one under way in the same way: AttemptSpans. Behaviour and exported spans stay as they are.

--- a/host/src/refusal.rs
+++ b/host/src/refusal.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_border::{ErrorBody, ErrorDetail, RunState};
 use clementinearch_policy::{choose::ChooseError, request_id::RequestIdError};
-use clementinearch_router::{AnswerBody, full_body};
+use clementinearch_router::{AnswerBody, Refusal as PathRefusal, TypedRefusal, Work, full_body};
 use hyper::{
     Response, StatusCode,
     body::Bytes,
@@ -16,17 +16,18 @@
 
 /// Why a request gets no success.
 #[derive(Clone, Debug)]
-pub(crate) struct Refusal {
-    /// HTTP status.
-    pub(crate) status: StatusCode,
-    /// Stable machine-readable code.
-    pub(crate) code: &'static str,
-    /// Explanation for a person.
-    pub(crate) message: String,
-    /// What is known about the work.
-    pub(crate) run: RunState,
-    /// When to come back.
-    pub(crate) retry_after: Option<Duration>,
+pub(crate) struct Refusal(TypedRefusal);
+
+impl From<TypedRefusal> for Refusal {
+    fn from(typed: TypedRefusal) -> Self {
+        Self(typed)
+    }
+}
+
+impl From<Refusal> for PathRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self::Typed(refusal.0)
+    }
 }
 
 impl Refusal {
@@ -36,13 +37,13 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self {
+        Self(TypedRefusal {
             status,
             code,
             message: message.into(),
-            run: RunState::NotRun,
+            work: Work::NotRun,
             retry_after: None,
-        }
+        })
     }
 
     /// A refusal of a request that is wrong in itself.
@@ -56,16 +57,23 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self {
-            run: RunState::MayHaveRun,
-            ..Self::not_run(status, code, message)
-        }
+        Self::not_run(status, code, message).with_work(Work::MayHaveRun)
+    }
+
+    /// A refusal of work that was run, whose answer is gone.
+    pub(crate) fn ran(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self::not_run(status, code, message).with_work(Work::Ran)
+    }
+
+    fn with_work(mut self, work: Work) -> Self {
+        self.0.work = work;
+        self
     }
 
     /// Tells the caller when to come back. Half of `after` is random, so that callers do not come back together.
     pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
         let spread = after.mul_f64(0.5 + fastrand::f64() / 2.0);
-        self.retry_after = Some(spread);
+        self.0.retry_after = Some(spread);
         self
     }
 
@@ -73,10 +81,14 @@
     pub(crate) fn body(&self) -> ErrorBody {
         ErrorBody {
             error: ErrorDetail {
-                code: self.code.to_owned(),
-                message: self.message.clone(),
-                run: self.run,
-                retry_after_ms: self.retry_after.map(|after| after.as_millis() as u64),
+                code: self.0.code.to_owned(),
+                message: self.0.message.clone(),
+                run: match self.0.work {
+                    Work::NotRun => RunState::NotRun,
+                    Work::MayHaveRun => RunState::MayHaveRun,
+                    Work::Ran => RunState::WasRun,
+                },
+                retry_after_ms: self.0.retry_after.map(|after| after.as_millis() as u64),
             },
         }
     }
@@ -84,8 +96,8 @@
     /// The answer for the caller.
     pub(crate) fn answer(&self) -> Answer {
         let json = serde_json::to_string(&self.body()).unwrap_or_default();
-        let mut answer = json_answer(self.status, json);
-        if let Some(after) = self.retry_after {
+        let mut answer = json_answer(self.0.status, json);
+        if let Some(after) = self.0.retry_after {
             let seconds = after.as_millis().div_ceil(1000) as u64;
             answer.headers_mut().insert(RETRY_AFTER, seconds.into());
         }
--- a/host/src/requests/chat.rs
+++ b/host/src/requests/chat.rs
@@ -23,7 +23,7 @@
     refusal::Refusal,
     requests::asked::{Asked, next_position, route},
     requests::callers::{App, Caller},
-    telemetry::Span,
+    telemetry::AttemptSpans,
 };
 
 /// Servers that one request may run on.
@@ -55,8 +55,7 @@
     /// Label of the answer's rating, if a cascade chose the model.
     pub(crate) cascade: Option<String>,
     priority: String,
-    span: Span,
-    attempt_span: Mutex<Option<Span>>,
+    attempts: AttemptSpans,
     progress: Mutex<Progress>,
 }
 
@@ -68,22 +67,19 @@
 
     /// Headers towards an engine.
     pub(crate) fn attempt_headers(&self, order: &AttemptOrder<'_>) -> Vec<(&'static str, String)> {
-        let span = self.span.child("attempt");
-        span.set("server", order.server.to_owned());
         let mut headers = vec![
             ("x-request-id", self.request_id.simple()),
             ("x-priority", self.priority.clone()),
             ("x-attempt-id", self.attempt_id(order.number)),
             ("x-resume-from", next_position(order).to_string()),
         ];
-        headers.extend(span.headers());
-        *self.attempt_span.lock() = Some(span);
+        headers.extend(self.attempts.begin(order.server));
         headers
     }
 
     /// Ends the span of the attempt under way.
     pub(crate) fn end_attempt(&self, end: &str) {
-        if let Some(span) = self.attempt_span.lock().take() {
+        if let Some(span) = self.attempts.end() {
             span.set("end", end.to_owned());
         }
     }
@@ -342,8 +338,7 @@
         session_token,
         cascade,
         priority: header(headers, "x-priority").unwrap_or("1").to_owned(),
-        span: asked.span.child("completion"),
-        attempt_span: Mutex::default(),
+        attempts: AttemptSpans::new(asked.span.child("completion"), "attempt"),
         progress: Mutex::default(),
     };
     job.fill(app, asked, request, call)
--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -3,11 +3,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_border::RunState;
 use clementinearch_policy::routes::{Kind, Route, RoutingTable};
 use clementinearch_router::{
     AnswerBody, AnswerHead, AttemptOrder, Call, CallHead, Dialect, EventReader, ModelChoice,
-    Refusal as PathRefusal, TypedRefusal, Verdict, Work,
+    Refusal as PathRefusal, Verdict,
 };
 use hyper::{
     HeaderMap, Response, StatusCode,
@@ -251,35 +250,3 @@
         insert(headers, "x-cascade", label);
     }
 }
-
-impl From<Refusal> for PathRefusal {
-    fn from(refusal: Refusal) -> Self {
-        Self::Typed(TypedRefusal {
-            status: refusal.status,
-            code: refusal.code,
-            message: refusal.message,
-            work: match refusal.run {
-                RunState::NotRun => Work::NotRun,
-                RunState::MayHaveRun => Work::MayHaveRun,
-                RunState::WasRun => Work::Ran,
-            },
-            retry_after: refusal.retry_after,
-        })
-    }
-}
-
-impl From<TypedRefusal> for Refusal {
-    fn from(typed: TypedRefusal) -> Self {
-        Self {
-            status: typed.status,
-            code: typed.code,
-            message: typed.message,
-            run: match typed.work {
-                Work::NotRun => RunState::NotRun,
-                Work::MayHaveRun => RunState::MayHaveRun,
-                Work::Ran => RunState::WasRun,
-            },
-            retry_after: typed.retry_after,
-        }
-    }
-}
--- a/host/src/requests/services.rs
+++ b/host/src/requests/services.rs
@@ -22,7 +22,7 @@
     requests::asked::{Asked, ServiceTarget, route},
     requests::callers::{App, Caller},
     requests::chat::{read_deadline, read_request_id},
-    telemetry::Span,
+    telemetry::AttemptSpans,
 };
 
 /// Servers that one call may run on.
@@ -52,8 +52,7 @@
     id: RequestId,
     deadline: Millis,
     guard: Guard,
-    span: Span,
-    attempt_span: Mutex<Option<Span>>,
+    attempts: AttemptSpans,
 }
 
 /// Checks a call, takes its claim if it needs one, and turns it into one for a server of the
@@ -115,8 +114,7 @@
         id,
         deadline,
         guard,
-        span: asked.span.child("service"),
-        attempt_span: Mutex::default(),
+        attempts: AttemptSpans::new(asked.span.child("service"), "service call"),
     }));
     Ok(None)
 }
@@ -174,11 +172,11 @@
 fn answered_before(status: u16, answer: Option<String>) -> Result<Response<AnswerBody>, Refusal> {
     let Some(answer) = answer else {
         let message = "the call was run; its answer was too large to keep";
-        let refusal = Refusal::may_have_run(StatusCode::CONFLICT, "answer_not_kept", message);
-        return Err(Refusal {
-            run: clementinearch_border::RunState::WasRun,
-            ..refusal
-        });
+        return Err(Refusal::ran(
+            StatusCode::CONFLICT,
+            "answer_not_kept",
+            message,
+        ));
     };
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     let mut replay = json_answer(status, answer);
@@ -200,17 +198,14 @@
 impl ServiceCall {
     /// Headers towards a server.
     pub(crate) fn attempt_headers(&self, order: &AttemptOrder<'_>) -> Vec<(&'static str, String)> {
-        let span = self.span.child("service call");
-        span.set("server", order.server.to_owned());
         let mut headers = vec![(ID_HEADER, self.id.simple())];
-        headers.extend(span.headers());
-        *self.attempt_span.lock() = Some(span);
+        headers.extend(self.attempts.begin(order.server));
         headers
     }
 
     /// Ends the span of the attempt under way.
     pub(crate) fn end_attempt(&self) {
-        self.attempt_span.lock().take();
+        self.attempts.end();
     }
 
     /// Checks again that the call may be sent: the host may have been paused since its claim.
--- a/host/src/telemetry.rs
+++ b/host/src/telemetry.rs
@@ -9,6 +9,7 @@
     trace::{SpanKind, TraceContextExt, Tracer},
 };
 use opentelemetry_sdk::{propagation::TraceContextPropagator, trace::SdkTracerProvider};
+use parking_lot::Mutex;
 
 use crate::{
     error::Error,
@@ -120,3 +121,35 @@
         pairs.0
     }
 }
+
+/// Spans of a request's attempts, one after the other.
+pub(crate) struct AttemptSpans {
+    request: Span,
+    name: &'static str,
+    under_way: Mutex<Option<Span>>,
+}
+
+impl AttemptSpans {
+    /// Attempts of the request whose span is `request`, each under `name`.
+    pub(crate) fn new(request: Span, name: &'static str) -> Self {
+        Self {
+            request,
+            name,
+            under_way: Mutex::default(),
+        }
+    }
+
+    /// Begins the span of an attempt on `server`. Returns the headers that carry it there.
+    pub(crate) fn begin(&self, server: &str) -> Vec<(&'static str, String)> {
+        let span = self.request.child(self.name);
+        span.set("server", server.to_owned());
+        let headers = span.headers();
+        *self.under_way.lock() = Some(span);
+        headers
+    }
+
+    /// The span under way, which ends when it is dropped.
+    pub(crate) fn end(&self) -> Option<Span> {
+        self.under_way.lock().take()
+    }
+}
