Share what the tests on loopback have in common

Networks, claims and waits were written once for the fleet and once for the users' platform; plain answers, calls that may not be repeated, starts of engines and a short question stood in several files. The stand-ins' reader of text fields of a query was the reader of numbers again.

--- a/host/tests/configuration.rs
+++ b/host/tests/configuration.rs
@@ -26,12 +26,7 @@
 }
 
 fn ask(fleet: &Fleet, host: usize) -> Answer {
-    chat(
-        &fleet.hosts[host],
-        "one",
-        &[],
-        &chat_body("side A", 2, false),
-    )
+    fleet::ask(&fleet.hosts[host])
 }
 
 fn starts(fleet: &Fleet, version: &str) -> usize {
--- a/host/tests/fleet/client.rs
+++ b/host/tests/fleet/client.rs
@@ -121,6 +121,11 @@
     send("POST", host.callers(), "/v1/chat/completions", &all, body).unwrap()
 }
 
+/// Asks for a short whole answer under the plan `one`.
+pub fn ask(host: &EntryHost) -> Answer {
+    chat(host, "one", &[], &chat_body("side A", 2, false))
+}
+
 /// Calls a plain service.
 pub fn call(
     host: &EntryHost,
--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -10,17 +10,18 @@
 mod client;
 mod link;
 mod lists;
+#[path = "../loopback/mod.rs"]
+mod loopback;
 
 use std::{
     fs,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
-    thread,
     time::{Duration, Instant},
 };
 
@@ -34,9 +35,12 @@
 
 pub use client::*;
 pub use lists::*;
+pub use loopback::wait_until;
+use loopback::{HANG_GUARD, claim_network};
 
-/// A hang guard, not a bound: every wait ends long before.
-const HANG_GUARD: Duration = Duration::from_secs(60);
+/// Networks of fleets: 127.16 and up.
+const FIRST_BLOCK: u8 = 16;
+const BLOCKS: u8 = 200;
 
 const CALLERS_PORT: u16 = 8080;
 const PEERS_PORT: u16 = 7070;
@@ -64,15 +68,6 @@
     stale: false,
 };
 
-/// Waits until `condition` holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !condition() {
-        assert!(began.elapsed() < HANG_GUARD, "gave up waiting until {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// The present time.
 pub fn now() -> Millis {
     let elapsed = std::time::SystemTime::now()
@@ -192,36 +187,6 @@
     }
 }
 
-/// Claims of this process's fleets, kept to its end: so long their stores listen.
-static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
-
-/// A network of loopback addresses for one fleet, claimed by a listener so that no other test of
-/// this or another process takes it.
-fn claim_network() -> (u8, u8) {
-    const NETWORKS: u32 = 200 * 256;
-    const CLAIM_IP: u8 = 254;
-    let first = std::process::id() * 32;
-    let number = |offset: u32| (first + offset) % NETWORKS;
-    let networks = (0..NETWORKS).map(|offset| {
-        (
-            16 + (number(offset) / 256) as u8,
-            (number(offset) % 256) as u8,
-        )
-    });
-    let claim = |network: (u8, u8)| {
-        let ip = Ipv4Addr::new(127, network.0, network.1, CLAIM_IP);
-        TcpListener::bind((ip, STORE_PORT))
-            .ok()
-            .map(|listener| (network, listener))
-    };
-    let (network, listener) = networks
-        .into_iter()
-        .find_map(claim)
-        .expect("a network is free");
-    CLAIMS.lock().unwrap().push(listener);
-    network
-}
-
 /// A fleet under test.
 pub struct Fleet {
     network: (u8, u8),
@@ -270,7 +235,7 @@
     /// A fleet whose store is started by the test.
     pub fn without_store() -> Self {
         Self {
-            network: claim_network(),
+            network: claim_network(FIRST_BLOCK, BLOCKS, STORE_PORT),
             has_links: false,
             links: Vec::new(),
             store: Arc::new(MemoryStore::new()),
@@ -411,6 +376,13 @@
         text.lines().map(str::to_owned).collect()
     }
 
+    /// Requests that a model engine began to run so far.
+    pub fn starts(&self, number: usize) -> usize {
+        let log = self.log(number);
+        log.iter().filter(|line| line.starts_with("start")).count()
+    }
+
+    /// Kills a backend server.
     pub fn kill_backend(&mut self, number: usize) {
         self.backends[number].1 = None;
     }
--- a/host/tests/overload.rs
+++ b/host/tests/overload.rs
@@ -151,13 +151,7 @@
             })
         })
         .collect();
-    let starts = || {
-        fleet
-            .log(0)
-            .iter()
-            .filter(|line| line.starts_with("start"))
-            .count()
-    };
+    let starts = || fleet.starts(0);
     wait_until("the pool is full", || starts() >= 3);
     let deadline = now().after(Duration::from_millis(900)).0.to_string();
     let refused = chat(
--- a/host/tests/partition.rs
+++ b/host/tests/partition.rs
@@ -6,7 +6,7 @@
 
 use clementinearch_border::RunState;
 use clementinearch_policy::request_id::RequestId;
-use fleet::{Answer, Fleet, call, chat, chat_body, model, now, plan, send, wait_until};
+use fleet::{Answer, Fleet, call, model, now, plan, send, wait_until};
 
 /// A zone `a` with two hosts and a zone `b` with one, an engine in each, one plain service.
 fn fleet_of_two_zones() -> Fleet {
@@ -53,12 +53,7 @@
 }
 
 fn ask(fleet: &Fleet, host: usize) -> Answer {
-    chat(
-        &fleet.hosts[host],
-        "one",
-        &[],
-        &chat_body("side A", 2, false),
-    )
+    fleet::ask(&fleet.hosts[host])
 }
 
 #[test]
--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -8,24 +8,29 @@
     reason = "each test file uses its own part of the platform"
 )]
 
+#[path = "../loopback/mod.rs"]
+mod loopback;
+
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
 };
 
 use clementinearch_standins::{
     platform_store::{Gate, PlatformStore},
-    scripted::{Received, Scripted, Step},
+    scripted::{Received, Scripted, Step, whole},
 };
+pub use loopback::wait_until;
+use loopback::{HANG_GUARD, claim_network};
 use serde_json::{Value, json};
 
-/// A hang guard, not a bound: every wait ends long before.
-const HANG_GUARD: Duration = Duration::from_secs(60);
+/// Networks of the users' platform: 127.220 and up.
+const FIRST_BLOCK: u8 = 220;
+const BLOCKS: u8 = 20;
 
 const CALLERS_PORT: u16 = 8080;
 const READINESS_PORT: u16 = 8081;
@@ -34,40 +39,11 @@
 const STORE_PORT: u16 = 2380;
 const BACKEND_PORT: u16 = 8000;
 
-/// IPs within a network: the claim, ways to the store, hosts, backend servers.
-const CLAIM_IP: u8 = 254;
+/// IPs within a network: ways to the store, hosts, backend servers.
 const FIRST_GATE_IP: u8 = 1;
 const FIRST_HOST_IP: u8 = 60;
 const FIRST_BACKEND_IP: u8 = 120;
 
-/// Claims of this process's networks, kept to its end.
-static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
-
-/// A network of loopback addresses that no other test takes.
-fn claim_network() -> (u8, u8) {
-    const NETWORKS: u32 = 20 * 256;
-    let first = std::process::id() * 32;
-    for offset in 0..NETWORKS {
-        let number = (first + offset) % NETWORKS;
-        let network = (220 + (number / 256) as u8, (number % 256) as u8);
-        let ip = Ipv4Addr::new(127, network.0, network.1, CLAIM_IP);
-        if let Ok(listener) = TcpListener::bind((ip, STORE_PORT)) {
-            CLAIMS.lock().unwrap().push(listener);
-            return network;
-        }
-    }
-    panic!("no network is free");
-}
-
-/// Waits until `condition` holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !condition() {
-        assert!(began.elapsed() < HANG_GUARD, "gave up waiting until {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// An entry host process.
 pub struct Host {
     process: Child,
@@ -240,6 +216,19 @@
     )
 }
 
+/// A plain answer that is whole.
+pub fn ok(received: &Received) -> Vec<Step> {
+    vec![Step::Send(whole(received, "200 OK", "", "done"))]
+}
+
+/// Sends calls that may not be repeated, each under an id of its own; all get `status`.
+pub fn pay(host: &Host, calls: usize, status: u16) {
+    for number in 0..calls {
+        let answer = ask(host, "POST /pay/1", &format!("id-{number}"), "", "x");
+        assert_eq!(answer.status, status);
+    }
+}
+
 /// Sends one request over a connection of its own.
 pub fn ask(host: &Host, line: &str, id: &str, extra: &str, body: &str) -> Answer {
     let mut connection = Connection::open(host.callers());
@@ -264,7 +253,7 @@
             .enable_all()
             .build();
         let platform = Self {
-            network: claim_network(),
+            network: claim_network(FIRST_BLOCK, BLOCKS, STORE_PORT),
             store: Arc::default(),
             runtime: runtime.unwrap(),
             hosts: Vec::new(),
--- a/host/tests/route_answers.rs
+++ b/host/tests/route_answers.rs
@@ -6,16 +6,12 @@
 use std::time::Duration;
 
 use clementinearch_standins::scripted::{END, Received, Step, chunk, event, stream_head, whole};
-use route::{Connection, Platform, ask, request, wait_until};
+use route::{Connection, Platform, ask, ok, pay, request, wait_until};
 
 fn send(text: String) -> Step {
     Step::Send(text)
 }
 
-fn ok(received: &Received) -> Vec<Step> {
-    vec![send(whole(received, "200 OK", "", "done"))]
-}
-
 /// All events of an answer to a resumable stream, after what the caller has.
 fn all_events(received: &Received, last: u64) -> Vec<Step> {
     let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
@@ -113,16 +109,7 @@
     let (_, refusing) = platform.backend("orders", "v1", full);
     let (_, serving) = platform.backend("orders", "v1", |_, received| ok(received));
     platform.start(1);
-    for number in 0..6 {
-        let answer = ask(
-            &platform.hosts[0],
-            "POST /pay/1",
-            &format!("id-{number}"),
-            "",
-            "x",
-        );
-        assert_eq!(answer.status, 200);
-    }
+    pay(&platform.hosts[0], 6, 200);
     assert_eq!(serving.seen().len(), 6);
     assert!(!refusing.seen().is_empty());
 }
@@ -217,16 +204,7 @@
         ))]
     });
     platform.start(1);
-    for number in 0..4 {
-        let answer = ask(
-            &platform.hosts[0],
-            "POST /pay/1",
-            &format!("id-{number}"),
-            "",
-            "x",
-        );
-        assert_eq!(answer.status, 502);
-    }
+    pay(&platform.hosts[0], 4, 502);
 }
 
 #[test]
--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -8,13 +8,9 @@
     platform_store::Way,
     scripted::{END, Received, Step, chunk, event, stream_head, whole},
 };
-use route::{Connection, Platform, ask, get, request, wait_until};
+use route::{Connection, Platform, ask, get, ok, pay, request, wait_until};
 use serde_json::{Value, json};
 
-fn ok(received: &Received) -> Vec<Step> {
-    vec![Step::Send(whole(received, "200 OK", "", "done"))]
-}
-
 /// Hosts that serve before one server of plain calls.
 fn serving(hosts: usize) -> Platform {
     let mut platform = Platform::new();
@@ -228,16 +224,7 @@
     });
     let (_, right) = platform.backend("orders", "v1", |_, received| ok(received));
     platform.start(1);
-    for number in 0..4 {
-        let answer = ask(
-            &platform.hosts[0],
-            "POST /pay/1",
-            &format!("id-{number}"),
-            "",
-            "x",
-        );
-        assert_eq!(answer.status, 200);
-    }
+    pay(&platform.hosts[0], 4, 200);
     assert_eq!(right.seen().len(), 4);
 }
 
--- a/host/tests/stops.rs
+++ b/host/tests/stops.rs
@@ -14,13 +14,7 @@
 /// Opens streams at a host and waits until all of them run.
 fn open_streams(fleet: &Fleet, host: usize) -> Vec<JoinHandle<io::Result<Answer>>> {
     let callers = fleet.hosts[host].callers();
-    let attempts = || {
-        fleet
-            .log(0)
-            .iter()
-            .filter(|line| line.starts_with("start"))
-            .count()
-    };
+    let attempts = || fleet.starts(0);
     let before = attempts();
     let stream = |number: usize| {
         let body = chat_body(&format!("stream {number}"), TOKENS, true);
@@ -97,13 +91,7 @@
 #[test]
 fn a_leaving_server_goes_quiet_though_the_host_list_says_live() {
     let fleet = Fleet::serving("", 2, &["a", "a"]);
-    let starts = || {
-        fleet
-            .log(0)
-            .iter()
-            .filter(|line| line.starts_with("start"))
-            .count()
-    };
+    let starts = || fleet.starts(0);
     fleet.fault(0, "announces=1");
     // The server would take work: only the hosts' knowledge keeps it quiet.
     let refusals_known = |host: usize| {
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -243,11 +243,12 @@
     }
 
     async fn run(&self, path: &str, req: Request<Incoming>) -> io::Result<Answer> {
-        let prefix = text_query(&req, "pathPrefix");
+        let field = |name: &str| query::<String>(&req, name).unwrap_or_default();
+        let prefix = field("pathPrefix");
         match path {
             "/v1/kv-range" => {
-                let is_stale = text_query(&req, "serializable") == "1";
-                let after = text_query(&req, "after");
+                let is_stale = field("serializable") == "1";
+                let after = field("after");
                 Ok(match self.store.range(&prefix, &after, is_stale) {
                     Some(page) => text(StatusCode::OK, page.to_string()),
                     None => text(StatusCode::TOO_MANY_REQUESTS, ""),
@@ -288,11 +289,3 @@
         }
     }
 }
-
-fn text_query(req: &Request<Incoming>, name: &str) -> String {
-    let pairs = req.uri().query().unwrap_or_default().split('&');
-    let value = pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name);
-    value.map_or_else(String::new, |(_, value)| value.to_owned())
-}
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -40,8 +40,8 @@
     answer
 }
 
-/// A numeric field of the query.
-pub fn query(req: &Request<Incoming>, name: &str) -> Option<u64> {
+/// A field of the query.
+pub fn query<T: std::str::FromStr>(req: &Request<Incoming>, name: &str) -> Option<T> {
     let pairs = req.uri().query()?.split('&');
     let value = pairs
         .filter_map(|pair| pair.split_once('='))
