Log which content crashed a server, checks that found no crash, and a rollout's counts

Cause: of the incident's hypotheses none could be told from another. A crash was logged with the request's id alone, though callers send a content again under new ids; a break that was not taken for a crash left no line; nothing said how many contents a host suspects or blocks. A rollout's status was logged without the evidence that decided it.

Change: server_crashed and crash_ruled_out carry the content's hash, the crashes known of it and the result of the test connection; crash_checks_total{result}; contents_suspect, contents_blocked and the same two fields in /status; rollout_status_written names the share and the counts. No decision changes.

--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -121,6 +121,7 @@
             server,
             why,
             inputs,
+            ..Decision::default()
         };
         self.state.log.write(severity, &decision);
     }
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -30,6 +30,10 @@
     servers: usize,
     /// Live entry hosts, this one included.
     hosts: usize,
+    /// Contents of requests that ran on a crashed server.
+    suspect_contents: usize,
+    /// Contents of requests that are refused because they crash servers.
+    blocked_contents: usize,
 }
 
 /// Serves readiness probes: 200 if the host is ready and 503 otherwise, at any path.
@@ -75,6 +79,7 @@
 
 fn status(state: &HostState) -> Status {
     let now = state.now();
+    let (suspect_contents, blocked_contents) = state.suspects.lock().counts(now);
     Status {
         name: state.settings.name.to_string(),
         is_ready: state.is_ready(),
@@ -84,6 +89,8 @@
         store_age_ms: now.since(state.last_store_contact()).as_millis() as u64,
         servers: state.servers.names().len(),
         hosts: state.fleet.lock().live_hosts(now),
+        suspect_contents,
+        blocked_contents,
     }
 }
 
@@ -96,6 +103,9 @@
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
+    let (suspects, blocked) = state.suspects.lock().counts(now);
+    metrics::gauge!("clementinearch_contents_suspect").set(suspects as f64);
+    metrics::gauge!("clementinearch_contents_blocked").set(blocked as f64);
     let store_age = now.since(state.last_store_contact());
     metrics::gauge!("clementinearch_store_age_seconds").set(store_age.as_secs_f64());
     for (service, used) in state.retry_budget_used(now) {
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -4,7 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    event_stream::EventSplitter, server_health::AttemptOutcome, time::Millis,
+    crash_suspects::ContentStatus, event_stream::EventSplitter, server_health::AttemptOutcome,
+    time::Millis,
 };
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response};
@@ -12,6 +13,7 @@
 use crate::{
     call::Call,
     connections::{Connection, SendOutcome, connect},
+    decision_log::{Decision, Severity},
     dialect::{AttemptContext, EventReader, ResponseHead, Verdict},
     hooks::RequestContext,
     host_state::HostState,
@@ -206,21 +208,47 @@
     }
 }
 
-/// Whether a server that broke off a response has crashed, shown by refused connections.
-async fn has_crashed(state: &HostState, server: &Server) -> bool {
-    if refuses_connections(server).await {
-        return true;
+/// What a test connection shows of a server that broke off a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashCheck {
+    /// It refuses connections: its process has ended.
+    Refused,
+    /// It accepts connections.
+    Accepted,
+    /// It answers neither way in time.
+    Silent,
+}
+
+impl CrashCheck {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refuses connections",
+            Self::Accepted => "accepts connections",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Checks whether a server that broke off a response has crashed.
+async fn check_crash(state: &HostState, server: &Server) -> CrashCheck {
+    let first = try_connect(server).await;
+    if first == CrashCheck::Refused {
+        return first;
     }
     let Some(delay) = state.hooks.crash_recheck_delay() else {
-        return false;
+        return first;
     };
     tokio::time::sleep(delay).await;
-    refuses_connections(server).await
+    try_connect(server).await
 }
 
-async fn refuses_connections(server: &Server) -> bool {
+async fn try_connect(server: &Server) -> CrashCheck {
     let connected = tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect(server.entry.address)).await;
-    matches!(connected, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+    match connected {
+        Ok(Ok(_)) => CrashCheck::Accepted,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => CrashCheck::Refused,
+        Ok(Err(_)) | Err(_) => CrashCheck::Silent,
+    }
 }
 
 impl Attempt<'_> {
@@ -428,7 +456,11 @@
     now: Millis,
 ) {
     let server = in_flight.server();
-    if !has_crashed(state, server).await {
+    let check = check_crash(state, server).await;
+    metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
+    if check != CrashCheck::Refused {
+        let context = RequestContext { state, call, now };
+        log_crash(context, server, "crash_ruled_out", check.label());
         record_server_outcome(state, server, AttemptOutcome::Failed, now);
         state
             .rollouts
@@ -440,7 +472,28 @@
     state
         .hooks
         .record_crash(context, in_flight.attempt_target());
-    state.log_event("server_crashed", &server.entry.name, &call.head.id, &[]);
+    log_crash(context, server, "server_crashed", &call.head.id);
+}
+
+/// Logs the result of a crash check, with the crashes that the request's content is known for.
+fn log_crash(context: RequestContext<'_>, server: &Server, event: &str, why: &str) {
+    let RequestContext { state, call, now } = context;
+    let crashes = match state.hooks.suspect_status(context) {
+        ContentStatus::Clear => 0.0,
+        ContentStatus::Suspect => 1.0,
+        ContentStatus::Blocked(_) => 2.0,
+    };
+    let decision = Decision {
+        ms: now.0,
+        event,
+        id: &call.head.id,
+        route: &call.head.route.name,
+        server: &server.entry.name,
+        why,
+        content: &format!("{:016x}", call.content_hash),
+        inputs: &[("crashes", crashes)],
+    };
+    state.log.write(Severity::Important, &decision);
 }
 
 /// The result of waiting for the head of a response.
--- a/router/src/decision_log.rs
+++ b/router/src/decision_log.rs
@@ -51,6 +51,9 @@
     /// Reason or outcome.
     #[serde(skip_serializing_if = "str::is_empty")]
     pub(crate) why: &'a str,
+    /// Hash of the request's account and content, in hexadecimal.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub(crate) content: &'a str,
     /// Numbers on which the decision is based, by name.
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
     pub(crate) inputs: &'a [(&'a str, f64)],
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -239,11 +239,13 @@
         }
         Err(e) => format!("{rollout_state}: {e}"),
     };
-    let elapsed = due.status.elapsed.as_millis() as f64;
-    state.log_event(
-        "rollout_status_written",
-        &due.status.service,
-        &why,
-        &[("elapsed_ms", elapsed)],
-    );
+    let inputs = [
+        ("elapsed_ms", due.status.elapsed.as_millis() as f64),
+        ("share", due.share),
+        ("new_good", due.new.good as f64),
+        ("new_bad", due.new.bad as f64),
+        ("old_good", due.old.good as f64),
+        ("old_bad", due.old.bad as f64),
+    ];
+    state.log_event("rollout_status_written", &due.status.service, &why, &inputs);
 }
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -149,9 +149,15 @@
 }
 
 /// A status that is due in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PendingStatus {
     pub(crate) status: RolloutStatus,
+    /// Share of the sessions on the new version, from 0 to 1.
+    pub(crate) share: f64,
+    /// Responses of the new version, over all hosts that this one has heard of.
+    pub(crate) new: VersionCounts,
+    /// Responses of the old versions, likewise.
+    pub(crate) old: VersionCounts,
 }
 
 /// Age above which a peer's report no longer holds up the completion of a rollout.
@@ -458,10 +464,7 @@
         ) {
             return false;
         }
-        let reports = self.peers.values().map(|peer| &peer.report);
-        let (new, old) = reports.fold((self.new, self.old), |(new, old), report| {
-            (new.plus(report.new), old.plus(report.old))
-        });
+        let (new, old) = self.total_counts();
         match next_step(self.elapsed(now), self.order.time_limit, canary, new, old) {
             RolloutStep::RollBack => self.is_bad = true,
             RolloutStep::Share(share) if has_target => self.set_share(share, canary, now),
@@ -475,6 +478,14 @@
         self.is_bad || self.status.is_none()
     }
 
+    /// Sums of the counts of all hosts for the new and for the old versions.
+    fn total_counts(&self) -> (VersionCounts, VersionCounts) {
+        let reports = self.peers.values().map(|peer| &peer.report);
+        reports.fold((self.new, self.old), |(new, old), report| {
+            (new.plus(report.new), old.plus(report.old))
+        })
+    }
+
     fn set_share(&mut self, share: f64, canary: f64, now: Millis) {
         self.share = share;
         if share > canary {
@@ -510,7 +521,11 @@
         } else {
             RolloutState::Completed
         };
+        let (new, old) = self.total_counts();
         (self.status != Some(state)).then(|| PendingStatus {
+            share: self.share,
+            new,
+            old,
             status: RolloutStatus {
                 service: self.order.service.clone(),
                 target: self.order.target.clone(),
