--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -15,6 +15,7 @@
     fs,
     io::{BufRead, BufReader, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
@@ -47,6 +48,8 @@
 /// An entry host process.
 pub struct Host {
     process: Child,
+    /// Path of its settings.
+    settings: PathBuf,
     pub ip: IpAddr,
     pub store_endpoint: Arc<StoreEndpoint>,
     /// Log lines so far.
@@ -90,6 +93,17 @@
         self.process.wait().unwrap().success()
     }
 
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Starts the process again after it was killed. Its log goes on.
+    pub fn restart(&mut self) {
+        self.process = spawn_host(&self.settings, &self.log);
+    }
+
     /// Log lines with this event.
     pub fn logged(&self, event: &str) -> Vec<Value> {
         let log = self.log.lock().unwrap();
@@ -102,11 +116,31 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        self.kill();
     }
 }
 
+/// Starts the process of an entry host and collects its log lines.
+fn spawn_host(settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut process = Command::new(env!("CARGO_BIN_EXE_clementinearch"))
+        .args(["route", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(process.stdout.take().unwrap()).lines();
+    let sink = log.clone();
+    thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            sink.lock()
+                .unwrap()
+                .push(serde_json::from_str(&line).unwrap());
+        }
+    });
+    process
+}
+
 /// An HTTP response as a caller sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
@@ -311,7 +345,20 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "a", "version": version, "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1});
+        self.write_entry_of_start(1, name, service, version, address, state);
+    }
+
+    /// Writes a backend server's entry after its start at `born`.
+    pub fn write_entry_of_start(
+        &self,
+        born: u64,
+        name: &str,
+        service: &str,
+        version: &str,
+        address: SocketAddr,
+        state: &str,
+    ) {
+        let entry = json!({"service": service, "address": address.to_string(), "zone": "a", "version": version, "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born});
         self.store
             .put(&format!("servers/{name}"), entry.to_string());
     }
@@ -342,25 +389,10 @@
             self.network.0, self.network.1
         ));
         fs::write(&path, settings).unwrap();
-        let mut process = Command::new(env!("CARGO_BIN_EXE_clementinearch"))
-            .args(["route", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
-        let lines = BufReader::new(process.stdout.take().unwrap()).lines();
-        let sink = log.clone();
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                sink.lock()
-                    .unwrap()
-                    .push(serde_json::from_str(&line).unwrap());
-            }
-        });
         self.hosts.push(Host {
-            process,
+            process: spawn_host(&path, &log),
+            settings: path,
             ip,
             store_endpoint,
             log,
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -105,6 +105,13 @@
         state.items.get(key).map(|(value, _)| value.clone())
     }
 
+    /// Returns the keys of the items under `prefix`, in order.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
     /// Deletes the history of changes; a watch from an earlier revision then gets `410 Gone`.
     pub fn compact(&self) {
         let mut state = self.state.lock();
--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -48,6 +48,9 @@
     Close,
     /// Resets the TCP connection and stops listening, like a crashed process.
     Crash,
+    /// Stops listening and leaves the connection open without sending anything, like a crash behind
+    /// a link that loses the reset.
+    CrashSilently,
 }
 
 /// Returns the steps of the response to a request, given its number on this server from zero.
@@ -143,6 +146,12 @@
                         self.stop_listening();
                         return Ok(());
                     }
+                    Step::CrashSilently => {
+                        self.stop_listening();
+                        // Ends once the client has closed the connection.
+                        io::copy(&mut reader, &mut io::sink())?;
+                        return Ok(());
+                    }
                 }
             }
         }
