Add up the crashes that different hosts see under one content

What callers saw: a request that ended servers was sent on after the third crash (BUDGET). Cause: each host kept a number of crashes, 0, 1 or 2, and a peer's number replaced it. Two hosts that saw one crash each both held and reported one, so a content that came through many hosts at once stayed a suspect, and every host let it run once more, at any later time. Besides, a report carried the 64 newest contents: every request on a crashed server is one, so that after a few crashes no block was among them.

Change: policy::crash_evidence keeps, by content, the crashed servers with the time of each crash. The fields of the old rows stay, so that old and new hosts read each other. The product's own dialect keeps its trials (crash_suspects).

Evidence: crashes_that_hosts_see_at_the_same_moment_add_up fails before (four crashes at four hosts, never blocked, the second round reaches four more servers) and passes; its first form let all hosts pick one server, which is one crash, and is replaced by one that checks that four servers end.

--- a/host/tests/route_crashes.rs
+++ b/host/tests/route_crashes.rs
@@ -105,19 +105,32 @@
     assert!(crashed <= BLOCKING_CRASHES, "{crashed} servers crashed");
 }
 
+/// Hosts with the same view choose the same server, so each is kept busy on others first.
 #[test]
 fn crashes_that_hosts_see_at_the_same_moment_add_up() {
     const HOSTS: usize = 4;
+    const HELD: &str = "held";
     let mut platform = Platform::new();
     let is_first_round = Arc::new(AtomicBool::new(true));
     let all_run = Arc::new(Barrier::new(HOSTS));
-    let is_first = is_first_round.clone();
-    let servers = add_servers(&mut platform, 4 * HOSTS, move |_| {
-        if is_first.load(Ordering::Relaxed) {
-            all_run.wait();
-        }
-        vec![Step::Crash]
-    });
+    let servers: Vec<_> = (0..4 * HOSTS)
+        .map(|_| {
+            let (is_first_round, all_run) = (is_first_round.clone(), all_run.clone());
+            platform.add_backend("orders", "v1", move |_, received| {
+                if received.body == CRASHING && is_first_round.load(Ordering::Relaxed) {
+                    all_run.wait();
+                }
+                while received.body == HELD && is_first_round.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                if received.body == CRASHING {
+                    vec![Step::Crash]
+                } else {
+                    ok(received)
+                }
+            })
+        })
+        .collect();
     platform.start_hosts(HOSTS);
     wait_until_acquainted(&platform);
     let send_to_all = |round: usize| {
@@ -128,9 +141,22 @@
             }
         });
     };
-    send_to_all(0);
-    is_first_round.store(false, Ordering::Relaxed);
-    assert_eq!(crashing_requests(&servers), HOSTS);
+    thread::scope(|scope| {
+        for (number, host) in platform.hosts.iter().enumerate() {
+            for held in 0..number {
+                let id = format!("held-{number}-{held}");
+                let held_id = id.clone();
+                scope.spawn(move || send_request(host, "POST /pay/1", &held_id, "", HELD));
+                wait_until("the request runs", || server_of(&servers, &id).is_some());
+            }
+        }
+        send_to_all(0);
+        is_first_round.store(false, Ordering::Relaxed);
+    });
+    let crashed = |(_, server): &&(String, Arc<ScriptedServer>)| {
+        server.requests().iter().any(|it| it.body == CRASHING)
+    };
+    assert_eq!(servers.iter().filter(crashed).count(), HOSTS);
     for host in &platform.hosts {
         wait_until_blocked(host);
     }
--- a/policy/src/crash_suspects.rs
+++ b/policy/src/crash_suspects.rs
@@ -137,19 +137,6 @@
         changed
     }
 
-    /// Returns the number of suspect and of blocked contents at `now`.
-    pub fn counts(&self, now: Millis) -> (usize, usize) {
-        let mut counts = (0, 0);
-        for content in self.entries.keys() {
-            match self.status(*content, now) {
-                ContentStatus::Clear => {}
-                ContentStatus::Suspect => counts.0 += 1,
-                ContentStatus::Blocked(_) => counts.1 += 1,
-            }
-        }
-        counts
-    }
-
     /// Removes expired entries, and the oldest ones beyond [`MAX_CONTENTS`].
     pub fn expire(&mut self, now: Millis) {
         self.entries
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -79,7 +79,7 @@
 
 fn status(state: &HostState) -> Status {
     let now = state.now();
-    let (suspect_contents, blocked_contents) = state.suspects.lock().counts(now);
+    let (suspect_contents, blocked_contents) = state.crash_evidence.lock().counts(now);
     Status {
         name: state.settings.name.to_string(),
         is_ready: state.is_ready(),
@@ -103,7 +103,7 @@
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
-    let (suspects, blocked) = state.suspects.lock().counts(now);
+    let (suspects, blocked) = state.crash_evidence.lock().counts(now);
     metrics::gauge!("clementinearch_contents_suspect").set(suspects as f64);
     metrics::gauge!("clementinearch_contents_blocked").set(blocked as f64);
     let store_age = now.since(state.last_store_contact());
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -4,8 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    crash_suspects::ContentStatus, event_stream::EventSplitter, server_health::AttemptOutcome,
-    time::Millis,
+    event_stream::EventSplitter, server_health::AttemptOutcome, time::Millis,
 };
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response};
@@ -478,11 +477,9 @@
 /// Logs the result of a crash check, with the crashes that the request's content is known for.
 fn log_crash(context: RequestContext<'_>, server: &Server, event: &str, why: &str) {
     let RequestContext { state, call, now } = context;
-    let crashes = match state.hooks.suspect_status(context) {
-        ContentStatus::Clear => 0.0,
-        ContentStatus::Suspect => 1.0,
-        ContentStatus::Blocked(_) => 2.0,
-    };
+    let evidence = state.crash_evidence.lock();
+    let crashes = evidence.crash_count(call.content_hash, now);
+    drop(evidence);
     let decision = Decision {
         ms: now.0,
         event,
@@ -491,7 +488,7 @@
         server: &server.entry.name,
         why,
         content: &format!("{:016x}", call.content_hash),
-        inputs: &[("crashes", crashes)],
+        inputs: &[("crashes", crashes as f64)],
     };
     state.log.write(Severity::Important, &decision);
 }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use clementinearch_policy::{crash_suspects::SuspectRow, names::Name};
+use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -51,7 +51,8 @@
     address: SocketAddr,
     store_revision: u64,
     rollouts: Vec<RolloutReport>,
-    suspects: Vec<SuspectRow>,
+    #[serde(rename = "suspects")]
+    crash_evidence: Vec<EvidenceRow>,
 }
 
 /// Sends this host's gossip and receives that of its peers.
@@ -138,7 +139,7 @@
             rollouts: state.rollouts.reports(now, |service, target| {
                 state.running_on_other_versions(service, target)
             }),
-            suspects: state.suspects.lock().rows(now),
+            crash_evidence: state.crash_evidence.lock().rows(now),
         };
         let mut peers = state.fleet.lock().gossip_targets(now);
         peers.truncate(PEERS_PER_PERIOD);
@@ -189,7 +190,13 @@
     state
         .rollouts
         .merge_reports(&report.from, report.rollouts, now);
-    state.suspects.lock().merge(&report.suspects, now);
+    let newly_blocked = state
+        .crash_evidence
+        .lock()
+        .merge(&report.crash_evidence, now);
+    for content in newly_blocked {
+        state.log_block(content, "peer");
+    }
     let peer = PeerInfo {
         name: report.from,
         address: report.address,
--- a/router/src/hooks.rs
+++ b/router/src/hooks.rs
@@ -122,16 +122,14 @@
 
     /// Returns whether the request's content is suspected of crashing servers or blocked.
     fn suspect_status(&self, context: RequestContext<'_>) -> ContentStatus {
-        let suspects = context.state.suspects.lock();
-        suspects.status(context.call.content_hash, context.now)
+        let evidence = context.state.crash_evidence.lock();
+        evidence.status(context.call.content_hash, context.now)
     }
 
-    /// Records that a server crashed while it had the request.
-    fn record_crash(&self, context: RequestContext<'_>, _server: AttemptTarget<'_>) {
+    /// Records that a server crashed at `context.now`, or shortly after, while it had the request.
+    fn record_crash(&self, context: RequestContext<'_>, server: AttemptTarget<'_>) {
         let RequestContext { state, call, now } = context;
-        let mut suspects = state.suspects.lock();
-        let was_suspect = suspects.status(call.content_hash, now) == ContentStatus::Suspect;
-        suspects.record_crash(call.content_hash, was_suspect, now);
+        state.record_crash(call.content_hash, server.name, now);
     }
 
     /// Delay before a second check whether a server that broke off a connection has crashed; `None`
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -182,7 +182,7 @@
         for server in state.servers.all() {
             server.close_expired_connections(now);
         }
-        state.suspects.lock().expire(now);
+        state.crash_evidence.lock().expire(now);
         state.rollouts.expire_sessions(now);
     }
 }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -10,7 +10,8 @@
 
 use clementinearch_policy::{
     connections::max_idle_connections,
-    crash_suspects::CrashSuspects,
+    crash_evidence::CrashEvidence,
+    crash_suspects::ContentStatus,
     names::{FastMap, Name},
     prefill_time::PrefillTime,
     retry_budget::{RetryBudget, RetryLimit},
@@ -21,6 +22,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
+    call::hash_bytes,
     clock::Clock,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreItem, StoreSchema},
@@ -57,7 +59,7 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) view: Mutex<View>,
-    pub(crate) suspects: Mutex<CrashSuspects>,
+    pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) request_metrics: RequestMetrics,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
@@ -103,7 +105,7 @@
             fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone())),
             settings,
             view: Mutex::default(),
-            suspects: Mutex::default(),
+            crash_evidence: Mutex::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
             latencies: Mutex::default(),
@@ -296,6 +298,31 @@
         self.log.write(Severity::Important, &decision);
     }
 
+    /// Records that a server crashed at `at` while it had a request with this content.
+    pub(crate) fn record_crash(&self, content: u64, server: &str, at: Millis) {
+        let server = hash_bytes(server.as_bytes()) as u32;
+        let now = self.now();
+        let mut evidence = self.crash_evidence.lock();
+        let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
+        let status = evidence.record_crash(content, server, at, now);
+        drop(evidence);
+        if !was_blocked && matches!(status, ContentStatus::Blocked(_)) {
+            self.log_block(content, "own");
+        }
+    }
+
+    /// Logs that a content is blocked from now on; `source` is where that is known from.
+    pub(crate) fn log_block(&self, content: u64, source: &str) {
+        let decision = Decision {
+            ms: self.now().0,
+            event: "content_blocked",
+            why: source,
+            content: &format!("{content:016x}"),
+            ..Decision::default()
+        };
+        self.log.write(Severity::Important, &decision);
+    }
+
     /// Waits up to `wait` for a change after `revision` that is relevant to peers.
     pub(crate) async fn wait_for_change(&self, revision: u64, wait: Duration) {
         let changed = self.view_changed.notified();
