Clear a content of crash evidence once it completes

What callers saw: a request whose content other callers send as well, a status read for one, was refused for ten minutes after two of its servers had crashed for another reason. Cause: nothing but time cleared a content on this path, and evidence that adds up over hosts would block such contents sooner.

A failure, complete or not, clears nothing: a server that fails all it gets would otherwise undo a block.

Evidence: a_popular_request_is_not_blocked_by_crashes_that_it_did_not_cause failed before (502 after two crashes in one request) and passes.

--- a/host/src/requests/hooks.rs
+++ b/host/src/requests/hooks.rs
@@ -127,6 +127,10 @@
         }
     }
 
+    fn record_success(&self, _context: RequestContext<'_>) {
+        // `record_attempt` clears a content after its trial.
+    }
+
     fn crash_recheck_delay(&self) -> Option<Duration> {
         Some(CRASH_RECHECK_DELAY)
     }
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -210,6 +210,12 @@
         self.state.hooks.record_attempt(&self.call, target, outcome);
     }
 
+    /// Passes a complete and successful response to the hooks.
+    pub(crate) fn record_success(&self) {
+        let context = self.context(self.state.now());
+        self.state.hooks.record_success(context);
+    }
+
     /// Keeps a connection for reuse after a complete response, unless the server closes it.
     pub(crate) fn keep_connection(
         &self,
--- a/router/src/hooks.rs
+++ b/router/src/hooks.rs
@@ -132,6 +132,13 @@
         state.record_crash(call.content_hash, server.name, now);
     }
 
+    /// Records a complete and successful response, which shows that the content crashes no server.
+    fn record_success(&self, context: RequestContext<'_>) {
+        let RequestContext { state, call, now } = context;
+        let mut evidence = state.crash_evidence.lock();
+        evidence.record_completion(call.content_hash, now);
+    }
+
     /// Delay before a second check whether a server that broke off a connection has crashed; `None`
     /// if one check is enough.
     fn crash_recheck_delay(&self) -> Option<Duration> {
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -140,6 +140,9 @@
             Ok(Ok(body)) if is_own && !response.head.is_encoded => {
                 server.record_contact(now);
                 self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Whole);
+                if parts.status.is_success() {
+                    self.record_success();
+                }
                 self.keep_connection(&server, response.connection, &response.head, now);
                 Some(CompleteResponse {
                     parts,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -166,6 +166,7 @@
     fn end(&mut self, request: &ActiveRequest) {
         self.has_ended = true;
         request.record_attempt(self.in_flight.attempt_target(), AttemptEnd::Whole);
+        request.record_success();
     }
 
     /// Handles a break of the stream, which counts as its end if the response is complete already.
