--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -64,7 +64,8 @@
     disconnects: AtomicUsize,
     connections: AtomicU64,
     is_down: AtomicBool,
-    listener: Mutex<Option<TcpListener>>,
+    /// Thread that accepts connections; it owns the listener.
+    acceptor: Mutex<Option<JoinHandle<()>>>,
 }
 
 /// Interval at which a waiting server checks whether its client has disconnected.
@@ -88,10 +89,11 @@
             disconnects: AtomicUsize::new(0),
             connections: AtomicU64::new(0),
             is_down: AtomicBool::new(false),
-            listener: Mutex::new(Some(listener.try_clone()?)),
+            acceptor: Mutex::default(),
         });
-        let acceptor = server.clone();
-        thread::spawn(move || acceptor.accept(&listener));
+        let accepting = server.clone();
+        let acceptor = thread::spawn(move || accepting.accept(&listener));
+        *server.acceptor.lock() = Some(acceptor);
         Ok(server)
     }
 
@@ -105,7 +107,7 @@
         self.disconnects.load(Ordering::Relaxed)
     }
 
-    fn accept(self: Arc<Self>, listener: &TcpListener) {
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
             let Ok(stream) = stream else { return };
             if self.is_down.load(Ordering::Relaxed) {
@@ -160,9 +162,11 @@
 
     fn stop_listening(&self) {
         self.is_down.store(true, Ordering::Relaxed);
-        drop(self.listener.lock().take());
-        // Wakes up the accepting thread, which then drops its own copy of the listener.
+        // Wakes up the accepting thread, which then closes the listener.
         drop(TcpStream::connect(self.address));
+        if let Some(acceptor) = self.acceptor.lock().take() {
+            let _ = acceptor.join();
+        }
     }
 }
 
