Count a crash on a reused connection

What callers saw: one request crashed three servers, again and again. Cause: a connection that breaks before the answer and had been idle was taken for one that the server closed just then, without a look at the server. Streams and calls that may be repeated go over kept connections, so that the crash of a request that ends its server at its first step was hardly ever counted.

Change: the break is checked like any other; only if the server still accepts connections it is no failure, as before.

Evidence: a_crash_on_a_reused_connection_is_counted failed before (three servers crashed by one request) and passes.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -286,8 +286,10 @@
                 };
             }
             WaitResult::Sent(SendOutcome::Unknown) => {
-                // The server may just have closed an idle connection, which is no failure.
-                if !was_idle {
+                if was_idle {
+                    // The server may just have closed an idle connection, which is no failure.
+                    record_crash(state, self.call, &in_flight, now).await;
+                } else {
                     record_break(state, self.call, &in_flight, now).await;
                 }
                 return AttemptResult::Lost {
@@ -445,33 +447,41 @@
     limit.is_some_and(|limit| now.since(since) >= limit)
 }
 
-/// Records that a connection broke during a request. If the server refuses new connections, it has
-/// crashed, which is also recorded against the request's content; otherwise the break is a failure
-/// of the server.
+/// Records that a connection broke during a request. Unless the server has crashed, the break is a
+/// failure of the server.
 pub(crate) async fn record_break(
     state: &HostState,
     call: &Call,
     in_flight: &InFlight,
     now: Millis,
 ) {
+    if record_crash(state, call, in_flight, now).await {
+        return;
+    }
+    let server = in_flight.server();
+    record_server_outcome(state, server, AttemptOutcome::Failed, now);
+    state
+        .rollouts
+        .count_response(&call.service, &server.entry.version, true);
+}
+
+/// Checks whether the server of a request that broke off has crashed, and if so records that
+/// against the request's content. Returns whether it has.
+async fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) -> bool {
     let server = in_flight.server();
     let check = check_crash(state, server).await;
     metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
+    let context = RequestContext { state, call, now };
     if check != CrashCheck::Refused {
-        let context = RequestContext { state, call, now };
         log_crash(context, server, "crash_ruled_out", check.label());
-        record_server_outcome(state, server, AttemptOutcome::Failed, now);
-        state
-            .rollouts
-            .count_response(&call.service, &server.entry.version, true);
-        return;
+        return false;
     }
     record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
-    let context = RequestContext { state, call, now };
     state
         .hooks
         .record_crash(context, in_flight.attempt_target());
     log_crash(context, server, "server_crashed", &call.head.id);
+    true
 }
 
 /// Logs the result of a crash check, with the crashes that the request's content is known for.
