Count crashes that a broken connection does not show

Cause: a crash was known by one sign only, a broken answer whose server refuses the next connection at that moment. A server that crashed without a reset was "overdue" or "silent"; one that listened again at once had merely failed; and when the caller left, the connection was closed and nobody looked.

If the server's entry then shows another start time, or goes without a notice of draining while its zone stays listed, the server crashed under that content, at the time when the attempt ended. A server of which an abandoned attempt had no answer is looked at as after a break. A crash is known by name and start of the server, so that the later sign adds nothing to the first.

Partitions, drained servers and late ends: unit tests beside the module.

--- a/host/tests/route_crashes.rs
+++ b/host/tests/route_crashes.rs
@@ -210,7 +210,8 @@
         );
         let (name, _) = &servers[server_of(&servers, &id).unwrap()];
         let address = platform.address(name);
-        platform.write_entry_of_start(2, name, "orders", "v1", address, "ready");
+        let born = 2 + number as u64;
+        platform.write_entry_of_start(born, name, "orders", "v1", address, "ready");
         if number == 0 {
             wait_until_suspect(host);
         }
--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -31,8 +31,8 @@
 /// Largest number of crashes remembered for one content.
 const MAX_CRASHES: usize = 4;
 
-/// Time between two reports on one server within which they are about the same crash: less than a
-/// server takes to start again.
+/// Time between two reports on one incarnation of a server within which they are about the same
+/// crash. Later ones are about another crash, of an incarnation that is not listed yet.
 const SAME_CRASH_SPAN: Duration = Duration::from_secs(1);
 
 /// How long a complete response shows that later crashes have another cause.
@@ -50,7 +50,7 @@
     pub crashes: u32,
     /// Time since the last change.
     pub age: Duration,
-    /// Crashed servers, as hashes of their names, and the time since each crash, milliseconds.
+    /// Crashed servers, as hashes of their names and incarnations, and the time since each crash, milliseconds.
     #[serde(default)]
     pub servers: Vec<(u32, u64)>,
     /// Time since the last complete response, milliseconds.
@@ -147,7 +147,7 @@
     }
 
     /// Records that a server crashed at `at` while it ran the content. `server` is a hash of its
-    /// name. Returns the status of the content at `now`.
+    /// name and incarnation. Returns the status of the content at `now`.
     pub fn record_crash(
         &mut self,
         content: u64,
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -18,7 +18,7 @@
     host_state::HostState,
     refusal::Refusal,
     request_metrics::Phase,
-    server::{InFlight, Server},
+    server::{AttemptTarget, InFlight, Server},
 };
 
 /// How often a waiting attempt checks its time limits and the server.
@@ -42,6 +42,21 @@
 /// Reason of an attempt that could not connect.
 pub(crate) const NOT_REACHED: &str = "server not reached";
 
+/// Reason of an attempt on a server that sends nothing and cannot be reached.
+pub(crate) const SERVER_SILENT: &str = "server silent";
+
+/// Reason of an attempt on a server that sends nothing and refuses connections: it has crashed.
+pub(crate) const SERVER_REFUSES: &str = "server refuses connections";
+
+/// Reason of an attempt whose response takes too long.
+const ANSWER_OVERDUE: &str = "answer overdue";
+
+/// Reason of a stream whose first event takes too long.
+pub(crate) const FIRST_EVENT_OVERDUE: &str = "first event overdue";
+
+/// Reason of a stream whose next event takes too long.
+pub(crate) const NEXT_EVENT_OVERDUE: &str = "next event overdue";
+
 /// Time limit for the test connection that shows whether a server has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -83,8 +98,8 @@
 
 /// The parameters of one attempt.
 pub(crate) struct Attempt<'a> {
-    pub(crate) state: &'a HostState,
-    pub(crate) call: &'a Call,
+    pub(crate) state: &'a Arc<HostState>,
+    pub(crate) call: &'a Arc<Call>,
     /// Name of the model, if the router chose it.
     pub(crate) model: Option<&'a str>,
     /// Id of the last event that the caller has.
@@ -113,20 +128,24 @@
     Some(mean.max(objective) + PREFILL_TIME_PER_TOKEN * tokens)
 }
 
-/// Whether a server that has sent nothing for a while does not accept a test connection either.
-pub(crate) async fn is_unreachable(
+/// Returns the reason to leave a server that has sent nothing for a while and does not accept a test
+/// connection either.
+pub(crate) async fn unreachable_reason(
     state: &HostState,
     server: &Server,
     silent_since: Millis,
-) -> bool {
+) -> Option<&'static str> {
     if state.now().since(silent_since) < SILENCE_BEFORE_CHECK {
-        return false;
+        return None;
     }
-    let is_reachable = connect(server.entry.address).await.is_ok();
-    if is_reachable {
-        server.record_connected(state.now());
+    match connect(server.entry.address).await {
+        Ok(_) => {
+            server.record_connected(state.now());
+            None
+        }
+        Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Some(SERVER_REFUSES),
+        Err(_) => Some(SERVER_SILENT),
     }
-    !is_reachable
 }
 
 /// Records the outcome of an attempt, and logs if it ejects the server from selection.
@@ -228,8 +247,8 @@
     }
 }
 
-/// Checks whether a server that broke off a response has crashed.
-async fn check_crash(state: &HostState, server: &Server) -> CrashCheck {
+/// Looks at a server that broke off a response.
+async fn look_at_server(state: &HostState, server: &Server) -> CrashCheck {
     let first = try_connect(server).await;
     if first == CrashCheck::Refused {
         return first;
@@ -252,7 +271,7 @@
 
 impl Attempt<'_> {
     /// Sends the request to the server of `in_flight` and waits for the head of the response.
-    pub(crate) async fn run(&self, in_flight: InFlight) -> AttemptResult {
+    pub(crate) async fn run(&self, mut in_flight: InFlight) -> AttemptResult {
         let server = in_flight.server().clone();
         let state = self.state;
         // A call that must not be retried gets a new connection, since an idle one may be closed by
@@ -276,11 +295,13 @@
                 why: "no time left to send",
             };
         };
+        in_flight.track(state.clone(), self.call.clone());
         let sent = self.wait(&mut connection, req, &server, sent_at).await;
         let now = state.now();
         let response = match sent {
             WaitResult::Sent(SendOutcome::Response(response)) => response,
             WaitResult::Sent(SendOutcome::NotSent) => {
+                in_flight.finish();
                 return AttemptResult::NotRun {
                     why: "connection closed before the request left",
                 };
@@ -288,7 +309,7 @@
             WaitResult::Sent(SendOutcome::Unknown) => {
                 if was_idle {
                     // The server may just have closed an idle connection, which is no failure.
-                    record_crash(state, self.call, &in_flight, now).await;
+                    check_crash(state, self.call, &in_flight, now).await;
                 } else {
                     record_break(state, self.call, &in_flight, now).await;
                 }
@@ -297,12 +318,7 @@
                 };
             }
             WaitResult::Abandoned(why) => {
-                let outcome = if why == "server silent" {
-                    AttemptOutcome::Unreachable
-                } else {
-                    AttemptOutcome::Failed
-                };
-                record_server_outcome(state, &server, outcome, now);
+                record_abandoned(state, self.call, &in_flight, why, now).await;
                 return AttemptResult::Lost { why };
             }
             WaitResult::DeadlinePassed => return AttemptResult::DeadlinePassed,
@@ -314,6 +330,9 @@
             server.record_load(load, now);
         }
         if let Some(result) = self.read_verdict(&head.verdict, parts.status, &server, now) {
+            if !matches!(result, AttemptResult::Lost { .. }) {
+                in_flight.finish();
+            }
             return result;
         }
         let reader = state.dialect.event_reader(&self.context(&server, now));
@@ -393,17 +412,17 @@
                 return WaitResult::DeadlinePassed;
             }
             if exceeds_idle_timeout(self.call, sent_at, now) {
-                return WaitResult::Abandoned("server silent");
+                return WaitResult::Abandoned(SERVER_SILENT);
             }
             let Some(limit) = limit.filter(|_| (self.may_abandon)(now)) else {
                 continue;
             };
             if now.since(sent_at) >= limit {
-                return WaitResult::Abandoned("answer overdue");
+                return WaitResult::Abandoned(ANSWER_OVERDUE);
             }
             let silent_since = server.last_contact().max(sent_at);
-            if is_unreachable(self.state, server, silent_since).await {
-                return WaitResult::Abandoned("server silent");
+            if let Some(why) = unreachable_reason(self.state, server, silent_since).await {
+                return WaitResult::Abandoned(why);
             }
         }
     }
@@ -455,7 +474,7 @@
     in_flight: &InFlight,
     now: Millis,
 ) {
-    if record_crash(state, call, in_flight, now).await {
+    if check_crash(state, call, in_flight, now).await {
         return;
     }
     let server = in_flight.server();
@@ -465,27 +484,66 @@
         .count_response(&call.service, &server.entry.version, true);
 }
 
+/// Records that an attempt was abandoned for the reason `why`, one of the constants above.
+pub(crate) async fn record_abandoned(
+    state: &HostState,
+    call: &Call,
+    in_flight: &InFlight,
+    why: &'static str,
+    now: Millis,
+) {
+    let server = in_flight.server();
+    match why {
+        SERVER_REFUSES => record_crash(state, call, in_flight, now),
+        SERVER_SILENT => record_server_outcome(state, server, AttemptOutcome::Unreachable, now),
+        // A server that crashed without a reset looks slow at first.
+        _ if check_crash(state, call, in_flight, now).await => {}
+        NEXT_EVENT_OVERDUE => {}
+        _ => record_server_outcome(state, server, AttemptOutcome::Failed, now),
+    }
+}
+
 /// Checks whether the server of a request that broke off has crashed, and if so records that
 /// against the request's content. Returns whether it has.
-async fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) -> bool {
+async fn check_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) -> bool {
     let server = in_flight.server();
-    let check = check_crash(state, server).await;
+    let check = look_at_server(state, server).await;
     metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
-    let context = RequestContext { state, call, now };
-    if check != CrashCheck::Refused {
-        log_crash(context, server, "crash_ruled_out", check.label());
-        return false;
+    if check == CrashCheck::Refused {
+        record_crash(state, call, in_flight, now);
+        return true;
     }
+    let context = RequestContext { state, call, now };
+    log_crash(
+        context,
+        &server.entry.name,
+        "crash_ruled_out",
+        check.label(),
+    );
+    false
+}
+
+/// Records that the server of a request has crashed, also against the request's content.
+fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) {
+    let server = in_flight.server();
     record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
-    state
-        .hooks
-        .record_crash(context, in_flight.attempt_target());
-    log_crash(context, server, "server_crashed", &call.head.id);
-    true
+    record_content_crash(state, call, in_flight.attempt_target(), now);
+}
+
+/// Records that a server crashed at `now` under the content of a request.
+pub(crate) fn record_content_crash(
+    state: &HostState,
+    call: &Call,
+    target: AttemptTarget<'_>,
+    now: Millis,
+) {
+    let context = RequestContext { state, call, now };
+    state.hooks.record_crash(context, target);
+    log_crash(context, target.name, "server_crashed", &call.head.id);
 }
 
 /// Logs the result of a crash check, with the crashes that the request's content is known for.
-fn log_crash(context: RequestContext<'_>, server: &Server, event: &str, why: &str) {
+fn log_crash(context: RequestContext<'_>, server: &str, event: &str, why: &str) {
     let RequestContext { state, call, now } = context;
     let evidence = state.crash_evidence.lock();
     let crashes = evidence.crash_count(call.content_hash, now);
@@ -495,7 +553,7 @@
         event,
         id: &call.head.id,
         route: &call.head.route.name,
-        server: &server.entry.name,
+        server,
         why,
         content: &format!("{:016x}", call.content_hash),
         inputs: &[("crashes", crashes as f64)],
--- a/router/src/hooks.rs
+++ b/router/src/hooks.rs
@@ -129,7 +129,7 @@
     /// Records that a server crashed at `context.now`, or shortly after, while it had the request.
     fn record_crash(&self, context: RequestContext<'_>, server: AttemptTarget<'_>) {
         let RequestContext { state, call, now } = context;
-        state.record_crash(call.content_hash, server.name, now);
+        state.record_crash(call.content_hash, server, now);
     }
 
     /// Records a complete and successful response, which shows that the content crashes no server.
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -182,6 +182,8 @@
         for server in state.servers.all() {
             server.close_expired_connections(now);
         }
+        let listed = |zone: &str| state.servers.count_in_zone(zone);
+        state.record_crashes(state.unfinished_attempts.confirm(now, listed));
         state.crash_evidence.lock().expire(now);
         state.rollouts.expire_sessions(now);
     }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
+    attempt::record_content_crash,
     call::hash_bytes,
     clock::Clock,
     decision_log::{Decision, DecisionLog, Severity},
@@ -31,9 +32,10 @@
     hooks::RequestHooks,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
-    server::MAX_IDLE_CONNECTIONS,
+    server::{AttemptTarget, MAX_IDLE_CONNECTIONS},
     servers::{EntryChange, Servers},
     settings::Settings,
+    unfinished_attempts::{UnfinishedAttempt, UnfinishedAttempts},
     view::{Update, View},
 };
 
@@ -60,6 +62,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) view: Mutex<View>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
+    pub(crate) unfinished_attempts: UnfinishedAttempts,
     pub(crate) request_metrics: RequestMetrics,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
@@ -106,6 +109,7 @@
             settings,
             view: Mutex::default(),
             crash_evidence: Mutex::default(),
+            unfinished_attempts: UnfinishedAttempts::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
             latencies: Mutex::default(),
@@ -299,8 +303,9 @@
     }
 
     /// Records that a server crashed at `at` while it had a request with this content.
-    pub(crate) fn record_crash(&self, content: u64, server: &str, at: Millis) {
-        let server = hash_bytes(server.as_bytes()) as u32;
+    pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
+        let incarnation = server.incarnation.to_le_bytes();
+        let server = hash_bytes(&[server.name.as_bytes(), &incarnation].concat()) as u32;
         let now = self.now();
         let mut evidence = self.crash_evidence.lock();
         let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
@@ -311,6 +316,14 @@
         }
     }
 
+    /// Records that servers crashed under these attempts, as the list of servers shows.
+    pub(crate) fn record_crashes(&self, attempts: Vec<UnfinishedAttempt>) {
+        for attempt in attempts {
+            let target = attempt.server.attempt_target(attempt.is_trial);
+            record_content_crash(self, &attempt.call, target, attempt.ended_at);
+        }
+    }
+
     /// Logs that a content is blocked from now on; `source` is where that is known from.
     pub(crate) fn log_block(&self, content: u64, source: &str) {
         let decision = Decision {
@@ -376,9 +389,10 @@
             }
             Update::Removed { key } => {
                 if let Some(name) = self.schema.server_name(&key)
-                    && self.servers.remove(name)
+                    && let Some(server) = self.servers.remove(name)
                 {
                     self.log_event("server_gone", name, "entry removed", &[]);
+                    self.unfinished_attempts.on_removal(server, self.now());
                 }
                 true
             }
@@ -394,9 +408,15 @@
             StoreItem::Server(entry) => {
                 let name = entry.name.clone();
                 let version = entry.version.clone();
+                let known = self.servers.get(&name);
                 let change = self.servers.update(entry);
+                if let (EntryChange::Restarted, Some(known)) = (change, known) {
+                    self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
+                }
                 match change {
-                    EntryChange::New => self.log_event("server_ready", &name, &version, &[]),
+                    EntryChange::New | EntryChange::Restarted => {
+                        self.log_event("server_ready", &name, &version, &[])
+                    }
                     EntryChange::Draining => {
                         self.log_event("server_draining", &name, &version, &[])
                     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -34,6 +34,9 @@
 mod server_selection;
 mod servers;
 mod settings;
+mod unfinished_attempts;
+#[cfg(test)]
+mod unfinished_attempts_tests;
 mod view;
 mod view_sync;
 
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -128,7 +128,7 @@
 
     /// Reads a response to its end. Returns `None` if it breaks off, exceeds
     /// [`MAX_RESPONSE_BYTES`], is not the server's own or is incomplete at the deadline.
-    async fn read_complete(&mut self, response: AttemptResponse) -> Option<CompleteResponse> {
+    async fn read_complete(&mut self, mut response: AttemptResponse) -> Option<CompleteResponse> {
         let server = response.in_flight.server().clone();
         let parts = response.parts;
         let body = Limited::new(response.body, MAX_RESPONSE_BYTES);
@@ -139,6 +139,7 @@
         match read {
             Ok(Ok(body)) if is_own && !response.head.is_encoded => {
                 server.record_contact(now);
+                response.in_flight.finish();
                 self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Whole);
                 if parts.status.is_success() {
                     self.record_success();
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -15,8 +15,9 @@
 use crate::{
     active_request::ActiveRequest,
     attempt::{
-        AttemptResponse, attempt_timeout, exceeds_idle_timeout, is_unreachable, record_break,
-        record_server_outcome,
+        AttemptResponse, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES, SERVER_SILENT,
+        attempt_timeout, exceeds_idle_timeout, record_abandoned, record_break,
+        record_server_outcome, unreachable_reason,
     },
     connections::Connection,
     dialect::{EventReader, ResponseHead},
@@ -165,6 +166,7 @@
     /// Marks the stream as complete and records the attempt.
     fn end(&mut self, request: &ActiveRequest) {
         self.has_ended = true;
+        self.in_flight.finish();
         request.record_attempt(self.in_flight.attempt_target(), AttemptEnd::Whole);
         request.record_success();
     }
@@ -182,7 +184,7 @@
     async fn stall_reason(&self, request: &ActiveRequest, now: Millis) -> Option<&'static str> {
         let (state, call) = (&request.state, &request.call);
         if exceeds_idle_timeout(call, self.last_event, now) {
-            return Some("server silent");
+            return Some(SERVER_SILENT);
         }
         if call.head.route.kind != (RouteKind::Stream { resumable: true })
             || !request.may_abandon_attempt(now)
@@ -193,16 +195,14 @@
         if self.reader.event_count() == 0 {
             let limit = attempt_timeout(state, call);
             if limit.is_some_and(|limit| waited >= limit) {
-                return Some("first event overdue");
+                return Some(FIRST_EVENT_OVERDUE);
             }
         } else if waited >= call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES) {
-            return Some("next event overdue");
+            return Some(NEXT_EVENT_OVERDUE);
         }
         let server = self.in_flight.server();
         let silent_since = server.last_contact().max(self.last_event);
-        is_unreachable(state, server, silent_since)
-            .await
-            .then_some("server silent")
+        unreachable_reason(state, server, silent_since).await
     }
 }
 
@@ -393,13 +393,9 @@
             &[("events", source.event_count() as f64)],
         );
         match why {
-            "server silent" => {
-                record_server_outcome(&self.state, server, AttemptOutcome::Unreachable, now)
+            SERVER_SILENT | SERVER_REFUSES | FIRST_EVENT_OVERDUE | NEXT_EVENT_OVERDUE => {
+                record_abandoned(&self.state, &self.call, in_flight, why, now).await;
             }
-            "first event overdue" => {
-                record_server_outcome(&self.state, server, AttemptOutcome::Failed, now)
-            }
-            "next event overdue" => {}
             _ => record_break(&self.state, &self.call, in_flight, now).await,
         }
     }
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -11,8 +11,10 @@
 use parking_lot::Mutex;
 
 use crate::{
-    call::{Prompt, hash_bytes},
+    call::{Call, Prompt, hash_bytes},
     connections::Connection,
+    host_state::HostState,
+    unfinished_attempts::UnfinishedAttempt,
 };
 
 /// Maximum number of idle connections from one host to one server.
@@ -223,6 +225,7 @@
         AttemptTarget {
             name: &self.entry.name,
             address: self.entry.address,
+            incarnation: self.entry.incarnation,
             is_trial,
         }
     }
@@ -368,6 +371,8 @@
     pub name: &'a str,
     /// Address on which the server listens.
     pub address: SocketAddr,
+    /// Number that distinguishes the starts of servers under one name.
+    pub incarnation: u64,
     /// Whether the attempt is the trial of a suspect request.
     pub is_trial: bool,
 }
@@ -377,6 +382,8 @@
     server: Arc<Server>,
     /// Set while the request is on trial as a suspect.
     trial: Option<Permit>,
+    /// The request, once it has been sent and until its response is complete, and the host's state.
+    unfinished: Option<(Arc<HostState>, Arc<Call>)>,
     /// Prompt tokens that are not expected in the server's prefix cache.
     uncached_tokens: f64,
     /// Expected prefill time that is still counted on the server, milliseconds.
@@ -402,6 +409,7 @@
         Self {
             server,
             trial: None,
+            unfinished: None,
             uncached_tokens,
             prefill_ms,
         }
@@ -418,6 +426,16 @@
         self.trial.is_some()
     }
 
+    /// Counts the attempt as unfinished from now on: the request is about to be sent.
+    pub(crate) fn track(&mut self, state: Arc<HostState>, call: Arc<Call>) {
+        self.unfinished = Some((state, call));
+    }
+
+    /// Counts the attempt as finished: its response is complete, or the server has not run it.
+    pub(crate) fn finish(&mut self) {
+        self.unfinished = None;
+    }
+
     /// Describes the server as the target of this attempt.
     pub(crate) fn attempt_target(&self) -> AttemptTarget<'_> {
         self.server.attempt_target(self.is_trial())
@@ -450,5 +468,13 @@
     fn drop(&mut self) {
         self.finish_prefill();
         self.server.observed.lock().local_running -= 1;
+        if let Some((state, call)) = self.unfinished.take() {
+            state.unfinished_attempts.add(UnfinishedAttempt {
+                server: self.server.clone(),
+                call,
+                is_trial: self.is_trial(),
+                ended_at: state.now(),
+            });
+        }
     }
 }
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -31,8 +31,10 @@
 /// The effect of a server's entry on the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EntryChange {
-    /// The server, or this incarnation of it, was not known.
+    /// The server was not known.
     New,
+    /// The server is known in another incarnation.
+    Restarted,
     /// A known server started to drain.
     Draining,
     /// Another field of a known server's entry changed.
@@ -89,11 +91,12 @@
                     EntryChange::Updated
                 }
             }
-            _ => EntryChange::New,
+            Some(_) => EntryChange::Restarted,
+            None => EntryChange::New,
         };
         let name = entry.name.clone();
         let next = match by_name.get(&name) {
-            Some(known) if change != EntryChange::New => known.with_entry(entry),
+            Some(known) if change != EntryChange::Restarted => known.with_entry(entry),
             _ => Server::new(entry),
         };
         by_name.insert(name, Arc::new(next));
@@ -108,13 +111,27 @@
         }
     }
 
-    /// Removes a server. Returns whether it was known.
-    pub(crate) fn remove(&self, name: &str) -> bool {
-        let was_known = self.by_name.write().remove(name).is_some();
-        if was_known {
+    /// Returns a server by its name.
+    pub(crate) fn get(&self, name: &str) -> Option<Arc<Server>> {
+        self.by_name.read().get(name).cloned()
+    }
+
+    /// Number of servers in a zone.
+    pub(crate) fn count_in_zone(&self, zone: &str) -> usize {
+        let by_name = self.by_name.read();
+        let in_zone = by_name
+            .values()
+            .filter(|server| *server.entry.zone == *zone);
+        in_zone.count()
+    }
+
+    /// Removes a server and returns it if it was known.
+    pub(crate) fn remove(&self, name: &str) -> Option<Arc<Server>> {
+        let removed = self.by_name.write().remove(name);
+        if removed.is_some() {
             self.is_dirty.store(true, Ordering::Relaxed);
         }
-        was_known
+        removed
     }
 
     /// Rebuilds the lookup tables if any server changed, once for a whole batch of changes.
