Keep the block of a content in the store

What callers saw: after a loss of power of all hosts, a request that had ended servers was sent to servers again, once a host and zone until they had learned it anew. Cause: hosts keep nothing, and the block was known to hosts alone.

Change: the host that sees the deciding crash writes the block under a lease of ten minutes, the time for which it holds; another host does if it cannot. A host reads the blocks with its first read, before it is ready, and with the changes afterwards, in all zones. When the content completes, the block is removed. Two calls a block; KeyStore transactions take a lifetime, which the platform's client turns into a lease.

The stand-in store grants leases.

--- a/host/tests/route_crashes.rs
+++ b/host/tests/route_crashes.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use clementinearch_standins::scripted_server::{ReceivedRequest, ScriptedServer, Step};
+use clementinearch_standins::{
+    platform_store::EndpointMode,
+    scripted_server::{ReceivedRequest, ScriptedServer, Step},
+};
 use route::{Connection, Host, Platform, ok, request, send_request, wait_until};
 
 /// Body of a request that crashes servers.
@@ -193,6 +196,27 @@
         assert_eq!(answer.status, 503);
     }
     assert_eq!(crashing_requests(&servers), BLOCKING_CRASHES);
+    // The store does not keep the block for good.
+    platform.store.end_leases();
+    assert!(platform.store.keys("clementinearch/blocked/").is_empty());
+}
+
+#[test]
+fn a_block_by_a_host_without_the_store_is_written_by_another() {
+    let mut platform = Platform::new();
+    add_servers(&mut platform, 8, |_| vec![Step::Crash]);
+    platform.start_hosts(2);
+    wait_until_acquainted(&platform);
+    let (alone, other) = (&platform.hosts[0], &platform.hosts[1]);
+    alone.store_endpoint.set_mode(EndpointMode::Refusing);
+    for number in 0..BLOCKING_CRASHES {
+        let id = format!("crash-{number}");
+        send_request(alone, "POST /pay/1", &id, "", CRASHING);
+    }
+    wait_until_blocked(other);
+    wait_until("the block is in the store", || {
+        !platform.store.keys("clementinearch/blocked/").is_empty()
+    });
 }
 
 /// Only the new start time in the server's entry shows that it has crashed.
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -190,6 +190,11 @@
         /// Address on which the host serves its peers.
         address: SocketAddr,
     },
+    /// A request content that is refused because it crashes servers.
+    BlockedContent {
+        /// Hash of account and content.
+        content: u64,
+    },
     /// An item that the router does not use.
     Other,
 }
@@ -218,6 +223,14 @@
     fn status_item(&self, status: &RolloutStatus) -> (String, Vec<u8>) {
         (status.service.to_string(), Vec::new())
     }
+
+    fn block_item(&self, content: u64) -> (String, Vec<u8>) {
+        (content.to_string(), Vec::new())
+    }
+
+    fn blocked_content(&self, _key: &str) -> Option<u64> {
+        None
+    }
 }
 
 /// The layout of keys and values in the store.
@@ -240,4 +253,10 @@
 
     /// Builds the key and value of a rollout's status.
     fn status_item(&self, status: &RolloutStatus) -> (String, Vec<u8>);
+
+    /// Builds the key and value of the block of a request content.
+    fn block_item(&self, content: u64) -> (String, Vec<u8>);
+
+    /// Returns the content if `key` is that of a block.
+    fn blocked_content(&self, key: &str) -> Option<u64>;
 }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -195,7 +195,7 @@
         .lock()
         .merge(&report.crash_evidence, now);
     for content in newly_blocked {
-        state.log_block(content, "peer");
+        state.log_content("content_blocked", content, "peer");
     }
     let peer = PeerInfo {
         name: report.from,
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -28,6 +28,7 @@
     peer_view, request_metrics,
     rollouts::PendingStatus,
     settings::Settings,
+    stored_blocks,
     view_sync::ViewSync,
 };
 
@@ -150,6 +151,7 @@
     tokio::spawn(peer_view::serve(state.clone(), peers));
     tokio::spawn(Gossip::new(state.clone(), datagrams, gossip_events).run());
     tokio::spawn(ViewSync::new(state.clone(), store.clone()).run());
+    tokio::spawn(stored_blocks::keep(state.clone(), store.clone()));
     tokio::spawn(step_rollouts(state.clone(), store));
     tokio::spawn(sweep(state.clone(), metrics));
     tokio::spawn(attempt::probe_unreachable(state.clone()));
@@ -226,7 +228,7 @@
     let transaction = Transaction {
         expected: vec![(key.clone(), revision)],
         writes: vec![(key, value)],
-        removals: Vec::new(),
+        ..Transaction::default()
     };
     let committed = store.commit(transaction, KeyStorePurpose::Rollout).await;
     let rollout_state = format!("{:?}", due.status.state);
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -35,6 +35,7 @@
     server::{AttemptTarget, MAX_IDLE_CONNECTIONS},
     servers::{EntryChange, Servers},
     settings::Settings,
+    stored_blocks::StoredBlocks,
     unfinished_attempts::{UnfinishedAttempt, UnfinishedAttempts},
     view::{Update, View},
 };
@@ -63,6 +64,7 @@
     pub(crate) view: Mutex<View>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) unfinished_attempts: UnfinishedAttempts,
+    pub(crate) stored_blocks: StoredBlocks,
     pub(crate) request_metrics: RequestMetrics,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
@@ -110,6 +112,7 @@
             view: Mutex::default(),
             crash_evidence: Mutex::default(),
             unfinished_attempts: UnfinishedAttempts::default(),
+            stored_blocks: StoredBlocks::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
             latencies: Mutex::default(),
@@ -312,7 +315,21 @@
         let status = evidence.record_crash(content, server, at, now);
         drop(evidence);
         if !was_blocked && matches!(status, ContentStatus::Blocked(_)) {
-            self.log_block(content, "own");
+            self.log_content("content_blocked", content, "own");
+            self.stored_blocks.record_own(content);
+        }
+    }
+
+    /// Records that the store holds the block of a content.
+    fn record_stored_block(&self, content: u64) {
+        let now = self.now();
+        self.stored_blocks.record_stored(content);
+        let mut evidence = self.crash_evidence.lock();
+        let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
+        evidence.record_block(content, now);
+        drop(evidence);
+        if !was_blocked {
+            self.log_content("content_blocked", content, "store");
         }
     }
 
@@ -324,12 +341,12 @@
         }
     }
 
-    /// Logs that a content is blocked from now on; `source` is where that is known from.
-    pub(crate) fn log_block(&self, content: u64, source: &str) {
+    /// Logs a change of what the host believes of a request content.
+    pub(crate) fn log_content(&self, event: &str, content: u64, why: &str) {
         let decision = Decision {
             ms: self.now().0,
-            event: "content_blocked",
-            why: source,
+            event,
+            why,
             content: &format!("{content:016x}"),
             ..Decision::default()
         };
@@ -394,6 +411,9 @@
                     self.log_event("server_gone", name, "entry removed", &[]);
                     self.unfinished_attempts.on_removal(server, self.now());
                 }
+                if let Some(content) = self.schema.blocked_content(&key) {
+                    self.stored_blocks.record_removed(content);
+                }
                 true
             }
         }
@@ -440,6 +460,7 @@
                 let hosts = self.fleet.lock().add_host(name, address);
                 self.rollouts.set_fleet_size(hosts);
             }
+            StoreItem::BlockedContent { content } => self.record_stored_block(content),
             StoreItem::Other => return false,
         }
         true
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -34,6 +34,7 @@
 mod server_selection;
 mod servers;
 mod settings;
+mod stored_blocks;
 mod unfinished_attempts;
 #[cfg(test)]
 mod unfinished_attempts_tests;
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -45,6 +45,8 @@
     stale: Option<(Items, u64)>,
     /// Whether fresh prefix reads exceed the store's rate limit.
     is_rate_limited: bool,
+    /// Keys of each lease, by its id.
+    leases: BTreeMap<u64, Vec<String>>,
 }
 
 /// Values and revisions of items by key.
@@ -112,6 +114,22 @@
         keys.cloned().collect()
     }
 
+    /// Ends all leases, which removes their items.
+    pub fn end_leases(&self) {
+        let leases = std::mem::take(&mut self.state.lock().leases);
+        for key in leases.into_values().flatten() {
+            self.remove(&key);
+        }
+    }
+
+    /// Grants a lease. It does not end by itself.
+    fn grant_lease(&self, ttl_ms: &Value) -> Value {
+        let mut state = self.state.lock();
+        let lease = state.leases.len() as u64 + 1;
+        state.leases.insert(lease, Vec::new());
+        json!({"lease": lease, "ttlMs": ttl_ms})
+    }
+
     /// Deletes the history of changes; a watch from an earlier revision then gets `410 Gone`.
     pub fn compact(&self) {
         let mut state = self.state.lock();
@@ -178,6 +196,13 @@
         Some((matching.map(event).collect(), state.revision))
     }
 
+    /// Attaches a key to a lease; returns whether the lease exists.
+    fn attach_to_lease(&self, lease: u64, key: &str) -> bool {
+        let mut state = self.state.lock();
+        let keys = state.leases.get_mut(&lease);
+        keys.map(|keys| keys.push(key.to_owned())).is_some()
+    }
+
     /// Runs a transaction: checks the expected revisions, then writes and removes items.
     fn commit(&self, body: &Value) -> (StatusCode, Value) {
         let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
@@ -190,6 +215,12 @@
             }
         }
         let mut revision = self.state.lock().revision;
+        for row in rows("writes") {
+            let lease = row["lease"].as_u64().unwrap_or(0);
+            if lease != 0 && !self.attach_to_lease(lease, row["key"].as_str().unwrap_or_default()) {
+                return (StatusCode::NOT_FOUND, json!({}));
+            }
+        }
         for row in rows("writes") {
             let value = STANDARD.decode(row["value"].as_str().unwrap_or_default());
             revision = self.put(
@@ -204,6 +235,11 @@
     }
 }
 
+async fn json_body(req: Request<Incoming>) -> io::Result<Value> {
+    let body = req.into_body().collect().await.map_err(io::Error::other)?;
+    serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)
+}
+
 /// Returns an item in the store's JSON format.
 fn item_json(key: &str, value: &[u8], revision: u64) -> Value {
     json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
@@ -273,11 +309,14 @@
                 Ok(self.watch(&prefix, after, wait).await)
             }
             "/v1/kv-txn" => {
-                let body = req.into_body().collect().await.map_err(io::Error::other)?;
-                let body = serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)?;
-                let (status, body) = self.store.commit(&body);
+                let (status, body) = self.store.commit(&json_body(req).await?);
                 Ok(text(status, body.to_string()))
             }
+            "/v1/kv-lease" => {
+                let body = json_body(req).await?;
+                let granted = self.store.grant_lease(&body["ttlMs"]);
+                Ok(text(StatusCode::OK, granted.to_string()))
+            }
             _ => Ok(text(StatusCode::NOT_FOUND, "")),
         }
     }
--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -17,6 +17,8 @@
     Membership,
     /// Write of a rollout's status.
     Rollout,
+    /// Write or removal of the block of a request content.
+    Blocks,
 }
 
 impl KeyStorePurpose {
@@ -27,6 +29,7 @@
             Self::Changes => "changes",
             Self::Membership => "membership",
             Self::Rollout => "rollout",
+            Self::Blocks => "blocks",
         }
     }
 }
@@ -99,6 +102,8 @@
     pub writes: Vec<(String, Vec<u8>)>,
     /// Keys to delete.
     pub removals: Vec<String>,
+    /// Time after which the store removes the written items by itself; `None` if it keeps them.
+    pub lifetime: Option<Duration>,
 }
 
 /// Result of a transaction that the store answered.
