Send reports to other zones from a zone of many hosts

Cause: a report went to 16 peers, those of the own zone first. In a zone of more than 16 live hosts none left the zone. Each host then counted the hosts of its zone as the fleet and took its part of the fleet's slack of repeats by that number: 72 hosts in 3 zones used 3.77 times the slack together.

Change: beside up to 16 peers of the own zone, a report goes to at least 6 of other zones. The host that writes a rollout's status is chosen by rank within its zone, as it was in effect, so that a zone cut off from the store does not hold up the others.

Evidence: the_hosts_parts_of_the_retry_slack_add_up_to_no_more_than_the_slack fails with no remote peers (3.77 of the slack at 72 hosts) and passes at 7, 72, 79 and 320 hosts, against the bound 1.0.

--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -14,9 +14,13 @@
 /// gossip period reaches only some of the peers.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Largest number of peers that one report or batch of prefills is sent to.
+/// Largest number of peers that one batch of prefills is sent to, and of peers in the own zone that
+/// one report is sent to.
 pub(crate) const PEERS_PER_PERIOD: usize = 16;
 
+/// Least number of peers in other zones that one report is sent to, if there are as many.
+pub(crate) const REMOTE_PEERS_PER_PERIOD: usize = 6;
+
 /// Silence after which a peer is not used as the relay of its zone.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -104,30 +108,57 @@
         1 + self.live_peers(now).count()
     }
 
-    /// Number of live hosts whose name sorts before this one's.
-    pub(crate) fn rank(&self, now: Millis) -> usize {
+    /// Number of live hosts in the own zone whose name sorts before this one's.
+    pub(crate) fn rank_in_zone(&self, now: Millis) -> usize {
         self.live_peers(now)
-            .filter(|(name, _)| **name < self.own_name)
+            .filter(|(name, peer)| **name < self.own_name && self.is_near(peer))
             .count()
     }
 
+    fn is_near(&self, peer: &Peer) -> bool {
+        peer.zone.as_ref() == Some(&self.zone)
+    }
+
     /// Addresses to send gossip to, in random order with those of the own zone first. Most silent
     /// peers are left out.
     pub(crate) fn gossip_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let (mut near, remote) = self.targets_by_zone(now);
+        near.extend(remote);
+        near
+    }
+
+    /// Addresses to send a report to. Reports cross zones in every period, however large the own
+    /// zone is.
+    pub(crate) fn report_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let (mut targets, remote) = self.targets_by_zone(now);
+        targets.truncate(PEERS_PER_PERIOD);
+        let free = PEERS_PER_PERIOD - targets.len();
+        let remote = remote.into_iter();
+        targets.extend(remote.take(free.max(REMOTE_PEERS_PER_PERIOD)));
+        targets
+    }
+
+    /// Addresses of the peers in the own and in other zones, each in random order. Most silent
+    /// peers are left out.
+    fn targets_by_zone(&self, now: Millis) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let periods = self.peers.len().div_ceil(PEERS_PER_PERIOD).max(1) as u32;
-        let mut targets: Vec<(bool, SocketAddr)> = Vec::new();
+        let (mut near, mut remote) = (Vec::new(), Vec::new());
         for peer in self.peers.values() {
             let is_silent = peer
                 .last_report
                 .is_some_and(|at| now.since(at) > LIVENESS_TIMEOUT * periods);
-            if !is_silent || fastrand::usize(..SILENT_PEER_PERIODS) == 0 {
-                let is_remote = peer.zone.as_ref() != Some(&self.zone);
-                targets.push((is_remote, peer.address));
+            if is_silent && fastrand::usize(..SILENT_PEER_PERIODS) != 0 {
+                continue;
+            }
+            if self.is_near(peer) {
+                near.push(peer.address);
+            } else {
+                remote.push(peer.address);
             }
         }
-        fastrand::shuffle(&mut targets);
-        targets.sort_by_key(|(is_remote, _)| *is_remote);
-        targets.into_iter().map(|(_, address)| address).collect()
+        fastrand::shuffle(&mut near);
+        fastrand::shuffle(&mut remote);
+        (near, remote)
     }
 
     /// A random live peer whose view is newer than `revision`.
@@ -145,7 +176,7 @@
         let rank = |name: &str| affinity_rank(hash_bytes(b"relay"), hash_bytes(name.as_bytes()));
         let in_zone = self
             .reported_within(RELAY_TIMEOUT, now)
-            .filter(|(_, peer)| peer.zone.as_ref() == Some(&self.zone));
+            .filter(|(_, peer)| self.is_near(peer));
         let (best, peer) = in_zone.max_by_key(|(name, _)| rank(name))?;
         (rank(best) > rank(&self.own_name)).then_some(peer.address)
     }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -141,8 +141,7 @@
             }),
             crash_evidence: state.crash_evidence.lock().rows(now),
         };
-        let mut peers = state.fleet.lock().gossip_targets(now);
-        peers.truncate(PEERS_PER_PERIOD);
+        let peers = state.fleet.lock().report_targets(now);
         self.send(&Datagram::Report(Box::new(report)), &peers).await;
     }
 
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -41,7 +41,7 @@
 /// Time between two steps of rollouts.
 const ROLLOUT_PERIOD: Duration = Duration::from_millis(250);
 
-/// Delay per rank before a host writes a due status, so that hosts do not write it all at once.
+/// Delay per rank in the zone before a host writes a due status, so that hosts do not write it all at once.
 const WRITER_DELAY: Duration = Duration::from_millis(800);
 
 /// Time between two removals of expired connections, suspects and sessions.
@@ -210,7 +210,7 @@
             continue;
         }
         let since = *due_since.get_or_insert(now);
-        let rank = state.fleet.lock().rank(now);
+        let rank = state.fleet.lock().rank_in_zone(now);
         if now.since(since) < WRITER_DELAY * rank as u32 {
             continue;
         }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -15,6 +15,8 @@
 mod decision_log;
 mod dialect;
 mod fleet;
+#[cfg(test)]
+mod fleet_tests;
 mod gossip;
 mod gossip_event;
 mod hooks;
