Do not grow a version's share while it looks worse than the old one

What callers saw: a new version that answered several times slower got all sessions (EXPOSURE). Cause: from half of the time limit on the share grew by the clock unless the version was proved bad; with the evidence of a small share, a bad version was at 100% before it was proved.

Change: the share holds from odds of 10 to 1 against the version on, long before the odds of 1000 to 1 that roll it back.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::quality::{Counts, should_halt};
+use crate::quality::{Counts, log_likelihood_ratio, should_halt};
 
 /// Canary share of the sessions in a fleet of up to [`FEW_HOSTS`] hosts.
 const MAX_CANARY_SHARE: f64 = 0.08;
@@ -41,6 +41,9 @@
 /// Responses that the new version must have given before its share grows.
 const MIN_RESPONSES: u64 = 8;
 
+/// Likelihood ratio against the new version from which its share does not grow.
+const HOLDING_RATIO: f64 = 10.0;
+
 /// Rate of bad responses that is allowed to every version.
 const ALLOWED_RATE: f64 = 0.04;
 
@@ -66,6 +69,14 @@
 }
 
 impl VersionCounts {
+    /// Returns the later of two readings of the same counts, which only grow.
+    pub fn later(self, other: Self) -> Self {
+        Self {
+            good: self.good.max(other.good),
+            bad: self.bad.max(other.bad),
+        }
+    }
+
     /// Returns the sum of two counts.
     pub fn plus(self, other: Self) -> Self {
         Self {
@@ -88,6 +99,19 @@
 
 /// Returns whether the new version's responses are significantly worse than the old version's.
 pub fn is_worse(new: VersionCounts, old: VersionCounts) -> bool {
+    let (counts, allowed) = comparison(new, old);
+    should_halt(counts, allowed)
+}
+
+/// Returns whether the new version's responses look worse than the old version's, on less evidence
+/// than [`is_worse`] needs.
+fn looks_worse(new: VersionCounts, old: VersionCounts) -> bool {
+    let (counts, allowed) = comparison(new, old);
+    log_likelihood_ratio(counts, allowed) >= HOLDING_RATIO.ln()
+}
+
+/// Returns the new version's counts and the rate of bad responses that it is allowed.
+fn comparison(new: VersionCounts, old: VersionCounts) -> (Counts, f64) {
     let prior_bad = ALLOWED_RATE * PRIOR_RESPONSES;
     let responses = (old.good + old.bad) as f64 + PRIOR_RESPONSES;
     let old_rate = (old.bad as f64 + prior_bad) / responses;
@@ -95,7 +119,7 @@
         good: new.good,
         bad: new.bad,
     };
-    should_halt(counts, (old_rate * TOLERATED_RATE_RATIO).max(ALLOWED_RATE))
+    (counts, (old_rate * TOLERATED_RATE_RATIO).max(ALLOWED_RATE))
 }
 
 /// Returns the step of a rollout that began `elapsed` ago.
@@ -112,7 +136,8 @@
         return RolloutStep::RollBack;
     }
     let progress = elapsed.as_secs_f64() / time_limit.as_secs_f64().max(1.0);
-    if progress < GROW_AFTER || new.good + new.bad < MIN_RESPONSES {
+    let is_proved = new.good + new.bad >= MIN_RESPONSES && !looks_worse(new, old);
+    if progress < GROW_AFTER || !is_proved {
         return RolloutStep::Share(canary);
     }
     if progress >= COMPLETE_AFTER {
