Judge a version by the pace of its streams, and by all zones

Cause: a response was slow only beyond four times the route's mean and 400 ms to the first event. The work of a prompt varies more than that, so that a version whose every response took 3.5 times as long had 15% of them counted. Besides, a host added up the counts of its own zone alone where that holds many hosts.

Change: a stream counts by the time between its events, against the route's mean for the model size, once five gaps are known; and by its first event in relation to the time that its prompt was expected to take, against the mean of that ratio. Plain calls are slow from a quarter of their objective on, at most 400 ms. A report carries the sums of the sender's zone, which hosts of other zones add up; a share that has grown does not shrink.

--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -384,6 +384,31 @@
     assert_eq!(bad.requests().len(), before);
 }
 
+/// Script of a server that streams six events with this pause between them.
+fn paced_script(
+    pause: Duration,
+) -> impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static {
+    move |_, received| {
+        let mut steps = vec![Step::Send(stream_head(received, ""))];
+        for id in 1..=6 {
+            steps.push(Step::Send(chunk(&token_event(id))));
+            steps.push(Step::Wait(pause));
+        }
+        steps.push(Step::Send(LAST_CHUNK.to_owned()));
+        steps
+    }
+}
+
+/// Each first event comes in time; only the pace of the events shows that the version is slow.
+#[test]
+fn a_version_that_answers_several_times_slower_is_rolled_back() {
+    let mut platform = Platform::new();
+    platform.add_backend("pool", "v1", paced_script(Duration::from_millis(10)));
+    platform.add_backend("pool", "v2", paced_script(Duration::from_millis(60)));
+    platform.start_hosts(2);
+    assert_eq!(run_rollout(&platform, 20), "rolled_back");
+}
+
 #[test]
 fn a_rejected_version_gets_no_requests_during_the_next_rollout() {
     let mut platform = Platform::new();
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -59,6 +59,8 @@
     first_sent_at: Option<Millis>,
     /// When the first event of the response arrived.
     pub(crate) first_event_at: Option<Millis>,
+    /// Whether the current stream still has to be counted for its version.
+    pub(crate) is_pace_due: bool,
     /// Expected wait of the last attempt before its prefill, milliseconds.
     pending_ms: f64,
     /// Expected prefill time of the last attempt, milliseconds.
@@ -91,6 +93,7 @@
             permit: None,
             first_sent_at: None,
             first_event_at: None,
+            is_pace_due: false,
             pending_ms: 0.0,
             prefill_ms: 0.0,
             running: 0.0,
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -120,9 +120,8 @@
     if !route.kind.may_retry() {
         return None;
     }
-    let mean = state
-        .slowest_mean_latency(&route.name)
-        .mul_f64(MAX_MEAN_LATENCIES);
+    let mean_ms = state.latencies_ms.largest(&route.name);
+    let mean = Duration::from_secs_f64(mean_ms / 1_000.0).mul_f64(MAX_MEAN_LATENCIES);
     let tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
     let objective = route.objective.mul_f64(OBJECTIVE_FRACTION);
     Some(mean.max(objective) + PREFILL_TIME_PER_TOKEN * tokens)
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -186,9 +186,10 @@
     if report.from == state.settings.name {
         return;
     }
+    let zone = Some(&report.zone).filter(|zone| **zone != state.settings.zone);
     state
         .rollouts
-        .merge_reports(&report.from, report.rollouts, now);
+        .merge_reports(&report.from, zone, report.rollouts, now);
     let newly_blocked = state
         .crash_evidence
         .lock()
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -32,6 +32,7 @@
     hooks::RequestHooks,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
+    route_means::RouteMeans,
     server::{AttemptTarget, MAX_IDLE_CONNECTIONS},
     servers::{EntryChange, Servers},
     settings::Settings,
@@ -40,9 +41,6 @@
     view::{Update, View},
 };
 
-/// Weight of the latest response in the moving average of a route's latencies.
-const LATENCY_WEIGHT: f64 = 0.1;
-
 /// Time from the start of a graceful shutdown during which streams are still accepted. The load
 /// balancer has stopped sending by its end.
 const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_700);
@@ -68,9 +66,12 @@
     pub(crate) request_metrics: RequestMetrics,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
-    /// Moving average of the time to the first event or the complete response, by route and model
-    /// size, milliseconds.
-    latencies: Mutex<FastMap<(Name, usize), f64>>,
+    /// Time to the first event or the complete response, milliseconds.
+    pub(crate) latencies_ms: RouteMeans,
+    /// Time to the first event as a multiple of the expected time.
+    pub(crate) relative_latencies: RouteMeans,
+    /// Time between two events of a stream, milliseconds.
+    pub(crate) event_gaps_ms: RouteMeans,
     /// Prefill time per prompt token by service.
     prefill_times: Mutex<FastMap<Name, PrefillTime>>,
     /// Events that wait to be gossiped to peers.
@@ -115,7 +116,9 @@
             stored_blocks: StoredBlocks::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
-            latencies: Mutex::default(),
+            latencies_ms: RouteMeans::default(),
+            relative_latencies: RouteMeans::default(),
+            event_gaps_ms: RouteMeans::default(),
             table: RwLock::default(),
             table_changed: Notify::new(),
             last_store_contact_ms: AtomicU64::new(0),
@@ -268,30 +271,6 @@
         let _ = self.gossip.send(event);
     }
 
-    /// Returns the mean time to the first event or the complete response of the slowest model size
-    /// of a route; zero before the first response.
-    pub(crate) fn slowest_mean_latency(&self, route: &str) -> Duration {
-        let latencies = self.latencies.lock();
-        let of_route = latencies.iter().filter(|((name, _), _)| **name == *route);
-        let slowest = of_route.map(|(_, ms)| *ms).fold(0.0, f64::max);
-        Duration::from_secs_f64(slowest / 1_000.0)
-    }
-
-    /// Returns the mean latency of one model size of a route; none before the first response.
-    pub(crate) fn mean_latency(&self, route: &Name, size: usize) -> Option<Duration> {
-        let latencies = self.latencies.lock();
-        let ms = latencies.get(&(route.clone(), size))?;
-        Some(Duration::from_secs_f64(ms / 1_000.0))
-    }
-
-    /// Updates the mean latency of a model size of a route.
-    pub(crate) fn record_latency(&self, route: &Name, size: usize, latency: Duration) {
-        let ms = latency.as_secs_f64() * 1_000.0;
-        let mut latencies = self.latencies.lock();
-        let mean = latencies.entry((route.clone(), size)).or_insert(ms);
-        *mean += LATENCY_WEIGHT * (ms - *mean);
-    }
-
     /// Logs a change of this host's state. Written even if details are dropped to bound the log.
     pub(crate) fn log_event(&self, event: &str, subject: &str, why: &str, inputs: &[(&str, f64)]) {
         let decision = Decision {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -32,6 +32,7 @@
 mod response_body;
 mod response_evaluation;
 mod rollouts;
+mod route_means;
 mod server;
 mod server_selection;
 mod servers;
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -203,7 +203,7 @@
                     let now = self.state.now();
                     self.first_event_at = Some(now);
                     let server = source.in_flight().server().clone();
-                    self.record_response(&server, false, sent_at, now);
+                    self.record_first_event(&server, sent_at, now);
                     self.state.record_prefill(
                         &self.call.service,
                         self.call.head.route.sizes.len(),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -328,7 +328,15 @@
             return Ok(Some(first));
         }
         loop {
-            match self.source.next(&self.request).await {
+            let step = self.source.next(&self.request).await;
+            let has_ended = matches!(step, StreamStep::End);
+            if has_ended || matches!(step, StreamStep::Events(_)) {
+                let server = self.source.in_flight().server();
+                let events = self.source.event_count();
+                let now = self.request.state.now();
+                self.request.record_pace(server, events, has_ended, now);
+            }
+            match step {
                 StreamStep::Events(events) => return Ok(Some(events)),
                 StreamStep::End if self.is_recorded => return Ok(None),
                 StreamStep::End => {
@@ -353,6 +361,7 @@
     /// Resumes the stream after the last complete event, on another server.
     async fn resume(&mut self, why: &'static str) -> Result<(), StreamFailure> {
         let after = self.source.last_id();
+        self.request.is_pace_due = false;
         self.request.record_broken_stream(&self.source, why).await;
         if self.request.call.head.route.kind != (RouteKind::Stream { resumable: true }) {
             let refusal = Refusal::MayHaveRun { reason: why };
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active_request::ActiveRequest, attempt::AttemptResponse, call::ModelChoice,
-    decision_log::Severity, server::Server,
+    decision_log::Severity, route_means::RouteMeans, server::Server,
 };
 
 /// Used fraction of the retry budget above which no response of a small model is discarded for a
@@ -21,45 +21,132 @@
 /// its version.
 const SLOW_FACTOR: f64 = 4.0;
 
-/// Latency up to which a response never counts as slow.
-const MIN_SLOW_LATENCY: Duration = Duration::from_millis(400);
+/// Latency up to which a response never counts as slow by [`SLOW_FACTOR`], as a fraction of the
+/// latency objective and at most.
+const MIN_SLOW_OBJECTIVES: f64 = 0.25;
+const MAX_UNCRITICAL_LATENCY: Duration = Duration::from_millis(400);
+
+/// Multiple of its mean above which the pace of a stream counts as an error of its version: the
+/// time between events, or the time to the first event in relation to the expected time.
+const SLOW_PACE_FACTOR: f64 = 2.5;
+
+/// Number of gaps between events after which a stream's pace is judged.
+const JUDGED_GAPS: u64 = 5;
+
+/// Least number of gaps by which the pace of a stream that has ended is judged; in fewer, events
+/// that arrive together or apart by chance hide it.
+const MIN_GAPS: u64 = 3;
 
 impl ActiveRequest {
-    /// Counts a response for its version and, unless it is a failure, for its server's latency and
-    /// the route's mean latency.
+    /// Counts a response without a stream, or a failure, for its version and, unless it is a
+    /// failure, for its server's latency and the route's mean latency.
     pub(crate) fn record_response(
-        &self,
+        &mut self,
         server: &Server,
         is_failure: bool,
         sent_at: Millis,
         now: Millis,
     ) {
-        let route = &self.call.head.route.name;
+        let is_slow = self.is_slow(now.since(sent_at));
+        self.count_for_version(server, is_failure || is_slow);
+        if !is_failure {
+            self.record_latency(server, now.since(sent_at));
+        }
+    }
+
+    /// Records the latency of a stream's first event. A stream that starts in time is counted for its
+    /// version once its pace is known.
+    pub(crate) fn record_first_event(&mut self, server: &Server, sent_at: Millis, now: Millis) {
         let latency = now.since(sent_at);
-        let mean = self.state.mean_latency(route, self.size);
-        let expected = self.expected_latency();
-        let is_slow = mean.is_some_and(|mean| {
-            latency > MIN_SLOW_LATENCY && latency > mean.max(expected).mul_f64(SLOW_FACTOR)
-        });
-        let service = &self.call.service;
+        self.is_pace_due = true;
+        let is_late = self.is_late_for_prompt(server, latency);
+        if is_late || self.is_slow(latency) {
+            self.count_for_version(server, true);
+        }
+        self.record_latency(server, latency);
+    }
+
+    /// Judges the pace of a stream, after a number of events or at its end, and counts the stream
+    /// for its version.
+    pub(crate) fn record_pace(
+        &mut self,
+        server: &Server,
+        events: u64,
+        has_ended: bool,
+        now: Millis,
+    ) {
+        let gaps = events.saturating_sub(1);
+        if !self.is_pace_due || (gaps < JUDGED_GAPS && !has_ended) {
+            return;
+        }
+        let Some(first) = self.first_event_at.filter(|_| gaps >= MIN_GAPS) else {
+            return self.count_for_version(server, false);
+        };
+        let gap_ms = now.since(first).as_secs_f64() * 1_000.0 / gaps as f64;
+        let is_slow = self.exceeds_mean(&self.state.event_gaps_ms, server, gap_ms);
+        self.count_for_version(server, is_slow);
+    }
+
+    /// Counts a response for the version that gave it. Slow responses count for the old and the new
+    /// version alike, since load slows both.
+    fn count_for_version(&mut self, server: &Server, is_bad: bool) {
+        self.is_pace_due = false;
         let version = &server.entry.version;
-        // Slow responses count for the old and the new version alike, since load slows both.
         self.state
             .rollouts
-            .count_response(service, version, is_failure || is_slow);
-        if is_failure {
-            return;
+            .count_response(&self.call.service, version, is_bad);
+    }
+
+    /// Whether a latency is several times longer than both usual and expected.
+    fn is_slow(&self, latency: Duration) -> bool {
+        let route = &self.call.head.route;
+        let uncritical = route.objective.mul_f64(MIN_SLOW_OBJECTIVES);
+        let mean_ms = self.state.latencies_ms.get(&route.name, self.size);
+        mean_ms.is_some_and(|mean_ms| {
+            let mean = Duration::from_secs_f64(mean_ms / 1_000.0);
+            latency > uncritical.min(MAX_UNCRITICAL_LATENCY)
+                && latency > mean.max(self.expected_latency()).mul_f64(SLOW_FACTOR)
+        })
+    }
+
+    /// Whether a first event took several times longer than usual for the work that its prompt is.
+    fn is_late_for_prompt(&self, server: &Server, latency: Duration) -> bool {
+        let expected = self.expected_latency();
+        if expected.is_zero() {
+            return false;
         }
-        if let Some(mean) = mean {
-            server.record_latency(latency.as_secs_f64() / mean.as_secs_f64().max(0.001));
+        let ratio = latency.as_secs_f64() / expected.as_secs_f64();
+        self.exceeds_mean(&self.state.relative_latencies, server, ratio)
+    }
+
+    /// Whether a value exceeds the route's mean by [`SLOW_PACE_FACTOR`]; adds it to the mean.
+    fn exceeds_mean(&self, means: &RouteMeans, server: &Server, value: f64) -> bool {
+        let route = &self.call.head.route.name;
+        let mean = means.get(route, self.size);
+        if !self.is_on_target(server) {
+            means.record(route, self.size, value);
+        }
+        mean.is_some_and(|mean| value > mean * SLOW_PACE_FACTOR)
+    }
+
+    fn record_latency(&self, server: &Server, latency: Duration) {
+        let route = &self.call.head.route.name;
+        let latency_ms = latency.as_secs_f64() * 1_000.0;
+        if let Some(mean_ms) = self.state.latencies_ms.get(route, self.size) {
+            server.record_latency(latency_ms / mean_ms.max(1.0));
         }
-        let target = self.state.rollouts.target_in_progress(service);
-        // Responses of a version in rollout do not shift the latency it is compared with.
-        if target.is_none_or(|target| target != *version) {
-            self.state.record_latency(route, self.size, latency);
+        if !self.is_on_target(server) {
+            self.state.latencies_ms.record(route, self.size, latency_ms);
         }
     }
 
+    /// Whether the server runs the target version of a rollout in progress, whose responses must not
+    /// shift what they are compared with.
+    fn is_on_target(&self, server: &Server) -> bool {
+        let target = self.state.rollouts.target_in_progress(&self.call.service);
+        target.is_some_and(|target| target == server.entry.version)
+    }
+
     /// Expected prefill time on a model size, as a fraction of the latency objective.
     fn prefill_fraction(&self, size: usize) -> f64 {
         let prompt = self.call.head.prompt.as_ref();
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -67,6 +67,12 @@
     pub(crate) has_moved: bool,
     /// Whether the sender has judged the new version bad.
     pub(crate) is_bad: bool,
+    /// Responses of the new version over all hosts of the sender's zone.
+    #[serde(default)]
+    pub(crate) zone_new: VersionCounts,
+    /// Responses of the old versions over all hosts of the sender's zone.
+    #[serde(default)]
+    pub(crate) zone_old: VersionCounts,
 }
 
 /// Version that a session's last request ran on, as it is sent to peers.
@@ -84,6 +90,8 @@
 struct PeerReport {
     report: RolloutReport,
     received_at: Millis,
+    /// Whether the peer is in the own zone.
+    is_near: bool,
 }
 
 #[derive(Debug)]
@@ -103,6 +111,8 @@
     new: VersionCounts,
     old: VersionCounts,
     peers: FastMap<Name, PeerReport>,
+    /// Counts of the other zones, for the new and the old versions.
+    zones: FastMap<Name, (VersionCounts, VersionCounts)>,
 }
 
 impl Rollout {
@@ -118,6 +128,7 @@
             new: VersionCounts::default(),
             old: VersionCounts::default(),
             peers: FastMap::default(),
+            zones: FastMap::default(),
         }
     }
 
@@ -379,8 +390,14 @@
             .collect()
     }
 
-    /// Merges the reports of a peer.
-    pub(crate) fn merge_reports(&self, peer: &Name, reports: Vec<RolloutReport>, now: Millis) {
+    /// Merges the reports of a peer; `zone` is its zone if that is not the own one.
+    pub(crate) fn merge_reports(
+        &self,
+        peer: &Name,
+        zone: Option<&Name>,
+        reports: Vec<RolloutReport>,
+        now: Millis,
+    ) {
         let mut by_service = self.by_service.lock();
         for report in reports {
             let Some(rollout) = by_service.get_mut(&report.service) else {
@@ -391,11 +408,17 @@
             }
             rollout.advance_clock(Duration::from_millis(report.elapsed_ms), now);
             rollout.is_bad |= report.is_bad;
+            if let Some(zone) = zone {
+                let (new, old) = rollout.zones.entry(zone.clone()).or_default();
+                *new = new.later(report.zone_new);
+                *old = old.later(report.zone_old);
+            }
             rollout.peers.insert(
                 peer.clone(),
                 PeerReport {
                     report,
                     received_at: now,
+                    is_near: zone.is_none(),
                 },
             );
         }
@@ -443,6 +466,7 @@
     }
 
     fn report(&self, now: Millis, old_running: &impl Fn(&str, &str) -> u32) -> RolloutReport {
+        let (zone_new, zone_old) = self.zone_counts();
         RolloutReport {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
@@ -452,6 +476,8 @@
             old_running: old_running(&self.order.service, &self.order.target),
             has_moved: self.moved_at.is_some() && self.share >= 1.0,
             is_bad: self.is_bad,
+            zone_new,
+            zone_old,
         }
     }
 
@@ -480,17 +506,30 @@
 
     /// Sums of the counts of all hosts for the new and for the old versions.
     fn total_counts(&self) -> (VersionCounts, VersionCounts) {
-        let reports = self.peers.values().map(|peer| &peer.report);
-        reports.fold((self.new, self.old), |(new, old), report| {
-            (new.plus(report.new), old.plus(report.old))
+        let zones = self.zones.values();
+        zones.fold(self.zone_counts(), |(new, old), zone| {
+            (new.plus(zone.0), old.plus(zone.1))
         })
     }
 
+    /// Sums of the counts of the own zone's hosts for the new and for the old versions.
+    fn zone_counts(&self) -> (VersionCounts, VersionCounts) {
+        let near = self.peers.values().filter(|peer| peer.is_near);
+        near.fold((self.new, self.old), |(new, old), peer| {
+            (new.plus(peer.report.new), old.plus(peer.report.old))
+        })
+    }
+
+    /// Sets the share. Once it has grown beyond the canary's it never shrinks, as that would move
+    /// sessions back.
     fn set_share(&mut self, share: f64, canary: f64, now: Millis) {
-        self.share = share;
         if share > canary {
             self.moved_at.get_or_insert(now);
         }
+        self.share = match self.moved_at {
+            Some(_) => self.share.max(share),
+            None => share,
+        };
     }
 
     /// Whether no host reports requests on old versions any more, or it is too late to wait for
