Compare a stream's pace with its service's, and grow a share only on good evidence

Cause: the averages that a stream was compared with were kept by route. On a grown deployment a host sees less than one response a second of a route and model size, so that a fifth of the old version's responses counted as slow; and with that many the slow version's share grew to 1.0 before it was proved bad.

Change: the time between events, and the time to the first event beyond the expected work, are averaged by service and model size; the share holds as soon as the evidence does not speak for the version (odds of 1 to 1; 10 to 1 before).

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -41,8 +41,9 @@
 /// Responses that the new version must have given before its share grows.
 const MIN_RESPONSES: u64 = 8;
 
-/// Likelihood ratio against the new version from which its share does not grow.
-const HOLDING_RATIO: f64 = 10.0;
+/// Likelihood ratio against the new version from which its share does not grow: the evidence no
+/// longer speaks for it.
+const HOLDING_RATIO: f64 = 1.0;
 
 /// Rate of bad responses that is allowed to every version.
 const ALLOWED_RATE: f64 = 0.04;
--- a/policy/tests/rollout.rs
+++ b/policy/tests/rollout.rs
@@ -106,17 +106,22 @@
     assert!(matches!(step, RolloutStep::Share(_)), "{step:?}");
 }
 
-/// Counts of a version that looks bad but is not proved bad yet.
-const DOUBTFUL: VersionCounts = VersionCounts { good: 8, bad: 4 };
-
 #[test]
 fn the_share_does_not_grow_while_the_version_looks_worse() {
     let old = VersionCounts { good: 900, bad: 4 };
-    assert!(!is_worse(DOUBTFUL, old));
+    let busy_old = VersionCounts {
+        good: 3_000,
+        bad: 660,
+    };
+    let few_bad = VersionCounts { good: 8, bad: 4 };
+    let often_bad = VersionCounts { good: 24, bad: 16 };
     let canary = canary_share(7);
-    for elapsed in [0.55, 0.7, 0.8, 1.0] {
-        let step = next_step(LIMIT.mul_f64(elapsed), LIMIT, canary, DOUBTFUL, old);
-        assert_eq!(step, RolloutStep::Share(canary));
+    for (doubtful, old) in [(few_bad, old), (often_bad, busy_old)] {
+        assert!(!is_worse(doubtful, old));
+        for elapsed in [0.55, 0.7, 0.8, 1.0] {
+            let step = next_step(LIMIT.mul_f64(elapsed), LIMIT, canary, doubtful, old);
+            assert_eq!(step, RolloutStep::Share(canary), "{doubtful:?}");
+        }
     }
     let cleared = VersionCounts { good: 200, bad: 4 };
     let step = next_step(LIMIT.mul_f64(0.8), LIMIT, canary, cleared, old);
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -30,9 +30,9 @@
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
+    moving_averages::MovingAverages,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
-    route_means::RouteMeans,
     server::{AttemptTarget, MAX_IDLE_CONNECTIONS},
     servers::{EntryChange, Servers},
     settings::Settings,
@@ -66,12 +66,12 @@
     pub(crate) request_metrics: RequestMetrics,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
-    /// Time to the first event or the complete response, milliseconds.
-    pub(crate) latencies_ms: RouteMeans,
-    /// Time to the first event as a multiple of the expected time.
-    pub(crate) relative_latencies: RouteMeans,
-    /// Time between two events of a stream, milliseconds.
-    pub(crate) event_gaps_ms: RouteMeans,
+    /// Time to the first event or the complete response by route, milliseconds.
+    pub(crate) latencies_ms: MovingAverages,
+    /// Time to the first event beyond the expected prefill and wait by service, milliseconds.
+    pub(crate) first_event_overheads_ms: MovingAverages,
+    /// Time between two events of a stream by service, milliseconds.
+    pub(crate) event_gaps_ms: MovingAverages,
     /// Prefill time per prompt token by service.
     prefill_times: Mutex<FastMap<Name, PrefillTime>>,
     /// Events that wait to be gossiped to peers.
@@ -116,9 +116,9 @@
             stored_blocks: StoredBlocks::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
-            latencies_ms: RouteMeans::default(),
-            relative_latencies: RouteMeans::default(),
-            event_gaps_ms: RouteMeans::default(),
+            latencies_ms: MovingAverages::default(),
+            first_event_overheads_ms: MovingAverages::default(),
+            event_gaps_ms: MovingAverages::default(),
             table: RwLock::default(),
             table_changed: Notify::new(),
             last_store_contact_ms: AtomicU64::new(0),
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active_request::ActiveRequest, attempt::AttemptResponse, call::ModelChoice,
-    decision_log::Severity, route_means::RouteMeans, server::Server,
+    decision_log::Severity, moving_averages::MovingAverages, server::Server,
 };
 
 /// Used fraction of the retry budget above which no response of a small model is discarded for a
@@ -26,8 +26,8 @@
 const MIN_SLOW_OBJECTIVES: f64 = 0.25;
 const MAX_UNCRITICAL_LATENCY: Duration = Duration::from_millis(400);
 
-/// Multiple of its mean above which the pace of a stream counts as an error of its version: the
-/// time between events, or the time to the first event in relation to the expected time.
+/// Multiple of what is usual for the service and model size above which the pace of a stream counts
+/// as an error of its version.
 const SLOW_PACE_FACTOR: f64 = 2.5;
 
 /// Number of gaps between events after which a stream's pace is judged.
@@ -83,7 +83,7 @@
             return self.count_for_version(server, false);
         };
         let gap_ms = now.since(first).as_secs_f64() * 1_000.0 / gaps as f64;
-        let is_slow = self.exceeds_mean(&self.state.event_gaps_ms, server, gap_ms);
+        let is_slow = self.is_slow_pace(&self.state.event_gaps_ms, server, 0.0, gap_ms);
         self.count_for_version(server, is_slow);
     }
 
@@ -109,24 +109,30 @@
         })
     }
 
-    /// Whether a first event took several times longer than usual for the work that its prompt is.
+    /// Whether a first event took several times longer than the work of its prompt and the usual
+    /// overhead.
     fn is_late_for_prompt(&self, server: &Server, latency: Duration) -> bool {
-        let expected = self.expected_latency();
-        if expected.is_zero() {
-            return false;
-        }
-        let ratio = latency.as_secs_f64() / expected.as_secs_f64();
-        self.exceeds_mean(&self.state.relative_latencies, server, ratio)
+        let expected_ms = self.expected_latency().as_secs_f64() * 1_000.0;
+        let latency_ms = latency.as_secs_f64() * 1_000.0;
+        let overheads_ms = &self.state.first_event_overheads_ms;
+        self.is_slow_pace(overheads_ms, server, expected_ms, latency_ms)
     }
 
-    /// Whether a value exceeds the route's mean by [`SLOW_PACE_FACTOR`]; adds it to the mean.
-    fn exceeds_mean(&self, means: &RouteMeans, server: &Server, value: f64) -> bool {
-        let route = &self.call.head.route.name;
-        let mean = means.get(route, self.size);
+    /// Whether `value` is several times the sum of `expected` and the usual rest. Adds the rest of
+    /// this value to `usual`.
+    fn is_slow_pace(
+        &self,
+        usual: &MovingAverages,
+        server: &Server,
+        expected: f64,
+        value: f64,
+    ) -> bool {
+        let service = &self.call.service;
+        let usual_rest = usual.get(service, self.size);
         if !self.is_on_target(server) {
-            means.record(route, self.size, value);
+            usual.record(service, self.size, (value - expected).max(0.0));
         }
-        mean.is_some_and(|mean| value > mean * SLOW_PACE_FACTOR)
+        usual_rest.is_some_and(|rest| value > (expected + rest) * SLOW_PACE_FACTOR)
     }
 
     fn record_latency(&self, server: &Server, latency: Duration) {
