Judge a version's pace by ten gaps of its longer streams

Change: only the time between events is compared, over ten gaps, with twice the geometric mean of service and model size, which a few preempted streams hardly raise. Streams of fewer than seven events are left out where the service has longer ones.

--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -68,10 +68,9 @@
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
     /// Time to the first event or the complete response by route, milliseconds.
     pub(crate) latencies_ms: MovingAverages,
-    /// Time to the first event beyond the expected prefill and wait by service, milliseconds.
-    pub(crate) first_event_overheads_ms: MovingAverages,
-    /// Time between two events of a stream by service, milliseconds.
-    pub(crate) event_gaps_ms: MovingAverages,
+    /// Logarithm of the seconds between two events of a stream by service. Unlike the seconds, its
+    /// average is hardly raised by a few preempted streams.
+    pub(crate) event_gap_logs: MovingAverages,
     /// Prefill time per prompt token by service.
     prefill_times: Mutex<FastMap<Name, PrefillTime>>,
     /// Events that wait to be gossiped to peers.
@@ -117,8 +116,7 @@
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
             latencies_ms: MovingAverages::default(),
-            first_event_overheads_ms: MovingAverages::default(),
-            event_gaps_ms: MovingAverages::default(),
+            event_gap_logs: MovingAverages::default(),
             table: RwLock::default(),
             table_changed: Notify::new(),
             last_store_contact_ms: AtomicU64::new(0),
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active_request::ActiveRequest, attempt::AttemptResponse, call::ModelChoice,
-    decision_log::Severity, moving_averages::MovingAverages, server::Server,
+    decision_log::Severity, server::Server,
 };
 
 /// Used fraction of the retry budget above which no response of a small model is discarded for a
@@ -26,16 +26,19 @@
 const MIN_SLOW_OBJECTIVES: f64 = 0.25;
 const MAX_UNCRITICAL_LATENCY: Duration = Duration::from_millis(400);
 
-/// Multiple of what is usual for the service and model size above which the pace of a stream counts
-/// as an error of its version.
-const SLOW_PACE_FACTOR: f64 = 2.5;
+/// Multiple of the service's usual time between events above which a stream counts as an error of its
+/// version. Unlike the time to the first event, that time hardly depends on prompt and queue.
+const SLOW_GAP_FACTOR: f64 = 2.0;
+
+/// Shortest time between events that is told apart, seconds.
+const MIN_GAP_S: f64 = 0.001;
 
 /// Number of gaps between events after which a stream's pace is judged.
-const JUDGED_GAPS: u64 = 5;
+const JUDGED_GAPS: u64 = 10;
 
-/// Least number of gaps by which the pace of a stream that has ended is judged; in fewer, events
-/// that arrive together or apart by chance hide it.
-const MIN_GAPS: u64 = 3;
+/// Least number of gaps by which a stream that has ended is judged. In a shorter stream, events that
+/// happen to arrive together or apart hide its pace.
+const MIN_GAPS: u64 = 6;
 
 impl ActiveRequest {
     /// Counts a response without a stream, or a failure, for its version and, unless it is a
@@ -59,15 +62,14 @@
     pub(crate) fn record_first_event(&mut self, server: &Server, sent_at: Millis, now: Millis) {
         let latency = now.since(sent_at);
         self.is_pace_due = true;
-        let is_late = self.is_late_for_prompt(server, latency);
-        if is_late || self.is_slow(latency) {
+        if self.is_slow(latency) {
             self.count_for_version(server, true);
         }
         self.record_latency(server, latency);
     }
 
     /// Judges the pace of a stream, after a number of events or at its end, and counts the stream
-    /// for its version.
+    /// for its version. Streams too short for that are left out, unless the service has no others.
     pub(crate) fn record_pace(
         &mut self,
         server: &Server,
@@ -79,11 +81,21 @@
         if !self.is_pace_due || (gaps < JUDGED_GAPS && !has_ended) {
             return;
         }
+        self.is_pace_due = false;
+        let service = &self.call.service;
+        let mean_log = self.state.event_gap_logs.get(service, self.size);
         let Some(first) = self.first_event_at.filter(|_| gaps >= MIN_GAPS) else {
-            return self.count_for_version(server, false);
+            if mean_log.is_none() {
+                self.count_for_version(server, false);
+            }
+            return;
         };
-        let gap_ms = now.since(first).as_secs_f64() * 1_000.0 / gaps as f64;
-        let is_slow = self.is_slow_pace(&self.state.event_gaps_ms, server, 0.0, gap_ms);
+        let gap_s = now.since(first).as_secs_f64() / gaps as f64;
+        let log = gap_s.max(MIN_GAP_S).ln();
+        if !self.is_on_target(server) {
+            self.state.event_gap_logs.record(service, self.size, log);
+        }
+        let is_slow = mean_log.is_some_and(|mean| log > mean + SLOW_GAP_FACTOR.ln());
         self.count_for_version(server, is_slow);
     }
 
@@ -109,32 +121,6 @@
         })
     }
 
-    /// Whether a first event took several times longer than the work of its prompt and the usual
-    /// overhead.
-    fn is_late_for_prompt(&self, server: &Server, latency: Duration) -> bool {
-        let expected_ms = self.expected_latency().as_secs_f64() * 1_000.0;
-        let latency_ms = latency.as_secs_f64() * 1_000.0;
-        let overheads_ms = &self.state.first_event_overheads_ms;
-        self.is_slow_pace(overheads_ms, server, expected_ms, latency_ms)
-    }
-
-    /// Whether `value` is several times the sum of `expected` and the usual rest. Adds the rest of
-    /// this value to `usual`.
-    fn is_slow_pace(
-        &self,
-        usual: &MovingAverages,
-        server: &Server,
-        expected: f64,
-        value: f64,
-    ) -> bool {
-        let service = &self.call.service;
-        let usual_rest = usual.get(service, self.size);
-        if !self.is_on_target(server) {
-            usual.record(service, self.size, (value - expected).max(0.0));
-        }
-        usual_rest.is_some_and(|rest| value > (expected + rest) * SLOW_PACE_FACTOR)
-    }
-
     fn record_latency(&self, server: &Server, latency: Duration) {
         let route = &self.call.head.route.name;
         let latency_ms = latency.as_secs_f64() * 1_000.0;
