Count a session from the end of its last request

Cause: hosts remembered a session's version for the session time-out from the start of its last request. After a stream of some seconds the session was forgotten while its next request was still due, and a canary that it belonged to by its hash took it over. How many such sessions there are depends on a few milliseconds, so that it came and went.

Change: the version is recorded, and told to the other hosts, at the end of a request as well.

--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -409,6 +409,46 @@
     assert_eq!(run_rollout(&platform, 20), "rolled_back");
 }
 
+/// The next request of each session comes within the session time-out of the last one's end, but not
+/// of its start.
+#[test]
+fn a_session_stays_on_its_version_after_a_long_stream() {
+    const SESSIONS: usize = 60;
+    let mut platform = Platform::new();
+    for _ in 0..5 {
+        platform.add_backend("pool", "v1", paced_script(Duration::from_millis(280)));
+    }
+    let (_, new) = platform.add_backend("pool", "v2", paced_script(Duration::from_millis(1)));
+    platform.start_hosts(2);
+    let send_all = |round: &str, sessions: &str| {
+        std::thread::scope(|scope| {
+            for number in 0..SESSIONS {
+                let host = &platform.hosts[(number + round.len()) % 2];
+                let session = format!("Model: small\r\nSession: {sessions}-{number}\r\n");
+                let id = format!("{round}-{number}");
+                scope.spawn(move || send_request(host, "POST /draft/1", &id, &session, "{}"));
+            }
+        });
+    };
+    let target = json!({"service": "pool", "target": "v2", "durationS": 120});
+    std::thread::scope(|scope| {
+        scope.spawn(|| send_all("a", "s"));
+        wait_until("the sessions have begun", || {
+            let requests = platform.hosts[0].metrics();
+            requests.contains("clementinearch_requests_running 30")
+        });
+        platform.store.put("op/rollout/pool", target.to_string());
+    });
+    // The canary serves new sessions by now.
+    wait_until("the new version serves sessions", || {
+        send_all("probe", &format!("t-{}", new.requests().len()));
+        !new.requests().is_empty()
+    });
+    let before = new.requests().len();
+    send_all("bb", "s");
+    assert_eq!(new.requests().len(), before);
+}
+
 #[test]
 fn a_rejected_version_gets_no_requests_during_the_next_rollout() {
     let mut platform = Platform::new();
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -5,7 +5,6 @@
 
 use clementinearch_policy::{
     crash_suspects::ContentStatus,
-    names::Name,
     sizing::{SizingQuery, first_size},
     time::Millis,
 };
@@ -68,8 +67,8 @@
     /// Estimated requests on the last attempt's server.
     running: f64,
     last_sent_at: Millis,
-    /// Name of the last attempt's server.
-    last_server_name: Name,
+    /// The last attempt's server.
+    last_server: Option<Arc<Server>>,
 }
 
 impl ActiveRequest {
@@ -98,7 +97,7 @@
             prefill_ms: 0.0,
             running: 0.0,
             last_sent_at: Millis::default(),
-            last_server_name: "".into(),
+            last_server: None,
         }
     }
 
@@ -164,7 +163,14 @@
                 f64::from(prompt.map_or(0, |prompt| prompt.tokens)),
             ),
         ];
-        self.log(severity, "ended", &self.last_server_name, why, &inputs);
+        let server = self.last_server.as_deref();
+        let server_name = server.map_or("", |server| &server.entry.name);
+        self.log(severity, "ended", server_name, why, &inputs);
+        if let Some(server) = server {
+            // A session goes on from the end of its last request.
+            self.state
+                .record_session(&self.call, &server.entry.version, now);
+        }
         metrics::counter!("clementinearch_requests_total", "outcome" => why.to_owned())
             .increment(1);
         self.record_latencies(now);
@@ -393,7 +399,7 @@
             self.first_sent_at.get_or_insert(now);
             self.last_sent_at = now;
             self.tried.push(server.name_hash);
-            self.last_server_name = server.entry.name.clone();
+            self.last_server = Some(server.clone());
             let attempt = Attempt {
                 state: &self.state,
                 call: &self.call,
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     attempt::record_content_crash,
-    call::hash_bytes,
+    call::{Call, hash_bytes},
     clock::Clock,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreItem, StoreSchema},
@@ -282,6 +282,20 @@
         self.log.write(Severity::Important, &decision);
     }
 
+    /// Records the version that a request of a session runs on, or has run on until `now`.
+    pub(crate) fn record_session(&self, call: &Call, version: &str, now: Millis) {
+        if call.head.session.is_none() {
+            return;
+        }
+        let hash = call.rollout_hash();
+        let session = self
+            .rollouts
+            .record_session(&call.service, hash, version, now);
+        if let Some(session) = session {
+            self.enqueue_gossip(GossipEvent::Session(session));
+        }
+    }
+
     /// Records that a server crashed at `at` while it had a request with this content.
     pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
         let incarnation = server.incarnation.to_le_bytes();
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -74,16 +74,7 @@
     if let Some(prompt) = &call.head.prompt {
         server.record_parts(prompt, size, now);
     }
-    if has_session {
-        let hash = call.rollout_hash();
-        let version = &server.entry.version;
-        let session = state
-            .rollouts
-            .record_session(&call.service, hash, version, now);
-        if let Some(session) = session {
-            state.enqueue_gossip(GossipEvent::Session(session));
-        }
-    }
+    state.record_session(call, &server.entry.version, now);
     let in_flight = InFlight::new(server, uncached_tokens, query.ms_per_token, now);
     if let Some(prompt) = &call.head.prompt {
         state.enqueue_gossip(GossipEvent::Prefill(Prefill {
