--- a/host/tests/route_crashes.rs
+++ b/host/tests/route_crashes.rs
@@ -73,6 +73,14 @@
     });
 }
 
+/// Waits until the host blocks the content, and checks that no further server gets it.
+fn check_blocked(host: &Host, servers: &[(String, Arc<ScriptedServer>)]) {
+    wait_until_blocked(host);
+    let answer = send_request(host, "POST /pay/1", "later", "", CRASHING);
+    assert_eq!(answer.status, 503);
+    assert_eq!(crashing_requests(servers), BLOCKING_CRASHES);
+}
+
 fn wait_until_acquainted(platform: &Platform) {
     let count = platform.hosts.len();
     wait_until("the hosts know each other", || {
@@ -123,7 +131,7 @@
                 if received.body == CRASHING && is_first_round.load(Ordering::Relaxed) {
                     all_run.wait();
                 }
-                while received.body == HELD && is_first_round.load(Ordering::Relaxed) {
+                while received.body.starts_with(HELD) && is_first_round.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(5));
                 }
                 if received.body == CRASHING {
@@ -148,8 +156,8 @@
         for (number, host) in platform.hosts.iter().enumerate() {
             for held in 0..number {
                 let id = format!("held-{number}-{held}");
-                let held_id = id.clone();
-                scope.spawn(move || send_request(host, "POST /pay/1", &held_id, "", HELD));
+                let (held_id, body) = (id.clone(), format!("{HELD} {id}"));
+                scope.spawn(move || send_request(host, "POST /pay/1", &held_id, "", &body));
                 wait_until("the request runs", || server_of(&servers, &id).is_some());
             }
         }
@@ -240,10 +248,7 @@
             wait_until_suspect(host);
         }
     }
-    wait_until_blocked(host);
-    let answer = send_request(host, "POST /pay/1", "later", "", CRASHING);
-    assert_eq!(answer.status, 503);
-    assert_eq!(crashing_requests(&servers), BLOCKING_CRASHES);
+    check_blocked(host, &servers);
 }
 
 #[test]
@@ -292,10 +297,7 @@
             wait_until_suspect(host);
         }
     }
-    wait_until_blocked(host);
-    let answer = send_request(host, "POST /pay/1", "later", "", CRASHING);
-    assert_eq!(answer.status, 503);
-    assert_eq!(crashing_requests(&servers), BLOCKING_CRASHES);
+    check_blocked(host, &servers);
 }
 
 /// A content that completes is harmless, however many of its servers crash for another reason.
--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -4,7 +4,7 @@
     io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Weak,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
@@ -66,8 +66,8 @@
     is_down: AtomicBool,
     /// Thread that accepts connections; it owns the listener.
     acceptor: Mutex<Option<JoinHandle<()>>>,
-    /// Connections so far, some of which may be closed.
-    streams: Mutex<Vec<TcpStream>>,
+    /// Connections so far; those that have ended are gone.
+    streams: Mutex<Vec<Weak<TcpStream>>>,
 }
 
 /// Interval at which a waiting server checks whether its client has disconnected.
@@ -118,17 +118,16 @@
             }
             let connection = self.connections.fetch_add(1, Ordering::Relaxed);
             let server = self.clone();
-            if let Ok(stream) = stream.try_clone() {
-                self.streams.lock().push(stream);
-            }
+            let stream = Arc::new(stream);
+            self.streams.lock().push(Arc::downgrade(&stream));
             thread::spawn(move || {
                 // Broken connections are among the faults that the stand-in simulates.
-                let _ = server.serve(stream, connection);
+                let _ = server.serve(&stream, connection);
             });
         }
     }
 
-    fn serve(&self, mut stream: TcpStream, connection: u64) -> io::Result<()> {
+    fn serve(&self, mut stream: &TcpStream, connection: u64) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(mut received) = read_request(&mut reader)? {
             received.connection = connection;
@@ -141,18 +140,22 @@
                 match step {
                     Step::Send(bytes) => stream.write_all(bytes.as_bytes())?,
                     Step::Wait(duration) => {
-                        if !wait_while_connected(&stream, duration)? {
+                        if !wait_while_connected(stream, duration)? {
                             self.disconnects.fetch_add(1, Ordering::Relaxed);
                             return Ok(());
                         }
                     }
-                    Step::Reset => return SockRef::from(&stream).set_linger(Some(Duration::ZERO)),
+                    Step::Reset => return SockRef::from(stream).set_linger(Some(Duration::ZERO)),
                     Step::Close => return Ok(()),
                     Step::Crash => {
-                        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+                        SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
                         self.stop_listening();
                         for other in self.streams.lock().drain(..) {
-                            let _ = other.shutdown(Shutdown::Both);
+                            if let Some(other) = other.upgrade()
+                                && !std::ptr::eq(&*other, stream)
+                            {
+                                let _ = other.shutdown(Shutdown::Both);
+                            }
                         }
                         return Ok(());
                     }
