Make the test of long sessions independent of the machine's speed

Traced: it counted on the second requests coming within five seconds of the streams' end, and servers of the new version took part before the rollout, so that sessions of theirs went on there.

Change: the new version is listed once the rollout runs; only the sessions' second requests are counted; a round in which they came too late to say anything is repeated. The check is the same: none of them on the new version.

--- a/host/tests/route_control.rs
+++ b/host/tests/route_control.rs
@@ -409,44 +409,87 @@
     assert_eq!(run_rollout(&platform, 20), "rolled_back");
 }
 
-/// The next request of each session comes within the session time-out of the last one's end, but not
-/// of its start.
-#[test]
-fn a_session_stays_on_its_version_after_a_long_stream() {
+/// Lets sessions begin on the old version with long streams, orders a rollout meanwhile, and sends
+/// their next requests later than the session time-out after the start of the streams, but not
+/// after their end. Returns how many of them the new version got, or none if that took too long.
+fn continue_sessions_after_long_streams() -> Option<usize> {
     const SESSIONS: usize = 60;
+    const MAX_OTHER_SESSIONS: usize = 400;
+    const PAUSE: Duration = Duration::from_millis(350);
+    const STREAM: Duration = Duration::from_millis(12 * 350);
+    const SESSION_TIMEOUT: Duration = Duration::from_secs(5);
     let mut platform = Platform::new();
     for _ in 0..5 {
-        platform.add_backend("pool", "v1", paced_script(Duration::from_millis(280)));
+        platform.add_backend("pool", "v1", paced_script(PAUSE));
     }
-    let (_, new) = platform.add_backend("pool", "v2", paced_script(Duration::from_millis(1)));
+    let (name, new) = platform.add_backend("pool", "v2", paced_script(Duration::from_millis(1)));
+    // Without a rollout the new version would be like any other.
+    platform.store.remove(&format!("servers/{name}"));
     platform.start_hosts(2);
-    let send_all = |round: &str, sessions: &str| {
-        std::thread::scope(|scope| {
-            for number in 0..SESSIONS {
-                let host = &platform.hosts[(number + round.len()) % 2];
-                let session = format!("Model: small\r\nSession: {sessions}-{number}\r\n");
-                let id = format!("{round}-{number}");
-                scope.spawn(move || send_request(host, "POST /draft/1", &id, &session, "{}"));
-            }
-        });
+    let send = |number: usize, host: usize, id: &str, sessions: &str| {
+        let session = format!("Model: small\r\nSession: {sessions}-{number}\r\n");
+        let id = format!("{id}-{number}");
+        send_request(&platform.hosts[host], "POST /draft/1", &id, &session, "{}");
     };
-    let target = json!({"service": "pool", "target": "v2", "durationS": 120});
+    let began = Instant::now();
     std::thread::scope(|scope| {
-        scope.spawn(|| send_all("a", "s"));
+        for number in 0..SESSIONS {
+            let send = &send;
+            scope.spawn(move || send(number, number % 2, "first", "s"));
+        }
         wait_until("the sessions have begun", || {
-            let requests = platform.hosts[0].metrics();
-            requests.contains("clementinearch_requests_running 30")
+            let metrics = platform.hosts[0].metrics();
+            metrics.contains("clementinearch_requests_running 30")
+        });
+        let order = json!({"service": "pool", "target": "v2", "durationS": 120});
+        platform.store.put("op/rollout/pool", order.to_string());
+        wait_until("the rollout has started", || {
+            rollout_state(&platform) == "in_progress"
+        });
+        platform.write_entry(&name, "pool", "v2", platform.address(&name), "ready");
+        wait_until("the hosts know the new version", || {
+            let mut hosts = platform.hosts.iter();
+            hosts.all(|host| host.status()["servers"] == 6)
+        });
+        let mut number = 0;
+        wait_until("the new version serves other sessions", || {
+            let send = &send;
+            let other = number;
+            number += 1;
+            if other < MAX_OTHER_SESSIONS {
+                scope.spawn(move || send(other, other % 2, "other", "t"));
+            }
+            !new.requests().is_empty()
         });
-        platform.store.put("op/rollout/pool", target.to_string());
     });
-    // The canary serves new sessions by now.
-    wait_until("the new version serves sessions", || {
-        send_all("probe", &format!("t-{}", new.requests().len()));
-        !new.requests().is_empty()
+    let since_start = began.elapsed();
+    std::thread::sleep((SESSION_TIMEOUT + PAUSE).saturating_sub(since_start));
+    let got = || {
+        let requests = new.requests();
+        let of_sessions = requests
+            .iter()
+            .filter(|it| it.header("session").starts_with("s-"));
+        of_sessions.count()
+    };
+    std::thread::scope(|scope| {
+        for number in 0..SESSIONS {
+            let send = &send;
+            scope.spawn(move || send(number, (number + 1) % 2, "next", "s"));
+        }
+    });
+    // Streams on the old version take this long, so that each began at least as much earlier.
+    let is_in_time = began.elapsed() < STREAM + SESSION_TIMEOUT + STREAM;
+    is_in_time.then(got)
+}
+
+#[test]
+fn a_session_stays_on_its_version_after_a_long_stream() {
+    let mut got = None;
+    wait_until("the requests of sessions follow in time", || {
+        got = continue_sessions_after_long_streams();
+        got.is_some()
     });
-    let before = new.requests().len();
-    send_all("bb", "s");
-    assert_eq!(new.requests().len(), before);
+    assert_eq!(got, Some(0));
 }
 
 #[test]
