--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -50,7 +50,8 @@
     pub crashes: u32,
     /// Time since the last change.
     pub age: Duration,
-    /// Crashed servers, as hashes of their names and incarnations, and the time since each crash, milliseconds.
+    /// Crashed servers, as hashes of their names and incarnations, and the time since each crash,
+    /// milliseconds.
     #[serde(default)]
     pub servers: Vec<(u32, u64)>,
     /// Time since the last complete response, milliseconds.
