--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -288,6 +288,20 @@
     connection.read()
 }
 
+/// Writes the entry of a backend server that started at `born`.
+pub fn put_entry(
+    store: &PlatformStore,
+    born: u64,
+    name: &str,
+    service: &str,
+    version: &str,
+    address: SocketAddr,
+    state: &str,
+) {
+    let entry = json!({"service": service, "address": address.to_string(), "zone": "a", "version": version, "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born});
+    store.put(&format!("servers/{name}"), entry.to_string());
+}
+
 /// A platform under test.
 pub struct Platform {
     /// Second and third octet of its IPs.
@@ -376,9 +390,7 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "a", "version": version, "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born});
-        self.store
-            .put(&format!("servers/{name}"), entry.to_string());
+        put_entry(&self.store, born, name, service, version, address, state);
     }
 
     /// Address of the backend server with this name.
