--- a/host/tests/route_rollouts.rs
+++ b/host/tests/route_rollouts.rs
@@ -234,7 +234,7 @@
         let is_slow = number.is_multiple_of(4);
         stream(received, "", if is_slow { PAUSE * 4 } else { PAUSE })
     };
-    let ended = run(12, 12, old, |number, received, _| {
+    let ended = run(20, 36, old, |number, received, _| {
         is_photo(received) && is_unlucky(number / 5)
     });
     assert_eq!(ended.state, "rolled_back");
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod request_id;
 pub mod retry_budget;
 pub mod rollout;
+pub mod rollout_evidence;
 pub mod routes;
 pub mod server_health;
 pub mod session;
--- a/policy/src/quality.rs
+++ b/policy/src/quality.rs
@@ -13,10 +13,10 @@
 pub const ROLLOUTS_PER_FALSE_HALT: f64 = 1000.0;
 
 /// Rates of the alternative hypotheses, as multiples of the allowed rate.
-const ALTERNATIVE_FACTORS: [f64; 4] = [1.5, 2.0, 4.0, 10.0];
+pub(crate) const ALTERNATIVE_FACTORS: [f64; 4] = [1.5, 2.0, 4.0, 10.0];
 
 /// Upper bound on the rate of an alternative hypothesis.
-const MAX_ALTERNATIVE_RATE: f64 = 0.95;
+pub(crate) const MAX_ALTERNATIVE_RATE: f64 = 0.95;
 
 /// Counts of good and bad answers; both only grow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,7 +81,7 @@
     largest + sum.ln()
 }
 
-fn log_ratio(counts: Counts, allowed: f64, alternative: f64) -> f64 {
+pub(crate) fn log_ratio(counts: Counts, allowed: f64, alternative: f64) -> f64 {
     let bad = counts.bad as f64 * (alternative / allowed).ln();
     let good = counts.good as f64 * ((1.0 - alternative) / (1.0 - allowed)).ln();
     bad + good
--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -3,11 +3,14 @@
 //! A small share of the sessions gets the new version first. The share grows once the version has
 //! proved good, and drops to zero as soon as it proves bad.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use serde::{Deserialize, Serialize};
-
-use crate::quality::{Counts, log_likelihood_ratio, should_halt};
+use crate::{
+    quality::{
+        ALTERNATIVE_FACTORS, Counts, MAX_ALTERNATIVE_RATE, ROLLOUTS_PER_FALSE_HALT, log_ratio,
+    },
+    rollout_evidence::{BEFORE_ORDER, Evidence, Outcomes, Pair},
+};
 
 /// Canary share of the sessions in a fleet of up to [`FEW_HOSTS`] hosts.
 const MAX_CANARY_SHARE: f64 = 0.08;
@@ -31,23 +34,30 @@
 /// Fraction of the time limit after which the rollout is complete.
 const COMPLETE_AFTER: f64 = 0.76;
 
-/// Tolerated ratio of the new version's rate of bad responses to the old version's.
-const TOLERATED_RATE_RATIO: f64 = 1.5;
+/// Tolerated ratio of the new version's odds of bad responses to the old version's. Unlike the ratio
+/// of rates, it still tells versions apart where both often have bad responses.
+const TOLERATED_ODDS_RATIO: f64 = 1.5;
 
 /// Number of responses at [`ALLOWED_RATE`] that are added to the old version's counts, so that its
 /// rate is not underestimated while it has few responses.
 const PRIOR_RESPONSES: f64 = 20.0;
 
-/// Responses that the new version must have given before its share grows.
-const MIN_RESPONSES: u64 = 8;
-
-/// Likelihood ratio against the new version from which its share does not grow: the evidence no
-/// longer speaks for it.
-const HOLDING_RATIO: f64 = 1.0;
-
 /// Rate of bad responses that is allowed to every version.
 const ALLOWED_RATE: f64 = 0.04;
 
+/// Rate of bad responses of a version that must not be cleared.
+const BAD_RATE: f64 = 0.45;
+
+/// Likelihood ratio of [`BAD_RATE`] against the old version's rate below the inverse of which a
+/// version is cleared.
+const CLEARING_RATIO: f64 = 100.0;
+
+/// Likelihood ratio against a version from which its share does not grow.
+const SUSPECT_RATIO: f64 = 10.0;
+
+/// Least responses of the old version in a span of periods whose rate is a measure.
+const MIN_OLD_RESPONSES: u64 = 50;
+
 /// Returns the share of the sessions that gets a new version before it has proved good.
 ///
 /// The share depends on the fleet size in steps, so that hosts with slightly different views of
@@ -60,31 +70,198 @@
     }
 }
 
-/// Counts of good and bad responses of one version.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VersionCounts {
-    /// Responses that were complete and in time.
-    pub good: u64,
-    /// Responses that failed, broke off or took several times longer than usual.
-    pub bad: u64,
+/// What the evidence says of the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// There is too little evidence.
+    Open,
+    /// It serves as well as the old version does in its best periods.
+    Cleared,
+    /// It looks worse than the old version.
+    Suspect,
+    /// It is significantly worse than the old version.
+    Bad,
+}
+
+/// What an [`Assessment`] rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Failures.
+    Failures,
+    /// Slow responses.
+    Pace,
+}
+
+impl Kind {
+    fn counts(self, outcomes: Outcomes) -> Counts {
+        match self {
+            Self::Failures => outcomes.responses,
+            Self::Pace => outcomes.pace,
+        }
+    }
+}
+
+/// A verdict, and the strongest evidence against the version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Assessment {
+    /// What the evidence says.
+    pub verdict: Verdict,
+    /// What the strongest evidence consists of.
+    pub kind: Kind,
+    /// Hash of the route that it comes from; none if all routes show it together.
+    pub route: Option<u32>,
+    /// Logarithm of its likelihood ratio.
+    pub log_ratio: f64,
+}
+
+/// Assesses the new version by the evidence of all hosts.
+///
+/// It is bad if its failures or slow responses, on all routes together or on one of them, are
+/// significantly more frequent than the old version's at the same time. It is cleared if both are
+/// as rare as the old version's at its best: an old version in trouble is no measure.
+pub fn assess(evidence: &Evidence) -> Assessment {
+    let all = merged(&evidence.by_period(None));
+    let routes = evidence.routes();
+    let mut scopes = vec![
+        (Kind::Failures, None, suspicion(&all, Kind::Failures)),
+        (Kind::Pace, None, suspicion(&all, Kind::Pace)),
+    ];
+    for route in &routes {
+        let periods = merged(&evidence.by_period(Some(*route)));
+        let log_ratio = suspicion(&periods, Kind::Failures);
+        scopes.push((Kind::Failures, Some(*route), log_ratio));
+    }
+    let count = scopes.len() as f64;
+    let (kind, route, log_ratio) = scopes
+        .into_iter()
+        .max_by(|one, other| one.2.total_cmp(&other.2))
+        .unwrap_or((Kind::Failures, None, 0.0));
+    let tests = ALTERNATIVE_FACTORS.len() as f64 * count;
+    let verdict = if log_ratio >= (ROLLOUTS_PER_FALSE_HALT * tests).ln() {
+        Verdict::Bad
+    } else if log_ratio >= (SUSPECT_RATIO * ALTERNATIVE_FACTORS.len() as f64).ln() {
+        Verdict::Suspect
+    } else if [Kind::Failures, Kind::Pace]
+        .iter()
+        .all(|kind| is_cleared(&all, *kind))
+    {
+        Verdict::Cleared
+    } else {
+        Verdict::Open
+    };
+    Assessment {
+        verdict,
+        kind,
+        route,
+        log_ratio,
+    }
+}
+
+/// Adds up all periods since the order.
+fn merged(periods: &BTreeMap<u16, Pair>) -> BTreeMap<u16, Pair> {
+    let since_order = periods.range(BEFORE_ORDER + 1..);
+    let sum = since_order.fold(Pair::default(), |sum, (_, pair)| sum.plus(*pair));
+    BTreeMap::from([(BEFORE_ORDER + 1, sum)])
 }
 
-impl VersionCounts {
-    /// Returns the later of two readings of the same counts, which only grow.
-    pub fn later(self, other: Self) -> Self {
-        Self {
-            good: self.good.max(other.good),
-            bad: self.bad.max(other.bad),
+/// Returns the old version's rate of bad responses, with [`PRIOR_RESPONSES`] added.
+fn smoothed_rate(old: Counts) -> f64 {
+    let bad = old.bad as f64 + ALLOWED_RATE * PRIOR_RESPONSES;
+    bad / ((old.good + old.bad) as f64 + PRIOR_RESPONSES)
+}
+
+/// Returns the rate of bad responses that the new version is allowed beside these of the old one,
+/// whose rate may be a standard error above what was counted.
+fn allowed_rate(old: Counts) -> f64 {
+    let rate = smoothed_rate(old);
+    let responses = (old.good + old.bad) as f64 + PRIOR_RESPONSES;
+    let standard_error = (rate * (1.0 - rate) / responses).sqrt();
+    let allowed = with_odds(
+        (rate + standard_error).min(MAX_ALTERNATIVE_RATE),
+        TOLERATED_ODDS_RATIO,
+    );
+    allowed.clamp(ALLOWED_RATE, MAX_ALTERNATIVE_RATE)
+}
+
+/// Returns the rate whose odds are `factor` times those of `rate`.
+fn with_odds(rate: f64, factor: f64) -> f64 {
+    let odds = factor * rate / (1.0 - rate);
+    odds / (1.0 + odds)
+}
+
+/// Returns the old version's counts in a period and its neighbours, or in a wider span if these
+/// have too few responses, or fewer than the new version: near its end a rollout leaves the old
+/// version without any.
+fn old_around(periods: &BTreeMap<u16, Pair>, period: u16, kind: Kind) -> Counts {
+    let last = periods.keys().next_back().copied().unwrap_or_default();
+    let new = periods.get(&period).copied().unwrap_or_default().new;
+    let new = kind.counts(new);
+    let wanted = MIN_OLD_RESPONSES.max(new.good + new.bad);
+    let mut radius = 1;
+    loop {
+        let span = period.saturating_sub(radius)..=period + radius;
+        let is_all = *span.start() == 0 && *span.end() >= last;
+        let near = periods.range(span);
+        let old = near.fold(Counts::default(), |sum, (_, pair)| {
+            sum.plus(kind.counts(pair.old))
+        });
+        if is_all || old.good + old.bad >= wanted {
+            return old;
         }
+        radius += 1;
     }
+}
 
-    /// Returns the sum of two counts.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            good: self.good + other.good,
-            bad: self.bad + other.bad,
+/// Returns the largest cumulative sum of log-likelihood ratios against the new version, over the
+/// alternative rates. In each period it is compared with the old version at that time, and sums
+/// restart at zero, so that neither trouble that has passed nor a good start hides a bad version.
+fn suspicion(periods: &BTreeMap<u16, Pair>, kind: Kind) -> f64 {
+    let mut sums = [0.0; ALTERNATIVE_FACTORS.len()];
+    for (period, pair) in periods {
+        let allowed = allowed_rate(old_around(periods, *period, kind));
+        for (sum, factor) in sums.iter_mut().zip(ALTERNATIVE_FACTORS) {
+            let alternative = with_odds(allowed, factor);
+            let ratio = log_ratio(kind.counts(pair.new), allowed, alternative);
+            *sum = f64::max(*sum + ratio, 0.0);
         }
     }
+    sums.into_iter().fold(0.0, f64::max)
+}
+
+/// Returns the old version's lowest rate of bad responses over spans of periods; none if it has
+/// given no responses.
+fn best_old_rate(periods: &BTreeMap<u16, Pair>, kind: Kind) -> Option<f64> {
+    let spans = periods
+        .keys()
+        .map(|period| old_around(periods, *period, kind));
+    let measured = spans.filter(|old| old.good + old.bad > 0);
+    measured.map(smoothed_rate).reduce(f64::min)
+}
+
+/// Whether the new version is as good as the old one at its best, rather than bad.
+fn is_cleared(periods: &BTreeMap<u16, Pair>, kind: Kind) -> bool {
+    let Some(best) = best_old_rate(periods, kind) else {
+        // Without responses of this kind there is nothing to compare.
+        return true;
+    };
+    let allowed = with_odds(best, TOLERATED_ODDS_RATIO).clamp(ALLOWED_RATE, BAD_RATE);
+    let since_order = periods.iter().filter(|(period, _)| **period > BEFORE_ORDER);
+    let sum = since_order.fold(0.0, |sum, (_, pair)| {
+        let ratio = log_ratio(kind.counts(pair.new), allowed, BAD_RATE);
+        f64::max(sum - ratio, 0.0)
+    });
+    sum >= CLEARING_RATIO.ln()
+}
+
+/// How far a rollout has got.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Time since the order.
+    pub elapsed: Duration,
+    /// Time from the order by which the rollout must have ended.
+    pub time_limit: Duration,
+    /// The canary share.
+    pub canary: f64,
 }
 
 /// Next step of a rollout.
@@ -98,52 +275,21 @@
     RollBack,
 }
 
-/// Returns whether the new version's responses are significantly worse than the old version's.
-pub fn is_worse(new: VersionCounts, old: VersionCounts) -> bool {
-    let (counts, allowed) = comparison(new, old);
-    should_halt(counts, allowed)
-}
-
-/// Returns whether the new version's responses look worse than the old version's, on less evidence
-/// than [`is_worse`] needs.
-fn looks_worse(new: VersionCounts, old: VersionCounts) -> bool {
-    let (counts, allowed) = comparison(new, old);
-    log_likelihood_ratio(counts, allowed) >= HOLDING_RATIO.ln()
-}
-
-/// Returns the new version's counts and the rate of bad responses that it is allowed.
-fn comparison(new: VersionCounts, old: VersionCounts) -> (Counts, f64) {
-    let prior_bad = ALLOWED_RATE * PRIOR_RESPONSES;
-    let responses = (old.good + old.bad) as f64 + PRIOR_RESPONSES;
-    let old_rate = (old.bad as f64 + prior_bad) / responses;
-    let counts = Counts {
-        good: new.good,
-        bad: new.bad,
+/// Returns the next step of a rollout.
+pub fn next_step(progress: Progress, verdict: Verdict) -> RolloutStep {
+    let limit_s = progress.time_limit.as_secs_f64().max(1.0);
+    let elapsed = progress.elapsed.as_secs_f64() / limit_s;
+    let may_grow = match verdict {
+        Verdict::Bad => return RolloutStep::RollBack,
+        Verdict::Suspect | Verdict::Open => false,
+        Verdict::Cleared => elapsed >= GROW_AFTER,
     };
-    (counts, (old_rate * TOLERATED_RATE_RATIO).max(ALLOWED_RATE))
-}
-
-/// Returns the step of a rollout that began `elapsed` ago.
-///
-/// `canary` is the canary share; `new` and `old` are the counts of both versions over all hosts.
-pub fn next_step(
-    elapsed: Duration,
-    time_limit: Duration,
-    canary: f64,
-    new: VersionCounts,
-    old: VersionCounts,
-) -> RolloutStep {
-    if is_worse(new, old) {
-        return RolloutStep::RollBack;
-    }
-    let progress = elapsed.as_secs_f64() / time_limit.as_secs_f64().max(1.0);
-    let is_proved = new.good + new.bad >= MIN_RESPONSES && !looks_worse(new, old);
-    if progress < GROW_AFTER || !is_proved {
-        return RolloutStep::Share(canary);
+    if !may_grow {
+        return RolloutStep::Share(progress.canary);
     }
-    if progress >= COMPLETE_AFTER {
+    if elapsed >= COMPLETE_AFTER {
         return RolloutStep::Complete;
     }
-    let moved = ((progress - GROW_AFTER) / (FULL_AFTER - GROW_AFTER)).min(1.0);
-    RolloutStep::Share(canary + (1.0 - canary) * moved)
+    let moved = ((elapsed - GROW_AFTER) / (FULL_AFTER - GROW_AFTER)).min(1.0);
+    RolloutStep::Share(progress.canary + (1.0 - progress.canary) * moved)
 }
--- /dev/null
+++ b/policy/src/rollout_evidence.rs
@@ -0,0 +1,224 @@
+//! Evidence on the versions of a rollout: outcomes of their responses by period and route, which
+//! hosts exchange and add up.
+//!
+//! Failures and slow responses are counted apart: sound versions hardly ever fail, but often have
+//! slow responses. Periods make old and new version comparable while both are subject to the same
+//! conditions.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::quality::Counts;
+
+/// Period of the responses before the order.
+pub const BEFORE_ORDER: u16 = 0;
+
+/// Number of periods in the time limit of a rollout.
+const PERIODS: u128 = 16;
+
+/// Last period; responses after it count for it.
+const LAST_PERIOD: u16 = 2 * PERIODS as u16;
+
+/// Largest number of routes that are told apart; the counts of further routes are added up.
+const MAX_ROUTES: usize = 6;
+
+/// Key of the routes beyond [`MAX_ROUTES`].
+const OTHER_ROUTES: u32 = 0;
+
+/// What a response shows of its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The response was complete, or its stream has begun.
+    Success,
+    /// The response was a failure or broke off.
+    Failure,
+    /// The response came at the usual pace.
+    InTime,
+    /// The response took several times longer than usual.
+    Slow,
+}
+
+/// Outcomes of one version's responses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcomes {
+    /// Successes and failures.
+    pub responses: Counts,
+    /// Responses in time and slow ones, of those whose pace can be judged.
+    pub pace: Counts,
+}
+
+impl Outcomes {
+    /// Counts one outcome.
+    pub fn add(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Success => self.responses.add(false),
+            Outcome::Failure => self.responses.add(true),
+            Outcome::InTime => self.pace.add(false),
+            Outcome::Slow => self.pace.add(true),
+        }
+    }
+
+    /// Returns the later of two readings of the same outcomes, which only grow.
+    pub fn later(self, other: Self) -> Self {
+        Self {
+            responses: self.responses.later(other.responses),
+            pace: self.pace.later(other.pace),
+        }
+    }
+
+    /// Returns the sum of two counts.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            responses: self.responses.plus(other.responses),
+            pace: self.pace.plus(other.pace),
+        }
+    }
+
+    /// Returns good and bad responses, with slow ones among the bad.
+    pub fn total(self) -> Counts {
+        Counts {
+            good: self.responses.good.saturating_sub(self.pace.bad),
+            bad: self.responses.bad + self.pace.bad,
+        }
+    }
+}
+
+/// Outcomes of the new and the old versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pair {
+    /// Outcomes of the version that is rolled out.
+    pub new: Outcomes,
+    /// Outcomes of all other versions.
+    pub old: Outcomes,
+}
+
+impl Pair {
+    fn later(self, other: Self) -> Self {
+        Self {
+            new: self.new.later(other.new),
+            old: self.old.later(other.old),
+        }
+    }
+
+    /// Returns the sum of two pairs.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            new: self.new.plus(other.new),
+            old: self.old.plus(other.old),
+        }
+    }
+}
+
+/// Outcomes of one route in one period, as exchanged between hosts: period, hash of the route, and
+/// the good and bad responses and paces of the new and the old versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceRow(u16, u32, [u32; 8]);
+
+impl EvidenceRow {
+    fn new((period, route): (u16, u32), pair: &Pair) -> Self {
+        let of = |counts: Counts| [counts.good as u32, counts.bad as u32];
+        let [a, b] = of(pair.new.responses);
+        let [c, d] = of(pair.new.pace);
+        let [e, f] = of(pair.old.responses);
+        let [g, h] = of(pair.old.pace);
+        Self(period, route, [a, b, c, d, e, f, g, h])
+    }
+
+    fn pair(&self) -> Pair {
+        let counts = |at: usize| Counts {
+            good: u64::from(self.2[at]),
+            bad: u64::from(self.2[at + 1]),
+        };
+        let outcomes = |at: usize| Outcomes {
+            responses: counts(at),
+            pace: counts(at + 2),
+        };
+        Pair {
+            new: outcomes(0),
+            old: outcomes(4),
+        }
+    }
+}
+
+/// Returns the period of a rollout with this time limit that holds the time `elapsed` after its
+/// order.
+pub fn period_at(elapsed: std::time::Duration, time_limit: std::time::Duration) -> u16 {
+    let period = elapsed.as_millis() * PERIODS / time_limit.as_millis().max(1);
+    1 + period.min(u128::from(LAST_PERIOD - 1)) as u16
+}
+
+/// Outcomes by period and route.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    cells: BTreeMap<(u16, u32), Pair>,
+}
+
+impl Evidence {
+    /// Adds outcomes of a route, given by its hash, in a period.
+    pub fn add(&mut self, period: u16, route: u32, pair: Pair) {
+        let key = (period, self.route_key(route));
+        let known = self.cells.entry(key).or_default();
+        *known = known.plus(pair);
+    }
+
+    fn route_key(&self, route: u32) -> u32 {
+        let routes = self.routes();
+        if routes.contains(&route) || routes.len() < MAX_ROUTES {
+            route
+        } else {
+            OTHER_ROUTES
+        }
+    }
+
+    /// Returns the rows to send to a peer.
+    pub fn rows(&self) -> Vec<EvidenceRow> {
+        let cells = self.cells.iter();
+        cells
+            .map(|(key, pair)| EvidenceRow::new(*key, pair))
+            .collect()
+    }
+
+    /// Merges a later or earlier reading of the same evidence. Counts only grow, so the larger
+    /// number is the later one.
+    pub fn merge(&mut self, rows: &[EvidenceRow]) {
+        for row in rows {
+            let known = self.cells.entry((row.0, row.1)).or_default();
+            *known = known.later(row.pair());
+        }
+    }
+
+    /// Adds the evidence of another host or zone.
+    pub fn add_all(&mut self, other: &Self) {
+        for (key, pair) in &other.cells {
+            let known = self.cells.entry(*key).or_default();
+            *known = known.plus(*pair);
+        }
+    }
+
+    /// Returns the hashes of the routes with evidence, in order.
+    pub fn routes(&self) -> Vec<u32> {
+        let mut routes: Vec<u32> = self.cells.keys().map(|(_, route)| *route).collect();
+        routes.sort_unstable();
+        routes.dedup();
+        routes
+    }
+
+    /// Returns the outcomes by period: of one route, or of all if `route` is none.
+    pub fn by_period(&self, route: Option<u32>) -> BTreeMap<u16, Pair> {
+        let mut periods: BTreeMap<u16, Pair> = BTreeMap::new();
+        let wanted = |key: &(u16, u32)| route.is_none_or(|route| key.1 == route);
+        for ((period, _), pair) in self.cells.iter().filter(|(key, _)| wanted(key)) {
+            let sum = periods.entry(*period).or_default();
+            *sum = sum.plus(*pair);
+        }
+        periods
+    }
+
+    /// Returns the outcomes since the order over all periods and routes.
+    pub fn total(&self) -> Pair {
+        let periods = self.by_period(None);
+        let since_order = periods.range(BEFORE_ORDER + 1..);
+        since_order.fold(Pair::default(), |sum, (_, pair)| sum.plus(*pair))
+    }
+}
--- a/policy/src/routes.rs
+++ b/policy/src/routes.rs
@@ -208,6 +208,11 @@
         self
     }
 
+    /// Iterates over all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route for a request: among those of the host, the one with the longest prefix of
     /// the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/policy/tests/rollout.rs
+++ b/policy/tests/rollout.rs
@@ -3,54 +3,122 @@
 
 use std::time::Duration;
 
-use clementinearch_policy::rollout::{
-    RolloutStep, VersionCounts, canary_share, is_worse, next_step,
+use clementinearch_policy::{
+    quality::Counts,
+    rollout::{Progress, RolloutStep, Verdict, assess, canary_share, next_step},
+    rollout_evidence::{Evidence, Outcome, Outcomes, Pair, period_at},
 };
 
 const LIMIT: Duration = Duration::from_secs(24);
 
-/// Simulates a rollout at `rate` requests per second. `old_bad` is the old version's rate of bad
-/// answers, and `new_bad` the new version's at the elapsed time. Returns the last step, its time,
-/// and the number of requests that the new version got.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Bound on a bad version's share of the requests within the time limit.
+const MAX_EXPOSURE: f64 = 0.15;
+
+/// A request's chances at a version, by route and elapsed time.
+struct Version<F: Fn(u32, Duration) -> f64> {
+    /// Probability of a failure.
+    failures: F,
+    /// Probability that a response is slow.
+    slow: f64,
+}
+
+fn outcomes(counts: Counts) -> Outcomes {
+    Outcomes {
+        responses: counts,
+        ..Outcomes::default()
+    }
+}
+
+/// Evidence of one route with failures of both versions, all of one period.
+fn evidence(new: Counts, old: Counts) -> Evidence {
+    let mut evidence = Evidence::default();
+    let pair = Pair {
+        new: outcomes(new),
+        old: outcomes(old),
+    };
+    evidence.add(5, 1, pair);
+    evidence
+}
+
+/// The step for a canary at this fraction of the time limit.
+fn step_at(elapsed: f64, evidence: &Evidence) -> RolloutStep {
+    let progress = Progress {
+        elapsed: LIMIT.mul_f64(elapsed),
+        time_limit: LIMIT,
+        canary: canary_share(7),
+    };
+    next_step(progress, assess(evidence).verdict)
+}
+
+/// Simulates a rollout at `rate` requests per second, spread over two routes of which the second
+/// gets a fifth. Returns the last step, its time, and the number of requests that the new version
+/// got. A rollout that has not ended within the time limit ends with a share.
 fn simulate(
     rate: f64,
-    old_bad: f64,
-    new_bad: impl Fn(Duration) -> f64,
+    old: &Version<impl Fn(u32, Duration) -> f64>,
+    new: &Version<impl Fn(u32, Duration) -> f64>,
     seed: u64,
 ) -> (RolloutStep, Duration, u64) {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let (mut new, mut old) = (VersionCounts::default(), VersionCounts::default());
+    let mut evidence = Evidence::default();
     let mut exposed = 0;
-    let tick = Duration::from_millis(250);
     let mut elapsed = Duration::ZERO;
     loop {
-        let step = next_step(elapsed, LIMIT, canary_share(7), new, old);
+        let progress = Progress {
+            elapsed,
+            time_limit: LIMIT,
+            canary: canary_share(7),
+        };
+        let step = next_step(progress, assess(&evidence).verdict);
         let RolloutStep::Share(share) = step else {
             return (step, elapsed, exposed);
         };
-        for _ in 0..(rate * tick.as_secs_f64()) as u64 {
+        for _ in 0..(rate * TICK.as_secs_f64()) as u64 {
             let is_new = rng.f64() < share;
-            let bad_rate = if is_new { new_bad(elapsed) } else { old_bad };
-            let counts = if is_new { &mut new } else { &mut old };
+            let route = 1 + u32::from(rng.f64() < 0.2);
+            let (failures, slow) = if is_new {
+                ((new.failures)(route, elapsed), new.slow)
+            } else {
+                ((old.failures)(route, elapsed), old.slow)
+            };
             exposed += u64::from(is_new);
-            if rng.f64() < bad_rate {
-                counts.bad += 1;
+            let mut outcomes = Outcomes::default();
+            if rng.f64() < failures {
+                outcomes.add(Outcome::Failure);
             } else {
-                counts.good += 1;
+                outcomes.add(Outcome::Success);
+                let is_slow = rng.f64() < slow;
+                outcomes.add(if is_slow {
+                    Outcome::Slow
+                } else {
+                    Outcome::InTime
+                });
             }
+            let mut pair = Pair::default();
+            *(if is_new { &mut pair.new } else { &mut pair.old }) = outcomes;
+            evidence.add(period_at(elapsed, LIMIT), route, pair);
+        }
+        elapsed += TICK;
+        if elapsed > LIMIT {
+            return (step, elapsed, exposed);
         }
-        elapsed += tick;
-        assert!(
-            elapsed <= LIMIT,
-            "neither completed nor rolled back in time"
-        );
+    }
+}
+
+/// A version that fails at a constant rate.
+fn failing(rate: f64) -> Version<impl Fn(u32, Duration) -> f64> {
+    Version {
+        failures: move |_, _| rate,
+        slow: 0.03,
     }
 }
 
 #[test]
 fn a_good_version_is_completed_in_time() {
     for seed in 0..50 {
-        let (step, at, _) = simulate(60.0, 0.005, |_| 0.005, seed);
+        let (step, at, _) = simulate(60.0, &failing(0.005), &failing(0.005), seed);
         assert_eq!(step, RolloutStep::Complete, "seed {seed}");
         assert!(at < LIMIT);
     }
@@ -59,7 +127,7 @@
 #[test]
 fn a_good_version_of_a_service_that_often_fails_is_completed() {
     for seed in 0..50 {
-        let (step, _, _) = simulate(60.0, 0.08, |_| 0.08, seed);
+        let (step, _, _) = simulate(60.0, &failing(0.08), &failing(0.08), seed);
         assert_eq!(step, RolloutStep::Complete, "seed {seed}");
     }
 }
@@ -67,9 +135,9 @@
 #[test]
 fn a_bad_version_is_rolled_back_within_the_bound_on_exposure() {
     // Required bound: 15 % of the service's requests within the time limit, plus 30.
-    let bound = 0.15 * 60.0 * LIMIT.as_secs_f64() + 30.0;
+    let bound = MAX_EXPOSURE * 60.0 * LIMIT.as_secs_f64() + 30.0;
     for seed in 0..50 {
-        let (step, _, exposed) = simulate(60.0, 0.005, |_| 0.35, seed);
+        let (step, _, exposed) = simulate(60.0, &failing(0.005), &failing(0.35), seed);
         assert_eq!(step, RolloutStep::RollBack, "seed {seed}");
         assert!((exposed as f64) < bound, "seed {seed}: {exposed} requests");
     }
@@ -77,17 +145,20 @@
 
 #[test]
 fn a_version_that_turns_bad_late_is_rolled_back_within_the_bound() {
-    let bound = 0.15 * 60.0 * LIMIT.as_secs_f64() + 30.0;
+    let bound = MAX_EXPOSURE * 60.0 * LIMIT.as_secs_f64() + 30.0;
     for seed in 0..50 {
         for turns in [3, 6, 9] {
-            let bad_rate = move |elapsed: Duration| {
-                if elapsed >= Duration::from_secs(turns) {
-                    0.5
-                } else {
-                    0.005
-                }
+            let late = Version {
+                failures: move |_, elapsed| {
+                    if elapsed >= Duration::from_secs(turns) {
+                        0.5
+                    } else {
+                        0.005
+                    }
+                },
+                slow: 0.03,
             };
-            let (step, _, exposed) = simulate(60.0, 0.005, bad_rate, seed);
+            let (step, _, exposed) = simulate(60.0, &failing(0.005), &late, seed);
             assert_eq!(
                 step,
                 RolloutStep::RollBack,
@@ -100,36 +171,68 @@
 
 #[test]
 fn a_version_without_enough_answers_is_not_completed() {
-    let untested = VersionCounts { good: 1, bad: 0 };
-    let old = VersionCounts { good: 900, bad: 4 };
-    let step = next_step(LIMIT, LIMIT, canary_share(7), untested, old);
+    let untested = Counts { good: 1, bad: 0 };
+    let old = Counts { good: 900, bad: 4 };
+    let step = step_at(1.0, &evidence(untested, old));
     assert!(matches!(step, RolloutStep::Share(_)), "{step:?}");
 }
 
 #[test]
 fn the_share_does_not_grow_while_the_version_looks_worse() {
-    let old = VersionCounts { good: 900, bad: 4 };
-    let busy_old = VersionCounts {
+    let old = Counts { good: 900, bad: 4 };
+    let busy_old = Counts {
         good: 3_000,
         bad: 660,
     };
-    let few_bad = VersionCounts { good: 8, bad: 4 };
-    let often_bad = VersionCounts { good: 24, bad: 16 };
+    let few_bad = Counts { good: 8, bad: 4 };
+    let often_bad = Counts { good: 24, bad: 16 };
     let canary = canary_share(7);
     for (doubtful, old) in [(few_bad, old), (often_bad, busy_old)] {
-        assert!(!is_worse(doubtful, old));
-        for elapsed in [0.55, 0.7, 0.8, 1.0] {
-            let step = next_step(LIMIT.mul_f64(elapsed), LIMIT, canary, doubtful, old);
+        let evidence = evidence(doubtful, old);
+        assert_ne!(assess(&evidence).verdict, Verdict::Bad);
+        for elapsed in [0.55, 0.7, 0.8] {
+            let step = step_at(elapsed, &evidence);
             assert_eq!(step, RolloutStep::Share(canary), "{doubtful:?}");
         }
     }
-    let cleared = VersionCounts { good: 200, bad: 4 };
-    let step = next_step(LIMIT.mul_f64(0.8), LIMIT, canary, cleared, old);
+    let cleared = Counts { good: 200, bad: 4 };
+    let step = step_at(0.8, &evidence(cleared, old));
     assert_eq!(step, RolloutStep::Complete);
 }
 
 #[test]
 fn few_failures_are_not_conclusive() {
-    let new = VersionCounts { good: 3, bad: 3 };
-    assert!(!is_worse(new, VersionCounts { good: 300, bad: 1 }));
+    let new = Counts { good: 3, bad: 3 };
+    let old = Counts { good: 300, bad: 1 };
+    assert_ne!(assess(&evidence(new, old)).verdict, Verdict::Bad);
+}
+
+#[test]
+fn a_slow_version_is_rolled_back_within_the_bound() {
+    let bound = MAX_EXPOSURE * 60.0 * LIMIT.as_secs_f64() + 30.0;
+    let slow = Version {
+        failures: |_, _| 0.005,
+        slow: 0.55,
+    };
+    let old = Version {
+        failures: |_, _| 0.005,
+        slow: 0.1,
+    };
+    for seed in 0..50 {
+        let (step, _, exposed) = simulate(60.0, &old, &slow, seed);
+        assert_eq!(step, RolloutStep::RollBack, "seed {seed}");
+        assert!((exposed as f64) < bound, "seed {seed}: {exposed} requests");
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_in_ninety_nine_of_a_hundred_rollouts() {
+    let version = Version {
+        failures: |_, _| 0.03,
+        slow: 0.15,
+    };
+    let completed = (0..400)
+        .filter(|seed| simulate(60.0, &version, &version, *seed).0 == RolloutStep::Complete)
+        .count();
+    assert!(completed >= 396, "{completed} of 400");
 }
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -4,7 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    event_stream::EventSplitter, server_health::AttemptOutcome, time::Millis,
+    event_stream::EventSplitter, rollout_evidence::Outcome, server_health::AttemptOutcome,
+    time::Millis,
 };
 use http_body_util::Full;
 use hyper::{Request, StatusCode, body::Incoming, http::response};
@@ -478,9 +479,7 @@
     }
     let server = in_flight.server();
     record_server_outcome(state, server, AttemptOutcome::Failed, now);
-    state
-        .rollouts
-        .count_response(&call.service, &server.entry.version, true);
+    state.count_outcome(call, server, Outcome::Failure, now);
 }
 
 /// Records that an attempt was abandoned for the reason `why`, one of the constants above.
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -18,7 +18,7 @@
     call::{Call, CallHead},
     refusal::Refusal,
     response_body::{ResponseBody, full_body},
-    rollouts::{RolloutOrder, RolloutStatus},
+    rollout::{RolloutOrder, RolloutStatus},
     server::{LoadReport, ServerEntry},
 };
 
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -17,7 +17,8 @@
     fleet::{PEERS_PER_PERIOD, PeerInfo},
     gossip_event::{GossipEvent, Prefill},
     host_state::HostState,
-    rollouts::{RolloutReport, SessionVersion},
+    rollout::RolloutReport,
+    rollouts::SessionVersion,
 };
 
 /// Largest datagram that is read, bytes.
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -26,7 +26,7 @@
     host_state::HostState,
     ingress::Ingress,
     peer_view, request_metrics,
-    rollouts::PendingStatus,
+    rollout::{PendingStatus, VerdictChange},
     settings::Settings,
     stored_blocks,
     view_sync::ViewSync,
@@ -205,7 +205,10 @@
         let due = state.rollouts.step(now, has_target, |service, target| {
             state.running_on_other_versions(service, target)
         });
-        if due.is_empty() || state.is_stopping() {
+        for change in &due.verdicts {
+            log_verdict(&state, change);
+        }
+        if due.statuses.is_empty() || state.is_stopping() {
             due_since = None;
             continue;
         }
@@ -214,13 +217,43 @@
         if now.since(since) < WRITER_DELAY * rank as u32 {
             continue;
         }
-        for status in due {
+        for status in due.statuses {
             write_status(&state, &*store, status).await;
         }
         due_since = None;
     }
 }
 
+/// Logs a new verdict on a version, with the outcomes that it rests on.
+fn log_verdict(state: &HostState, change: &VerdictChange) {
+    let VerdictChange {
+        assessment, total, ..
+    } = change;
+    let scope = assessment.route.map_or("all routes".to_owned(), |route| {
+        state
+            .route_name(route)
+            .map_or("gone route".to_owned(), |name| name.to_string())
+    });
+    let why = format!("{:?}: {:?} on {scope}", assessment.verdict, assessment.kind);
+    let counts = [
+        ("new_ok", total.new.responses.good),
+        ("new_failed", total.new.responses.bad),
+        ("new_in_time", total.new.pace.good),
+        ("new_slow", total.new.pace.bad),
+        ("old_ok", total.old.responses.good),
+        ("old_failed", total.old.responses.bad),
+        ("old_in_time", total.old.pace.good),
+        ("old_slow", total.old.pace.bad),
+    ];
+    let mut inputs = vec![
+        ("elapsed_ms", change.elapsed.as_millis() as f64),
+        ("share", change.share),
+        ("log_ratio", assessment.log_ratio),
+    ];
+    inputs.extend(counts.map(|(name, count)| (name, count as f64)));
+    state.log_event("rollout_verdict", &change.service, &why, &inputs);
+}
+
 /// Writes a rollout's status, unless another host has written one since this host's last read.
 async fn write_status(state: &HostState, store: &dyn KeyStore, due: PendingStatus) {
     let (key, value) = state.schema.status_item(&due.status);
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -15,6 +15,7 @@
     names::{FastMap, Name},
     prefill_time::PrefillTime,
     retry_budget::{RetryBudget, RetryLimit},
+    rollout_evidence::Outcome,
     routes::{Route, RoutingTable},
     time::Millis,
 };
@@ -33,7 +34,7 @@
     moving_averages::MovingAverages,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
-    server::{AttemptTarget, MAX_IDLE_CONNECTIONS},
+    server::{AttemptTarget, MAX_IDLE_CONNECTIONS, Server},
     servers::{EntryChange, Servers},
     settings::Settings,
     stored_blocks::StoredBlocks,
@@ -154,6 +155,14 @@
         self.table.read().as_ref().map_or(0, |table| table.version)
     }
 
+    /// Name of the route with this hash.
+    pub(crate) fn route_name(&self, hash: u32) -> Option<Name> {
+        let table = self.table()?;
+        let mut names = table.routes().map(|route| &route.name);
+        let found = names.find(|name| hash_bytes(name.as_bytes()) as u32 == hash);
+        found.cloned()
+    }
+
     /// Whether the host accepts requests: it has a routing table and servers, and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.table.read().is_some() && !self.servers.is_empty()
@@ -296,6 +305,20 @@
         }
     }
 
+    /// Counts an outcome of a response for the version of the server that gave it.
+    pub(crate) fn count_outcome(
+        &self,
+        call: &Call,
+        server: &Server,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        let route = &call.head.route.name;
+        let version = &server.entry.version;
+        self.rollouts
+            .count_response(&call.service, route, version, outcome, now);
+    }
+
     /// Records that a server crashed at `at` while it had a request with this content.
     pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
         let incarnation = server.incarnation.to_le_bytes();
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clementinearch_policy::{
+    rollout_evidence::Outcome,
     sizing::{DEFAULT_ACCEPTED_CONFIDENCE, SizingQuery, next_size},
     time::Millis,
 };
@@ -50,20 +51,24 @@
         sent_at: Millis,
         now: Millis,
     ) {
-        let is_slow = self.is_slow(now.since(sent_at));
-        self.count_for_version(server, is_failure || is_slow);
-        if !is_failure {
-            self.record_latency(server, now.since(sent_at));
+        if is_failure {
+            self.count(server, Outcome::Failure, now);
+            return;
         }
+        let latency = now.since(sent_at);
+        self.count(server, Outcome::Success, now);
+        self.count_pace(server, self.is_slow(latency), now);
+        self.record_latency(server, latency);
     }
 
     /// Records the latency of a stream's first event. A stream that starts in time is counted for its
     /// version once its pace is known.
     pub(crate) fn record_first_event(&mut self, server: &Server, sent_at: Millis, now: Millis) {
         let latency = now.since(sent_at);
+        self.count(server, Outcome::Success, now);
         self.is_pace_due = true;
         if self.is_slow(latency) {
-            self.count_for_version(server, true);
+            self.count_pace(server, true, now);
         }
         self.record_latency(server, latency);
     }
@@ -86,7 +91,7 @@
         let mean_log = self.state.event_gap_logs.get(service, self.size);
         let Some(first) = self.first_event_at.filter(|_| gaps >= MIN_GAPS) else {
             if mean_log.is_none() {
-                self.count_for_version(server, false);
+                self.count_pace(server, false, now);
             }
             return;
         };
@@ -96,17 +101,23 @@
             self.state.event_gap_logs.record(service, self.size, log);
         }
         let is_slow = mean_log.is_some_and(|mean| log > mean + SLOW_GAP_FACTOR.ln());
-        self.count_for_version(server, is_slow);
+        self.count_pace(server, is_slow, now);
     }
 
-    /// Counts a response for the version that gave it. Slow responses count for the old and the new
-    /// version alike, since load slows both.
-    fn count_for_version(&mut self, server: &Server, is_bad: bool) {
+    /// Counts the pace of a response for the version that gave it, for the old and the new version
+    /// alike, since load slows both.
+    fn count_pace(&mut self, server: &Server, is_slow: bool, now: Millis) {
         self.is_pace_due = false;
-        let version = &server.entry.version;
-        self.state
-            .rollouts
-            .count_response(&self.call.service, version, is_bad);
+        let outcome = if is_slow {
+            Outcome::Slow
+        } else {
+            Outcome::InTime
+        };
+        self.count(server, outcome, now);
+    }
+
+    fn count(&self, server: &Server, outcome: Outcome, now: Millis) {
+        self.state.count_outcome(&self.call, server, outcome, now);
     }
 
     /// Whether a latency is several times longer than both usual and expected.
--- /dev/null
+++ b/router/src/rollout.rs
@@ -0,0 +1,424 @@
+//! One rollout of a version as a host sees it: its order and status, the evidence of all hosts, and
+//! the share of the sessions on the new version.
+
+use std::time::Duration;
+
+use clementinearch_policy::{
+    names::{FastMap, Name},
+    quality::Counts,
+    rollout::{Assessment, Progress, RolloutStep, Verdict, assess, next_step},
+    rollout_evidence::{BEFORE_ORDER, Evidence, EvidenceRow, Outcome, Outcomes, Pair, period_at},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+
+/// The operators' order to roll out a version of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Service that is updated.
+    pub service: Name,
+    /// Version to roll out.
+    pub target: Name,
+    /// Time from the order by which the rollout must have ended.
+    pub time_limit: Duration,
+}
+
+/// Progress of a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutState {
+    /// The new version serves canary sessions, or all sessions are moving to it.
+    InProgress,
+    /// All sessions are on the new version.
+    Completed,
+    /// The new version was rejected and gets no requests.
+    RolledBack,
+}
+
+/// Status of a rollout in the store, for operators and for other hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// Service that is updated.
+    pub service: Name,
+    /// Version that is rolled out.
+    pub target: Name,
+    /// Progress so far.
+    pub state: RolloutState,
+    /// Time since the order; hosts that read it align their own clock of the rollout.
+    pub elapsed: Duration,
+    /// Versions that earlier rollouts rejected; their servers may still be listed.
+    pub rejected: Vec<Name>,
+}
+
+/// One host's part of a rollout, as it is sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RolloutReport {
+    pub(crate) service: Name,
+    pub(crate) target: Name,
+    pub(crate) elapsed_ms: u64,
+    pub(crate) new: Counts,
+    pub(crate) old: Counts,
+    /// Requests of the sender that still run on old versions.
+    pub(crate) old_running: u32,
+    /// Whether the sender routes all sessions to the new version.
+    pub(crate) has_moved: bool,
+    /// Whether the sender has judged the new version bad.
+    pub(crate) is_bad: bool,
+    /// Responses of the new version over all hosts of the sender's zone.
+    #[serde(default)]
+    pub(crate) zone_new: Counts,
+    /// Responses of the old versions over all hosts of the sender's zone.
+    #[serde(default)]
+    pub(crate) zone_old: Counts,
+    /// Evidence that the sender has collected since its start.
+    #[serde(default)]
+    pub(crate) evidence: Vec<EvidenceRow>,
+    /// Evidence of all hosts of the sender's zone.
+    #[serde(default)]
+    pub(crate) zone_evidence: Vec<EvidenceRow>,
+}
+
+/// A status that is due in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PendingStatus {
+    pub(crate) status: RolloutStatus,
+    /// Share of the sessions on the new version, from 0 to 1.
+    pub(crate) share: f64,
+    /// Responses of the new version, over all hosts that this one has heard of.
+    pub(crate) new: Counts,
+    /// Responses of the old versions, likewise.
+    pub(crate) old: Counts,
+}
+
+/// A new verdict on the version of a rollout.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct VerdictChange {
+    pub(crate) service: Name,
+    pub(crate) assessment: Assessment,
+    /// Share of the sessions on the new version, from 0 to 1.
+    pub(crate) share: f64,
+    /// Outcomes since the order, over all hosts that this one has heard of.
+    pub(crate) total: Pair,
+    /// Time since the order.
+    pub(crate) elapsed: Duration,
+}
+
+/// What is due after a step of the rollouts.
+#[derive(Debug, Default)]
+pub(crate) struct StepResult {
+    /// Statuses to write to the store.
+    pub(crate) statuses: Vec<PendingStatus>,
+    /// Changed verdicts, for the log.
+    pub(crate) verdicts: Vec<VerdictChange>,
+}
+
+/// Age above which a peer's report no longer holds up the completion of a rollout.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Least time from the first move beyond the canary to completion: hosts that have not reported yet
+/// get this long to do so.
+const SETTLE_DELAY: Duration = Duration::from_millis(1_200);
+
+/// Fraction of the time limit after which a rollout completes even if requests still run on old
+/// versions.
+const LATEST_COMPLETION_FRACTION: f64 = 0.9;
+
+#[derive(Debug)]
+struct PeerReport {
+    report: RolloutReport,
+    evidence: Evidence,
+    received_at: Millis,
+    /// Whether the peer is in the own zone.
+    is_near: bool,
+}
+
+/// A rollout in progress, or the last one of its service.
+#[derive(Debug)]
+pub(crate) struct Rollout {
+    pub(crate) order: RolloutOrder,
+    /// Time of the order; the earliest that any host reports.
+    started_at: Millis,
+    /// State that was last read from the store or written to it.
+    pub(crate) status: Option<RolloutState>,
+    /// Share of the sessions on the new version, from 0 to 1.
+    pub(crate) share: f64,
+    is_bad: bool,
+    /// Versions that earlier rollouts rejected.
+    pub(crate) rejected: Vec<Name>,
+    /// When the share first grew beyond the canary's.
+    moved_at: Option<Millis>,
+    last_verdict: Verdict,
+    /// Evidence that this host has collected.
+    own: Evidence,
+    peers: FastMap<Name, PeerReport>,
+    /// Evidence of the other zones.
+    zones: FastMap<Name, Evidence>,
+}
+
+impl Rollout {
+    /// Starts a rollout whose order was read at `now`.
+    pub(crate) fn new(order: RolloutOrder, now: Millis) -> Self {
+        Self {
+            order,
+            started_at: now,
+            status: None,
+            share: 0.0,
+            is_bad: false,
+            rejected: Vec::new(),
+            moved_at: None,
+            last_verdict: Verdict::Open,
+            own: Evidence::default(),
+            peers: FastMap::default(),
+            zones: FastMap::default(),
+        }
+    }
+
+    fn elapsed(&self, now: Millis) -> Duration {
+        now.since(self.started_at)
+    }
+
+    /// Whether the rollout has neither completed nor been rolled back.
+    pub(crate) fn is_in_progress(&self) -> bool {
+        !matches!(
+            self.status,
+            Some(RolloutState::Completed | RolloutState::RolledBack)
+        )
+    }
+
+    /// Whether sessions may be sent to the new version, by what this host knows.
+    pub(crate) fn is_rejected(&self) -> bool {
+        self.is_bad
+    }
+
+    /// Whether the share has grown beyond the canary's.
+    pub(crate) fn has_grown(&self) -> bool {
+        self.moved_at.is_some()
+    }
+
+    /// The versions that do not get a session of the old version.
+    pub(crate) fn excluded(&self) -> Vec<Name> {
+        let mut versions = self.rejected.clone();
+        versions.push(self.order.target.clone());
+        versions
+    }
+
+    /// Adds the old version's outcomes from before the order.
+    pub(crate) fn add_baseline(&mut self, route: u32, old: Outcomes) {
+        let pair = Pair {
+            old,
+            ..Pair::default()
+        };
+        self.own.add(BEFORE_ORDER, route, pair);
+    }
+
+    /// Counts an outcome of a response by `version` on a route, given by its hash.
+    pub(crate) fn count(&mut self, version: &str, route: u32, outcome: Outcome, now: Millis) {
+        let mut pair = Pair::default();
+        let period = period_at(self.elapsed(now), self.order.time_limit);
+        if *self.order.target == *version {
+            let is_pace = matches!(outcome, Outcome::InTime | Outcome::Slow);
+            if is_pace && self.has_grown() {
+                // While sessions move, the servers of the new version read prompts again that the
+                // old ones have in their caches, which slows them without being a fault.
+                return;
+            }
+            pair.new.add(outcome);
+        } else {
+            pair.old.add(outcome);
+        }
+        self.own.add(period, route, pair);
+    }
+
+    /// Applies a status that a host wrote to the store. Returns whether the state changed.
+    pub(crate) fn record_status(&mut self, status: &RolloutStatus, now: Millis) -> bool {
+        if self.order.target != status.target {
+            return false;
+        }
+        self.advance_clock(status.elapsed, now);
+        for version in &status.rejected {
+            if !self.rejected.contains(version) {
+                self.rejected.push(version.clone());
+            }
+        }
+        let is_change = self.status != Some(status.state);
+        self.status = Some(status.state);
+        is_change
+    }
+
+    /// Merges a peer's report; `zone` is its zone if that is not the own one.
+    pub(crate) fn merge_report(
+        &mut self,
+        peer: &Name,
+        zone: Option<&Name>,
+        report: RolloutReport,
+        now: Millis,
+    ) {
+        if self.order.target != report.target {
+            return;
+        }
+        self.advance_clock(Duration::from_millis(report.elapsed_ms), now);
+        self.is_bad |= report.is_bad;
+        if let Some(zone) = zone {
+            let sum = self.zones.entry(zone.clone()).or_default();
+            sum.merge(&report.zone_evidence);
+        }
+        let mut evidence = Evidence::default();
+        evidence.merge(&report.evidence);
+        let report = PeerReport {
+            report,
+            evidence,
+            received_at: now,
+            is_near: zone.is_none(),
+        };
+        self.peers.insert(peer.clone(), report);
+    }
+
+    /// Moves the start back if another host has seen the rollout run for longer.
+    fn advance_clock(&mut self, elapsed: Duration, now: Millis) {
+        let started_at = Millis(now.0.saturating_sub(elapsed.as_millis() as u64));
+        self.started_at = self.started_at.min(started_at);
+    }
+
+    /// Builds the report for peers; `old_running` counts the requests of a service on versions other
+    /// than the target.
+    pub(crate) fn report(
+        &self,
+        now: Millis,
+        old_running: &impl Fn(&str, &str) -> u32,
+    ) -> RolloutReport {
+        let own = self.own.total();
+        let zone = self.zone_evidence();
+        let zone_total = zone.total();
+        RolloutReport {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            elapsed_ms: self.elapsed(now).as_millis() as u64,
+            new: own.new.total(),
+            old: own.old.total(),
+            old_running: old_running(&self.order.service, &self.order.target),
+            has_moved: self.has_grown() && self.share >= 1.0,
+            is_bad: self.is_bad,
+            zone_new: zone_total.new.total(),
+            zone_old: zone_total.old.total(),
+            evidence: self.own.rows(),
+            zone_evidence: zone.rows(),
+        }
+    }
+
+    /// Takes the next step, with `canary` as the canary's share. Adds to `due` what follows from it.
+    pub(crate) fn step(
+        &mut self,
+        now: Millis,
+        canary: f64,
+        has_target: bool,
+        old_running: u32,
+        due: &mut StepResult,
+    ) {
+        if !self.is_in_progress() {
+            return;
+        }
+        let evidence = self.all_evidence();
+        let assessment = assess(&evidence);
+        if std::mem::replace(&mut self.last_verdict, assessment.verdict) != assessment.verdict {
+            due.verdicts.push(VerdictChange {
+                service: self.order.service.clone(),
+                assessment,
+                share: self.share,
+                total: evidence.total(),
+                elapsed: self.elapsed(now),
+            });
+        }
+        let progress = Progress {
+            elapsed: self.elapsed(now),
+            time_limit: self.order.time_limit,
+            canary,
+        };
+        let may_be_due = match next_step(progress, assessment.verdict) {
+            RolloutStep::RollBack => {
+                self.is_bad = true;
+                true
+            }
+            RolloutStep::Share(share) => {
+                if has_target {
+                    self.set_share(share, canary, now);
+                }
+                self.is_bad || self.status.is_none()
+            }
+            RolloutStep::Complete => has_target && self.is_settled(now, old_running),
+        };
+        if may_be_due && let Some(status) = self.due_status(now, evidence.total()) {
+            due.statuses.push(status);
+        }
+    }
+
+    /// Evidence of all hosts that this one has heard of.
+    fn all_evidence(&self) -> Evidence {
+        let mut sum = self.zone_evidence();
+        for zone in self.zones.values() {
+            sum.add_all(zone);
+        }
+        sum
+    }
+
+    /// Evidence of the hosts of the own zone.
+    fn zone_evidence(&self) -> Evidence {
+        let mut sum = self.own.clone();
+        for peer in self.peers.values().filter(|peer| peer.is_near) {
+            sum.add_all(&peer.evidence);
+        }
+        sum
+    }
+
+    /// Sets the share. Once it has grown beyond the canary's it never shrinks, as that would move
+    /// sessions back.
+    fn set_share(&mut self, share: f64, canary: f64, now: Millis) {
+        if share > canary {
+            self.moved_at.get_or_insert(now);
+        }
+        self.share = match self.moved_at {
+            Some(_) => self.share.max(share),
+            None => share,
+        };
+    }
+
+    /// Whether no host reports requests on old versions any more, or it is too late to wait for
+    /// them.
+    fn is_settled(&self, now: Millis, old_running: u32) -> bool {
+        let is_late =
+            self.elapsed(now) >= self.order.time_limit.mul_f64(LATEST_COMPLETION_FRACTION);
+        let has_settled = self
+            .moved_at
+            .is_some_and(|at| now.since(at) >= SETTLE_DELAY);
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.received_at) <= REPORT_LIFETIME);
+        let mut is_drained = true;
+        for peer in fresh {
+            is_drained &= peer.report.has_moved && peer.report.old_running == 0;
+        }
+        has_settled && (is_late || (is_drained && old_running == 0))
+    }
+
+    /// The status to write, if it differs from the last known one.
+    fn due_status(&self, now: Millis, total: Pair) -> Option<PendingStatus> {
+        let state = if self.is_bad {
+            RolloutState::RolledBack
+        } else if self.status.is_none() {
+            RolloutState::InProgress
+        } else {
+            RolloutState::Completed
+        };
+        (self.status != Some(state)).then(|| PendingStatus {
+            share: self.share,
+            new: total.new.total(),
+            old: total.old.total(),
+            status: RolloutStatus {
+                service: self.order.service.clone(),
+                target: self.order.target.clone(),
+                state,
+                elapsed: self.elapsed(now),
+                rejected: self.rejected.clone(),
+            },
+        })
+    }
+}
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -1,5 +1,5 @@
-//! Version rollouts on one host: the share of sessions on the new version, the counts of good and
-//! bad responses of both versions, and the status that is due in the store.
+//! Version rollouts on one host: which versions a request may go to, and the sessions that stay on
+//! theirs.
 
 use std::{
     sync::atomic::{AtomicUsize, Ordering},
@@ -8,72 +8,17 @@
 
 use clementinearch_policy::{
     names::{FastMap, Name},
-    rollout::{RolloutStep, VersionCounts, canary_share, next_step},
+    rollout::canary_share,
+    rollout_evidence::{Outcome, Outcomes},
     time::Millis,
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::call::hash_bytes;
-
-/// The operators' order to roll out a version of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RolloutOrder {
-    /// Service that is updated.
-    pub service: Name,
-    /// Version to roll out.
-    pub target: Name,
-    /// Time from the order by which the rollout must have ended.
-    pub time_limit: Duration,
-}
-
-/// Progress of a rollout.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RolloutState {
-    /// The new version serves canary sessions, or all sessions are moving to it.
-    InProgress,
-    /// All sessions are on the new version.
-    Completed,
-    /// The new version was rejected and gets no requests.
-    RolledBack,
-}
-
-/// Status of a rollout in the store, for operators and for other hosts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RolloutStatus {
-    /// Service that is updated.
-    pub service: Name,
-    /// Version that is rolled out.
-    pub target: Name,
-    /// Progress so far.
-    pub state: RolloutState,
-    /// Time since the order; hosts that read it align their own clock of the rollout.
-    pub elapsed: Duration,
-    /// Versions that earlier rollouts rejected; their servers may still be listed.
-    pub rejected: Vec<Name>,
-}
-
-/// One host's part of a rollout, as it is sent to peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct RolloutReport {
-    pub(crate) service: Name,
-    pub(crate) target: Name,
-    pub(crate) elapsed_ms: u64,
-    pub(crate) new: VersionCounts,
-    pub(crate) old: VersionCounts,
-    /// Requests of the sender that still run on old versions.
-    pub(crate) old_running: u32,
-    /// Whether the sender routes all sessions to the new version.
-    pub(crate) has_moved: bool,
-    /// Whether the sender has judged the new version bad.
-    pub(crate) is_bad: bool,
-    /// Responses of the new version over all hosts of the sender's zone.
-    #[serde(default)]
-    pub(crate) zone_new: VersionCounts,
-    /// Responses of the old versions over all hosts of the sender's zone.
-    #[serde(default)]
-    pub(crate) zone_old: VersionCounts,
-}
+use crate::{
+    call::hash_bytes,
+    rollout::{Rollout, RolloutOrder, RolloutReport, RolloutState, RolloutStatus, StepResult},
+};
 
 /// Version that a session's last request ran on, as it is sent to peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,57 +31,6 @@
     pub(crate) version: u32,
 }
 
-#[derive(Debug)]
-struct PeerReport {
-    report: RolloutReport,
-    received_at: Millis,
-    /// Whether the peer is in the own zone.
-    is_near: bool,
-}
-
-#[derive(Debug)]
-struct Rollout {
-    order: RolloutOrder,
-    /// Time of the order; the earliest that any host reports.
-    started_at: Millis,
-    /// State that was last read from the store or written to it.
-    status: Option<RolloutState>,
-    /// Share of the sessions on the new version, from 0 to 1.
-    share: f64,
-    is_bad: bool,
-    /// Versions that earlier rollouts rejected.
-    rejected: Vec<Name>,
-    /// When the share first grew beyond the canary's.
-    moved_at: Option<Millis>,
-    new: VersionCounts,
-    old: VersionCounts,
-    peers: FastMap<Name, PeerReport>,
-    /// Counts of the other zones, for the new and the old versions.
-    zones: FastMap<Name, (VersionCounts, VersionCounts)>,
-}
-
-impl Rollout {
-    fn new(order: RolloutOrder, now: Millis) -> Self {
-        Self {
-            order,
-            started_at: now,
-            status: None,
-            share: 0.0,
-            is_bad: false,
-            rejected: Vec::new(),
-            moved_at: None,
-            new: VersionCounts::default(),
-            old: VersionCounts::default(),
-            peers: FastMap::default(),
-            zones: FastMap::default(),
-        }
-    }
-
-    fn elapsed(&self, now: Millis) -> Duration {
-        now.since(self.started_at)
-    }
-}
-
 /// Versions of a service that a request may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum VersionRule {
@@ -159,28 +53,27 @@
     }
 }
 
-/// A status that is due in the store.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct PendingStatus {
-    pub(crate) status: RolloutStatus,
-    /// Share of the sessions on the new version, from 0 to 1.
-    pub(crate) share: f64,
-    /// Responses of the new version, over all hosts that this one has heard of.
-    pub(crate) new: VersionCounts,
-    /// Responses of the old versions, likewise.
-    pub(crate) old: VersionCounts,
-}
-
-/// Age above which a peer's report no longer holds up the completion of a rollout.
-const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+/// Time after which outcomes from before a rollout no longer count for its baseline: they are kept
+/// for this long to twice as long.
+const BASELINE_SPAN: Duration = Duration::from_secs(15);
 
-/// Least time from the first move beyond the canary to completion: hosts that have not reported yet
-/// get this long to do so.
-const SETTLE_DELAY: Duration = Duration::from_millis(1_200);
+/// Recent outcomes of a service by the hash of the route, as the baseline of the next rollout.
+#[derive(Debug, Default)]
+struct Baseline {
+    since: Millis,
+    current: FastMap<u32, Outcomes>,
+    previous: FastMap<u32, Outcomes>,
+}
 
-/// Fraction of the time limit after which a rollout completes even if requests still run on old
-/// versions.
-const LATEST_COMPLETION_FRACTION: f64 = 0.9;
+impl Baseline {
+    fn add(&mut self, route: u32, outcome: Outcome, now: Millis) {
+        if now.since(self.since) >= BASELINE_SPAN {
+            self.since = now;
+            self.previous = std::mem::take(&mut self.current);
+        }
+        self.current.entry(route).or_default().add(outcome);
+    }
+}
 
 /// All rollouts that a host knows of.
 #[derive(Debug)]
@@ -188,6 +81,7 @@
     /// Longest pause between two requests of a session.
     session_timeout: Duration,
     by_service: Mutex<FastMap<Name, Rollout>>,
+    baselines: Mutex<FastMap<Name, Baseline>>,
     /// Version hash and time of the last request, by key, of the sessions within the canary's
     /// share.
     sessions: Mutex<FastMap<u32, (u32, Millis)>>,
@@ -215,6 +109,7 @@
         Self {
             session_timeout,
             by_service: Mutex::default(),
+            baselines: Mutex::default(),
             sessions: Mutex::default(),
             fleet_size: AtomicUsize::new(1),
         }
@@ -241,6 +136,11 @@
             return false;
         }
         let mut next = Rollout::new(order, now);
+        if let Some(baseline) = self.baselines.lock().get(&next.order.service) {
+            for (route, old) in baseline.previous.iter().chain(&baseline.current) {
+                next.add_baseline(*route, *old);
+            }
+        }
         if let Some(last) = by_service.remove(&next.order.service) {
             next.rejected = last.rejected;
             if last.status != Some(RolloutState::Completed) {
@@ -256,21 +156,8 @@
     /// Applies a status that a host wrote to the store. Returns whether the state changed.
     pub(crate) fn record_status(&self, status: &RolloutStatus, now: Millis) -> bool {
         let mut by_service = self.by_service.lock();
-        let Some(rollout) = by_service.get_mut(&status.service) else {
-            return false;
-        };
-        if rollout.order.target != status.target {
-            return false;
-        }
-        rollout.advance_clock(status.elapsed, now);
-        for version in &status.rejected {
-            if !rollout.rejected.contains(version) {
-                rollout.rejected.push(version.clone());
-            }
-        }
-        let is_change = rollout.status != Some(status.state);
-        rollout.status = Some(status.state);
-        is_change
+        let rollout = by_service.get_mut(&status.service);
+        rollout.is_some_and(|rollout| rollout.record_status(status, now))
     }
 
     /// Versions that a request with the rollout hash `point` may be sent to.
@@ -288,15 +175,15 @@
         let target = rollout.order.target.clone();
         match rollout.status {
             Some(RolloutState::Completed) => return VersionRule::Only(target),
-            Some(RolloutState::RolledBack) => return rollout.all_but_target(),
+            Some(RolloutState::RolledBack) => return VersionRule::Except(rollout.excluded()),
             _ => {}
         }
-        if rollout.is_bad || position(point) >= rollout.share {
-            return rollout.all_but_target();
+        if rollout.is_rejected() || position(point) >= rollout.share {
+            return VersionRule::Except(rollout.excluded());
         }
-        let is_canary = rollout.moved_at.is_none();
+        let is_canary = !rollout.has_grown();
         if is_canary && has_session && self.is_on_other_version(service, point, &target, now) {
-            return rollout.all_but_target();
+            return VersionRule::Except(rollout.excluded());
         }
         VersionRule::Only(target)
     }
@@ -342,21 +229,29 @@
         sessions.retain(|_, (_, at)| now.since(*at) <= self.session_timeout);
     }
 
-    /// Counts a good or bad response for its version.
-    pub(crate) fn count_response(&self, service: &str, version: &str, is_bad: bool) {
+    /// Counts an outcome of a response of a service by `version`.
+    pub(crate) fn count_response(
+        &self,
+        service: &Name,
+        route: &str,
+        version: &str,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        let route = hash_bytes(route.as_bytes()) as u32;
         let mut by_service = self.by_service.lock();
-        let Some(rollout) = by_service.get_mut(service) else {
-            return;
-        };
-        let counts = if *rollout.order.target == *version {
-            &mut rollout.new
-        } else {
-            &mut rollout.old
-        };
-        if is_bad {
-            counts.bad += 1;
-        } else {
-            counts.good += 1;
+        let rollout = by_service.get_mut(service);
+        let is_target = rollout
+            .as_ref()
+            .is_some_and(|rollout| *rollout.order.target == *version && rollout.is_in_progress());
+        if let Some(rollout) = rollout.filter(|rollout| rollout.is_in_progress()) {
+            rollout.count(version, route, outcome, now);
+        }
+        drop(by_service);
+        if !is_target {
+            let mut baselines = self.baselines.lock();
+            let baseline = baselines.entry(service.clone()).or_default();
+            baseline.add(route, outcome, now);
         }
     }
 
@@ -364,11 +259,9 @@
     pub(crate) fn target_in_progress(&self, service: &str) -> Option<Name> {
         let by_service = self.by_service.lock();
         let rollout = by_service.get(service)?;
-        let is_in_progress = !matches!(
-            rollout.status,
-            Some(RolloutState::Completed | RolloutState::RolledBack)
-        );
-        is_in_progress.then(|| rollout.order.target.clone())
+        rollout
+            .is_in_progress()
+            .then(|| rollout.order.target.clone())
     }
 
     /// Reports for peers on all rollouts in progress. `old_running` counts the requests of a
@@ -379,12 +272,9 @@
         old_running: impl Fn(&str, &str) -> u32,
     ) -> Vec<RolloutReport> {
         let by_service = self.by_service.lock();
-        let in_progress = by_service.values().filter(|rollout| {
-            !matches!(
-                rollout.status,
-                Some(RolloutState::Completed | RolloutState::RolledBack)
-            )
-        });
+        let in_progress = by_service
+            .values()
+            .filter(|rollout| rollout.is_in_progress());
         in_progress
             .map(|rollout| rollout.report(now, &old_running))
             .collect()
@@ -400,31 +290,14 @@
     ) {
         let mut by_service = self.by_service.lock();
         for report in reports {
-            let Some(rollout) = by_service.get_mut(&report.service) else {
-                continue;
-            };
-            if rollout.order.target != report.target {
-                continue;
-            }
-            rollout.advance_clock(Duration::from_millis(report.elapsed_ms), now);
-            rollout.is_bad |= report.is_bad;
-            if let Some(zone) = zone {
-                let (new, old) = rollout.zones.entry(zone.clone()).or_default();
-                *new = new.later(report.zone_new);
-                *old = old.later(report.zone_old);
+            if let Some(rollout) = by_service.get_mut(&report.service) {
+                rollout.merge_report(peer, zone, report, now);
             }
-            rollout.peers.insert(
-                peer.clone(),
-                PeerReport {
-                    report,
-                    received_at: now,
-                    is_near: zone.is_none(),
-                },
-            );
         }
     }
 
-    /// Advances each rollout by a step. Returns the statuses that are due in the store.
+    /// Advances each rollout by a step. Returns the statuses that are due in the store and the changed
+    /// verdicts.
     ///
     /// `has_target` returns whether servers with the target version are ready; `old_running` is as
     /// in [`Self::reports`].
@@ -433,145 +306,15 @@
         now: Millis,
         has_target: impl Fn(&str, &str) -> bool,
         old_running: impl Fn(&str, &str) -> u32,
-    ) -> Vec<PendingStatus> {
+    ) -> StepResult {
         let mut by_service = self.by_service.lock();
-        let mut due = Vec::new();
+        let mut due = StepResult::default();
         for (service, rollout) in by_service.iter_mut() {
             let target = rollout.order.target.clone();
-            if rollout.step(
-                now,
-                self.canary_share(),
-                has_target(service, &target),
-                old_running(service, &target),
-            ) && let Some(status) = rollout.due_status(now)
-            {
-                due.push(status);
-            }
+            let has_target = has_target(service, &target);
+            let old_running = old_running(service, &target);
+            rollout.step(now, self.canary_share(), has_target, old_running, &mut due);
         }
         due
     }
 }
-
-impl Rollout {
-    fn all_but_target(&self) -> VersionRule {
-        let mut versions = self.rejected.clone();
-        versions.push(self.order.target.clone());
-        VersionRule::Except(versions)
-    }
-
-    /// Moves the start back if another host has seen the rollout run for longer.
-    fn advance_clock(&mut self, elapsed: Duration, now: Millis) {
-        let started_at = Millis(now.0.saturating_sub(elapsed.as_millis() as u64));
-        self.started_at = self.started_at.min(started_at);
-    }
-
-    fn report(&self, now: Millis, old_running: &impl Fn(&str, &str) -> u32) -> RolloutReport {
-        let (zone_new, zone_old) = self.zone_counts();
-        RolloutReport {
-            service: self.order.service.clone(),
-            target: self.order.target.clone(),
-            elapsed_ms: self.elapsed(now).as_millis() as u64,
-            new: self.new,
-            old: self.old,
-            old_running: old_running(&self.order.service, &self.order.target),
-            has_moved: self.moved_at.is_some() && self.share >= 1.0,
-            is_bad: self.is_bad,
-            zone_new,
-            zone_old,
-        }
-    }
-
-    /// Takes the next step, with `canary` as the canary's share. Returns whether a status may be
-    /// due.
-    fn step(&mut self, now: Millis, canary: f64, has_target: bool, old_running: u32) -> bool {
-        if matches!(
-            self.status,
-            Some(RolloutState::Completed | RolloutState::RolledBack)
-        ) {
-            return false;
-        }
-        let (new, old) = self.total_counts();
-        match next_step(self.elapsed(now), self.order.time_limit, canary, new, old) {
-            RolloutStep::RollBack => self.is_bad = true,
-            RolloutStep::Share(share) if has_target => self.set_share(share, canary, now),
-            RolloutStep::Share(_) => {}
-            RolloutStep::Complete if has_target => {
-                self.set_share(1.0, canary, now);
-                return self.is_settled(now, old_running);
-            }
-            RolloutStep::Complete => {}
-        }
-        self.is_bad || self.status.is_none()
-    }
-
-    /// Sums of the counts of all hosts for the new and for the old versions.
-    fn total_counts(&self) -> (VersionCounts, VersionCounts) {
-        let zones = self.zones.values();
-        zones.fold(self.zone_counts(), |(new, old), zone| {
-            (new.plus(zone.0), old.plus(zone.1))
-        })
-    }
-
-    /// Sums of the counts of the own zone's hosts for the new and for the old versions.
-    fn zone_counts(&self) -> (VersionCounts, VersionCounts) {
-        let near = self.peers.values().filter(|peer| peer.is_near);
-        near.fold((self.new, self.old), |(new, old), peer| {
-            (new.plus(peer.report.new), old.plus(peer.report.old))
-        })
-    }
-
-    /// Sets the share. Once it has grown beyond the canary's it never shrinks, as that would move
-    /// sessions back.
-    fn set_share(&mut self, share: f64, canary: f64, now: Millis) {
-        if share > canary {
-            self.moved_at.get_or_insert(now);
-        }
-        self.share = match self.moved_at {
-            Some(_) => self.share.max(share),
-            None => share,
-        };
-    }
-
-    /// Whether no host reports requests on old versions any more, or it is too late to wait for
-    /// them.
-    fn is_settled(&self, now: Millis, old_running: u32) -> bool {
-        let is_late =
-            self.elapsed(now) >= self.order.time_limit.mul_f64(LATEST_COMPLETION_FRACTION);
-        let has_settled = self
-            .moved_at
-            .is_some_and(|at| now.since(at) >= SETTLE_DELAY);
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.received_at) <= REPORT_LIFETIME);
-        let mut is_drained = true;
-        for peer in fresh {
-            is_drained &= peer.report.has_moved && peer.report.old_running == 0;
-        }
-        has_settled && (is_late || (is_drained && old_running == 0))
-    }
-
-    /// The status to write, if it differs from the last known one.
-    fn due_status(&self, now: Millis) -> Option<PendingStatus> {
-        let state = if self.is_bad {
-            RolloutState::RolledBack
-        } else if self.status.is_none() {
-            RolloutState::InProgress
-        } else {
-            RolloutState::Completed
-        };
-        let (new, old) = self.total_counts();
-        (self.status != Some(state)).then(|| PendingStatus {
-            share: self.share,
-            new,
-            old,
-            status: RolloutStatus {
-                service: self.order.service.clone(),
-                target: self.order.target.clone(),
-                state,
-                elapsed: self.elapsed(now),
-                rejected: self.rejected.clone(),
-            },
-        })
-    }
-}
