Compare both versions of a rollout at the same time

A bad version was kept, or a slow one got all sessions, when the old one had been in trouble: its counts were sums since the order, so that seconds of dark or failing servers raised the tolerated rate to the end. Evidence is now kept by period. In each, the new version is tested against the old one's rate at that time, by cumulative sums that restart at zero; and it is cleared only if it serves as well as the old one in its best periods, which trouble does not lower.

A good version beside an old one in trouble is completed.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -120,14 +120,14 @@
 /// significantly more frequent than the old version's at the same time. It is cleared if both are
 /// as rare as the old version's at its best: an old version in trouble is no measure.
 pub fn assess(evidence: &Evidence) -> Assessment {
-    let all = merged(&evidence.by_period(None));
+    let all = evidence.by_period(None);
     let routes = evidence.routes();
     let mut scopes = vec![
         (Kind::Failures, None, suspicion(&all, Kind::Failures)),
         (Kind::Pace, None, suspicion(&all, Kind::Pace)),
     ];
     for route in &routes {
-        let periods = merged(&evidence.by_period(Some(*route)));
+        let periods = evidence.by_period(Some(*route));
         let log_ratio = suspicion(&periods, Kind::Failures);
         scopes.push((Kind::Failures, Some(*route), log_ratio));
     }
@@ -157,13 +157,6 @@
     }
 }
 
-/// Adds up all periods since the order.
-fn merged(periods: &BTreeMap<u16, Pair>) -> BTreeMap<u16, Pair> {
-    let since_order = periods.range(BEFORE_ORDER + 1..);
-    let sum = since_order.fold(Pair::default(), |sum, (_, pair)| sum.plus(*pair));
-    BTreeMap::from([(BEFORE_ORDER + 1, sum)])
-}
-
 /// Returns the old version's rate of bad responses, with [`PRIOR_RESPONSES`] added.
 fn smoothed_rate(old: Counts) -> f64 {
     let bad = old.bad as f64 + ALLOWED_RATE * PRIOR_RESPONSES;
--- a/policy/tests/rollout.rs
+++ b/policy/tests/rollout.rs
@@ -225,6 +225,35 @@
     }
 }
 
+/// The old version is in trouble from `from` to `to`.
+fn troubled(from: u64, to: u64) -> Version<impl Fn(u32, Duration) -> f64> {
+    Version {
+        failures: move |_, elapsed: Duration| {
+            let is_troubled = (from..to).contains(&elapsed.as_secs());
+            if is_troubled { 0.6 } else { 0.005 }
+        },
+        slow: 0.03,
+    }
+}
+
+#[test]
+fn trouble_of_the_old_version_neither_hides_a_bad_one_nor_convicts_a_good_one() {
+    let bound = MAX_EXPOSURE * 60.0 * LIMIT.as_secs_f64() + 30.0;
+    for seed in 0..50 {
+        for (from, to) in [(0, 8), (0, 14), (3, 11)] {
+            let old = troubled(from, to);
+            let (step, _, exposed) = simulate(60.0, &old, &failing(0.5), seed);
+            let during = format!("seed {seed}, trouble from {from} to {to}");
+            if to < 24 {
+                assert_eq!(step, RolloutStep::RollBack, "{during}");
+            }
+            assert!((exposed as f64) < bound, "{during}: {exposed} requests");
+            let (step, _, _) = simulate(60.0, &old, &failing(0.005), seed);
+            assert_eq!(step, RolloutStep::Complete, "{during}");
+        }
+    }
+}
+
 #[test]
 fn a_good_version_is_completed_in_ninety_nine_of_a_hundred_rollouts() {
     let version = Version {
