Count an attempt that is abandoned as overdue as slow for its version

Only the responses of a slow version that were fast enough to be judged counted: an answer, first or next event that took too long was given up, sent elsewhere and forgotten.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -496,8 +496,13 @@
         SERVER_SILENT => record_server_outcome(state, server, AttemptOutcome::Unreachable, now),
         // A server that crashed without a reset looks slow at first.
         _ if check_crash(state, call, in_flight, now).await => {}
-        NEXT_EVENT_OVERDUE => {}
-        _ => record_server_outcome(state, server, AttemptOutcome::Failed, now),
+        _ => {
+            // Otherwise only the responses of a slow version that were fast enough would count.
+            state.count_outcome(call, server, Outcome::Slow, now);
+            if why != NEXT_EVENT_OVERDUE {
+                record_server_outcome(state, server, AttemptOutcome::Failed, now);
+            }
+        }
     }
 }
 
