Let the usual pace of streams stand still during a rollout

A slow version counted as usual beside an old one in trouble: the mean time between events followed the last ten streams, so that seconds of dark servers made slow streams look usual. The mean now averages up to a hundred streams and stands still while a rollout is in progress.

--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -49,6 +49,12 @@
 /// Time before the end of a graceful shutdown by which every request must have got its response.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Weight of the latest response in the mean latency of a route.
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// Weight of the latest stream in the usual time between events.
+const USUAL_GAP_WEIGHT: f64 = 0.01;
+
 /// State that the controllers and the data path of a host share.
 pub(crate) struct HostState {
     pub(crate) settings: Settings,
@@ -116,8 +122,8 @@
             stored_blocks: StoredBlocks::default(),
             request_metrics: RequestMetrics::default(),
             retry_budgets: Mutex::default(),
-            latencies_ms: MovingAverages::default(),
-            event_gap_logs: MovingAverages::default(),
+            latencies_ms: MovingAverages::with_weight(LATENCY_WEIGHT),
+            event_gap_logs: MovingAverages::with_weight(USUAL_GAP_WEIGHT),
             table: RwLock::default(),
             table_changed: Notify::new(),
             last_store_contact_ms: AtomicU64::new(0),
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -41,6 +41,9 @@
 /// happen to arrive together or apart hide its pace.
 const MIN_GAPS: u64 = 6;
 
+/// Streams of a model size before a rollout from which its usual time between events is known.
+const MIN_USUAL_GAPS: u64 = 4;
+
 impl ActiveRequest {
     /// Counts a response without a stream, or a failure, for its version and, unless it is a
     /// failure, for its server's latency and the route's mean latency.
@@ -97,13 +100,24 @@
         };
         let gap_s = now.since(first).as_secs_f64() / gaps as f64;
         let log = gap_s.max(MIN_GAP_S).ln();
-        if !self.is_on_target(server) {
+        if self.may_set_usual_gap(server) {
             self.state.event_gap_logs.record(service, self.size, log);
         }
         let is_slow = mean_log.is_some_and(|mean| log > mean + SLOW_GAP_FACTOR.ln());
         self.count_pace(server, is_slow, now);
     }
 
+    /// Whether the pace of a stream from the server counts as usual. During a rollout the mean stands
+    /// still: if it followed an old version in trouble, a slow new one would look usual.
+    fn may_set_usual_gap(&self, server: &Server) -> bool {
+        let service = &self.call.service;
+        match self.state.rollouts.target_in_progress(service) {
+            Some(target) if target == server.entry.version => false,
+            Some(_) => self.state.event_gap_logs.count(service, self.size) < MIN_USUAL_GAPS,
+            None => true,
+        }
+    }
+
     /// Counts the pace of a response for the version that gave it, for the old and the new version
     /// alike, since load slows both.
     fn count_pace(&mut self, server: &Server, is_slow: bool, now: Millis) {
