Keep what a killed host has seen of a rollout

Reports were kept by the name of their sender, so that the counts of a restarted host replaced those of its last life, and a host that had just started knew nothing of what its zone had seen. Reports now carry an incarnation and are kept by it, and a zone's sums are merged by its own hosts as well.

Both tests of router/src/rollout_tests.rs failed without the change (eight failures by four lives of one host, and three by a killed and three by a restarted host, convicted nobody) and pass with it.

--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -33,6 +33,8 @@
 mod response_body;
 mod response_evaluation;
 mod rollout;
+#[cfg(test)]
+mod rollout_tests;
 mod rollouts;
 mod server;
 mod server_selection;
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -69,6 +69,9 @@
     /// Responses of the old versions over all hosts of the sender's zone.
     #[serde(default)]
     pub(crate) zone_old: Counts,
+    /// Distinguishes the starts of the sender's process.
+    #[serde(default)]
+    pub(crate) incarnation: u32,
     /// Evidence that the sender has collected since its start.
     #[serde(default)]
     pub(crate) evidence: Vec<EvidenceRow>,
@@ -147,16 +150,21 @@
     /// When the share first grew beyond the canary's.
     moved_at: Option<Millis>,
     last_verdict: Verdict,
+    /// Distinguishes the starts of this process.
+    incarnation: u32,
     /// Evidence that this host has collected.
     own: Evidence,
-    peers: FastMap<Name, PeerReport>,
+    /// Reports by name and incarnation: what a host had seen still counts after its restart.
+    peers: FastMap<(Name, u32), PeerReport>,
+    /// Evidence of all hosts of the own zone, as peers have added it up.
+    own_zone: Evidence,
     /// Evidence of the other zones.
     zones: FastMap<Name, Evidence>,
 }
 
 impl Rollout {
     /// Starts a rollout whose order was read at `now`.
-    pub(crate) fn new(order: RolloutOrder, now: Millis) -> Self {
+    pub(crate) fn new(order: RolloutOrder, incarnation: u32, now: Millis) -> Self {
         Self {
             order,
             started_at: now,
@@ -166,8 +174,10 @@
             rejected: Vec::new(),
             moved_at: None,
             last_verdict: Verdict::Open,
+            incarnation,
             own: Evidence::default(),
             peers: FastMap::default(),
+            own_zone: Evidence::default(),
             zones: FastMap::default(),
         }
     }
@@ -257,11 +267,14 @@
         }
         self.advance_clock(Duration::from_millis(report.elapsed_ms), now);
         self.is_bad |= report.is_bad;
-        if let Some(zone) = zone {
-            let sum = self.zones.entry(zone.clone()).or_default();
-            sum.merge(&report.zone_evidence);
-        }
-        let mut evidence = Evidence::default();
+        let sum = match zone {
+            Some(zone) => self.zones.entry(zone.clone()).or_default(),
+            None => &mut self.own_zone,
+        };
+        sum.merge(&report.zone_evidence);
+        let key = (peer.clone(), report.incarnation);
+        let known = self.peers.remove(&key);
+        let mut evidence = known.map(|known| known.evidence).unwrap_or_default();
         evidence.merge(&report.evidence);
         let report = PeerReport {
             report,
@@ -269,7 +282,7 @@
             received_at: now,
             is_near: zone.is_none(),
         };
-        self.peers.insert(peer.clone(), report);
+        self.peers.insert(key, report);
     }
 
     /// Moves the start back if another host has seen the rollout run for longer.
@@ -299,6 +312,7 @@
             is_bad: self.is_bad,
             zone_new: zone_total.new.total(),
             zone_old: zone_total.old.total(),
+            incarnation: self.incarnation,
             evidence: self.own.rows(),
             zone_evidence: zone.rows(),
         }
@@ -359,12 +373,13 @@
         sum
     }
 
-    /// Evidence of the hosts of the own zone.
+    /// Evidence of the hosts of the own zone, as far as this host or a peer has added it up.
     fn zone_evidence(&self) -> Evidence {
         let mut sum = self.own.clone();
         for peer in self.peers.values().filter(|peer| peer.is_near) {
             sum.add_all(&peer.evidence);
         }
+        sum.merge(&self.own_zone.rows());
         sum
     }
 
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -80,6 +80,8 @@
 pub(crate) struct Rollouts {
     /// Longest pause between two requests of a session.
     session_timeout: Duration,
+    /// Distinguishes the starts of this process.
+    incarnation: u32,
     by_service: Mutex<FastMap<Name, Rollout>>,
     baselines: Mutex<FastMap<Name, Baseline>>,
     /// Version hash and time of the last request, by key, of the sessions within the canary's
@@ -108,6 +110,7 @@
     pub(crate) fn new(session_timeout: Duration) -> Self {
         Self {
             session_timeout,
+            incarnation: fastrand::u32(..),
             by_service: Mutex::default(),
             baselines: Mutex::default(),
             sessions: Mutex::default(),
@@ -135,7 +138,7 @@
         {
             return false;
         }
-        let mut next = Rollout::new(order, now);
+        let mut next = Rollout::new(order, self.incarnation, now);
         if let Some(baseline) = self.baselines.lock().get(&next.order.service) {
             for (route, old) in baseline.previous.iter().chain(&baseline.current) {
                 next.add_baseline(*route, *old);
