Let sessions move no earlier than the bound on exposure allows

And where proof came late, the share jumped from the canary's to all sessions in one step.

The share now begins to grow so late that even a version that shows no fault at all stays within the bound, which is a new setting, bounds.rollout_exposure; it grows in small steps from then on, and a version that looks worse when the time is nearly up is rolled back. The canary share is 0.05 instead of 0.08, since it lasts longer.

--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -239,6 +239,7 @@
         bounds: Bounds {
             retries: RETRY_LIMIT,
             session_timeout: Duration::ZERO,
+            max_exposure: 1.0,
         },
         accepted_confidence: Vec::new(),
     }
--- a/host/tests/route_rollouts.rs
+++ b/host/tests/route_rollouts.rs
@@ -226,6 +226,16 @@
     assert!(ended.exposure <= MAX_EXPOSURE, "{}", ended.exposure);
 }
 
+/// Until its fault shows, the version must not get more requests than it may.
+#[test]
+fn a_version_that_fails_under_load_stays_within_the_bound_on_exposure() {
+    let old = |_: usize, received: &ReceivedRequest| stream(received, "", PAUSE);
+    let ended = run(12, 12, old, |number, _, running| {
+        running > SLOTS / 2 && is_unlucky(number)
+    });
+    assert!(ended.exposure <= MAX_EXPOSURE, "{}", ended.exposure);
+}
+
 /// Old and new version stream a quarter of their answers slowly, so that failures of a route with a
 /// fifth of the requests hardly change the rate of bad answers.
 #[test]
--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -13,7 +13,7 @@
 };
 
 /// Canary share of the sessions in a fleet of up to [`FEW_HOSTS`] hosts.
-const MAX_CANARY_SHARE: f64 = 0.08;
+const MAX_CANARY_SHARE: f64 = 0.05;
 
 /// Canary share from [`MANY_HOSTS`] hosts on, whose traffic gives enough evidence with fewer
 /// sessions.
@@ -25,14 +25,27 @@
 /// Smallest fleet that uses [`MIN_CANARY_SHARE`].
 const MANY_HOSTS: usize = 48;
 
-/// Fraction of the time limit after which the share may grow beyond the canary share.
-const GROW_AFTER: f64 = 0.52;
+/// Earliest growth beyond the canary share, as a fraction of the time limit. Before that, sessions
+/// of the old version must stay on it.
+const MIN_GROW_AFTER: f64 = 0.52;
 
-/// Fraction of the time limit after which all sessions are on the new version.
-const FULL_AFTER: f64 = 0.66;
+/// Fraction of the time limit by which a version that is neither cleared nor suspect starts to grow
+/// later than a cleared one.
+const UNCLEARED_DELAY: f64 = 0.02;
 
-/// Fraction of the time limit after which the rollout is complete.
-const COMPLETE_AFTER: f64 = 0.76;
+/// Fraction of the time limit from which a version that looks worse is rolled back, as there is no
+/// time left for more evidence.
+const DECIDE_AFTER: f64 = 0.93;
+
+/// Fraction of the time limit in which the share grows from the canary share to all sessions.
+const GROWTH: f64 = 0.06;
+
+/// Least fraction of the time limit in which the share grows.
+const MIN_GROWTH: f64 = 0.03;
+
+/// Used fraction of the bound on exposure. The rest is for requests that are sent again, and for
+/// hosts that learn of a verdict late.
+const USABLE_EXPOSURE: f64 = 0.8;
 
 /// Tolerated ratio of the new version's odds of bad responses to the old version's. Unlike the ratio
 /// of rates, it still tells versions apart where both often have bad responses.
@@ -246,15 +259,33 @@
     sum >= CLEARING_RATIO.ln()
 }
 
-/// How far a rollout has got.
+/// How far a rollout has got, and its bounds.
 #[derive(Clone, Copy, Debug)]
 pub struct Progress {
     /// Time since the order.
     pub elapsed: Duration,
     /// Time from the order by which the rollout must have ended.
     pub time_limit: Duration,
+    /// Bound on a bad version's share of the requests within the time limit, from 0 to 1.
+    pub max_exposure: f64,
     /// The canary share.
     pub canary: f64,
+    /// Share of the sessions on the new version, from 0 to 1.
+    pub share: f64,
+    /// Time since the last step.
+    pub since_last_step: Duration,
+}
+
+impl Progress {
+    /// Fraction of the time limit after which the share may grow: as early as leaves even a version
+    /// whose faults never show within the bound on exposure.
+    fn grow_after(&self) -> f64 {
+        // With canary share c, growth over r from t on, and all sessions until the limit, the
+        // exposure is c t + r / 2 + (1 - t - r).
+        let exposure = USABLE_EXPOSURE * self.max_exposure;
+        let start = (1.0 - exposure - GROWTH / 2.0) / (1.0 - self.canary);
+        start.clamp(MIN_GROW_AFTER, 1.0 - GROWTH)
+    }
 }
 
 /// Next step of a rollout.
@@ -268,21 +299,26 @@
     RollBack,
 }
 
-/// Returns the next step of a rollout.
+/// Returns the next step of a rollout. The share grows a little with each step, however late the
+/// version is cleared, so that the evidence can keep up.
 pub fn next_step(progress: Progress, verdict: Verdict) -> RolloutStep {
     let limit_s = progress.time_limit.as_secs_f64().max(1.0);
     let elapsed = progress.elapsed.as_secs_f64() / limit_s;
+    let share = progress.share.max(progress.canary);
     let may_grow = match verdict {
         Verdict::Bad => return RolloutStep::RollBack,
-        Verdict::Suspect | Verdict::Open => false,
-        Verdict::Cleared => elapsed >= GROW_AFTER,
+        Verdict::Suspect if elapsed >= DECIDE_AFTER => return RolloutStep::RollBack,
+        Verdict::Suspect => false,
+        Verdict::Cleared => elapsed >= progress.grow_after(),
+        Verdict::Open => elapsed >= progress.grow_after() + UNCLEARED_DELAY,
     };
     if !may_grow {
-        return RolloutStep::Share(progress.canary);
+        return RolloutStep::Share(share);
     }
-    if elapsed >= COMPLETE_AFTER {
+    if share >= 1.0 {
         return RolloutStep::Complete;
     }
-    let moved = ((elapsed - GROW_AFTER) / (FULL_AFTER - GROW_AFTER)).min(1.0);
-    RolloutStep::Share(progress.canary + (1.0 - progress.canary) * moved)
+    let growth = ((1.0 - elapsed) / 2.0).clamp(MIN_GROWTH, GROWTH);
+    let step = progress.since_last_step.as_secs_f64() / limit_s / growth;
+    RolloutStep::Share((share + (1.0 - progress.canary) * step).min(1.0))
 }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -107,7 +107,10 @@
             prefill_times: Mutex::default(),
             gossip,
             view_changed: Notify::new(),
-            rollouts: Rollouts::new(settings.bounds.session_timeout),
+            rollouts: Rollouts::new(
+                settings.bounds.session_timeout,
+                settings.bounds.max_exposure,
+            ),
             dialect,
             schema,
             hooks,
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -105,6 +105,15 @@
     pub(crate) elapsed: Duration,
 }
 
+/// Bounds on a rollout's shares, from 0 to 1.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RolloutBounds {
+    /// Share of the sessions that the canary gets.
+    pub(crate) canary: f64,
+    /// Largest share of the requests within the time limit that a bad version may get.
+    pub(crate) max_exposure: f64,
+}
+
 /// What is due after a step of the rollouts.
 #[derive(Debug, Default)]
 pub(crate) struct StepResult {
@@ -119,11 +128,11 @@
 
 /// Least time from the first move beyond the canary to completion: hosts that have not reported yet
 /// get this long to do so.
-const SETTLE_DELAY: Duration = Duration::from_millis(1_200);
+const SETTLE_DELAY: Duration = Duration::from_millis(800);
 
 /// Fraction of the time limit after which a rollout completes even if requests still run on old
 /// versions.
-const LATEST_COMPLETION_FRACTION: f64 = 0.9;
+const LATEST_COMPLETION_FRACTION: f64 = 0.96;
 
 #[derive(Debug)]
 struct PeerReport {
@@ -149,6 +158,7 @@
     pub(crate) rejected: Vec<Name>,
     /// When the share first grew beyond the canary's.
     moved_at: Option<Millis>,
+    last_step: Option<Millis>,
     last_verdict: Verdict,
     /// Distinguishes the starts of this process.
     incarnation: u32,
@@ -173,6 +183,7 @@
             is_bad: false,
             rejected: Vec::new(),
             moved_at: None,
+            last_step: None,
             last_verdict: Verdict::Open,
             incarnation,
             own: Evidence::default(),
@@ -318,11 +329,11 @@
         }
     }
 
-    /// Takes the next step, with `canary` as the canary's share. Adds to `due` what follows from it.
+    /// Takes the next step. Adds to `due` what follows from it.
     pub(crate) fn step(
         &mut self,
         now: Millis,
-        canary: f64,
+        bounds: RolloutBounds,
         has_target: bool,
         old_running: u32,
         due: &mut StepResult,
@@ -341,10 +352,14 @@
                 elapsed: self.elapsed(now),
             });
         }
+        let since_last_step = now.since(self.last_step.replace(now).unwrap_or(now));
         let progress = Progress {
             elapsed: self.elapsed(now),
             time_limit: self.order.time_limit,
-            canary,
+            max_exposure: bounds.max_exposure,
+            canary: bounds.canary,
+            share: if self.has_grown() { self.share } else { 0.0 },
+            since_last_step,
         };
         let may_be_due = match next_step(progress, assessment.verdict) {
             RolloutStep::RollBack => {
@@ -353,7 +368,7 @@
             }
             RolloutStep::Share(share) => {
                 if has_target {
-                    self.set_share(share, canary, now);
+                    self.set_share(share, bounds.canary, now);
                 }
                 self.is_bad || self.status.is_none()
             }
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -17,7 +17,10 @@
 
 use crate::{
     call::hash_bytes,
-    rollout::{Rollout, RolloutOrder, RolloutReport, RolloutState, RolloutStatus, StepResult},
+    rollout::{
+        Rollout, RolloutBounds, RolloutOrder, RolloutReport, RolloutState, RolloutStatus,
+        StepResult,
+    },
 };
 
 /// Version that a session's last request ran on, as it is sent to peers.
@@ -80,6 +83,8 @@
 pub(crate) struct Rollouts {
     /// Longest pause between two requests of a session.
     session_timeout: Duration,
+    /// Largest share of a service's requests that a bad version may get, from 0 to 1.
+    max_exposure: f64,
     /// Distinguishes the starts of this process.
     incarnation: u32,
     by_service: Mutex<FastMap<Name, Rollout>>,
@@ -106,10 +111,12 @@
 }
 
 impl Rollouts {
-    /// Starts without rollouts; a session ends `session_timeout` after its last request.
-    pub(crate) fn new(session_timeout: Duration) -> Self {
+    /// Starts without rollouts; a session ends `session_timeout` after its last request, and a bad
+    /// version may get `max_exposure` of a service's requests.
+    pub(crate) fn new(session_timeout: Duration, max_exposure: f64) -> Self {
         Self {
             session_timeout,
+            max_exposure,
             incarnation: fastrand::u32(..),
             by_service: Mutex::default(),
             baselines: Mutex::default(),
@@ -316,7 +323,11 @@
             let target = rollout.order.target.clone();
             let has_target = has_target(service, &target);
             let old_running = old_running(service, &target);
-            rollout.step(now, self.canary_share(), has_target, old_running, &mut due);
+            let bounds = RolloutBounds {
+                canary: self.canary_share(),
+                max_exposure: self.max_exposure,
+            };
+            rollout.step(now, bounds, has_target, old_running, &mut due);
         }
         due
     }
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -42,6 +42,9 @@
     pub retries: RetryLimit,
     /// Longest pause between two requests of a session.
     pub session_timeout: Duration,
+    /// Largest share of a service's requests within the time limit of a rollout that a bad version
+    /// may get, from 0 to 1.
+    pub max_exposure: f64,
 }
 
 /// Settings of one entry host.
@@ -106,8 +109,10 @@
     const DEFAULT_RETRY_SLACK: u64 = 10;
     const DEFAULT_RETRY_WINDOW_S: u64 = 10;
     const DEFAULT_SESSION_S: f64 = 5.0;
+    const DEFAULT_EXPOSURE: f64 = 0.15;
     let ratio = table.parsed("repeat_ratio", parse_non_negative);
     let session_s = table.parsed("session_s", parse_non_negative);
+    let max_exposure = table.parsed("rollout_exposure", parse_share);
     let window_s = table.number("repeat_window_s", 1..=600, DEFAULT_RETRY_WINDOW_S);
     Bounds {
         retries: RetryLimit {
@@ -116,6 +121,7 @@
             window: Duration::from_secs(window_s),
         },
         session_timeout: Duration::from_secs_f64(session_s.unwrap_or(DEFAULT_SESSION_S)),
+        max_exposure: max_exposure.unwrap_or(DEFAULT_EXPOSURE),
     }
 }
 
@@ -126,6 +132,13 @@
     }
 }
 
+fn parse_share(text: &str) -> Result<f64, String> {
+    match parse_non_negative(text) {
+        Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
+        _ => Err(format!("`{text}` is not a share above 0 and up to 1")),
+    }
+}
+
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     let value: f64 = text
         .parse()
