Keep to the rate that a server takes from all hosts together

Now a few hosts, chosen by rank for each server, share its rate evenly, all others leave it alone, and reports spread what its answers say. What no server may take is refused at once as not run, with a time to return from a schedule.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rollout_evidence;
 pub mod routes;
 pub mod server_health;
+pub mod server_limit;
 pub mod session;
 pub mod sizing;
 pub mod subset;
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -38,6 +38,9 @@
 /// Retry delay for the caller of a request whose content is blocked.
 const CRASHING_REQUEST_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// Reason of a refusal while all servers of the service name limits.
+const SERVERS_LIMITED: &str = "servers at their limits";
+
 /// A request in progress. Dropping it before [`end`](Self::end) counts as a disconnect of the
 /// caller.
 pub(crate) struct ActiveRequest {
@@ -313,6 +316,17 @@
         Refusal::not_run(reason, self.retry_after())
     }
 
+    /// Builds the refusal for when no server is eligible.
+    fn refusal_without_server(&self, now: Millis) -> Refusal {
+        if self.may_have_run {
+            return self.refusal_after_attempts("no server left");
+        }
+        match self.state.return_delay(&self.call.service, now) {
+            Some(delay) => Refusal::not_run(SERVERS_LIMITED, delay),
+            None => self.refusal_after_attempts("no server left"),
+        }
+    }
+
     fn retry_after(&self) -> Duration {
         if self.call.head.route.kind.is_stream() {
             STREAM_RETRY_AFTER
@@ -387,7 +401,7 @@
                 chosen = self.choose(now).await?;
             }
             let Some(chosen) = chosen else {
-                return Err(self.refusal_after_attempts("no server left"));
+                return Err(self.refusal_without_server(now));
             };
             self.pending_ms = chosen.pending_ms;
             self.prefill_ms = chosen.in_flight.expected_prefill().as_secs_f64() * 1_000.0;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -329,6 +329,11 @@
         if let Some(load) = head.load {
             server.record_load(load, now);
         }
+        if matches!(head.verdict, Verdict::Matching | Verdict::NotRun)
+            && parts.status != StatusCode::MISDIRECTED_REQUEST
+        {
+            state.record_limit(&server, head.limit, now);
+        }
         if let Some(result) = self.read_verdict(&head.verdict, parts.status, &server, now) {
             if !matches!(result, AttemptResult::Lost { .. }) {
                 in_flight.finish();
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -67,6 +67,9 @@
     pub is_encoded: bool,
     /// Load that the server reports.
     pub load: Option<LoadReport>,
+    /// Rate of requests that the server takes from all hosts together, requests per second; none if
+    /// it names none.
+    pub limit: Option<f64>,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Whether the server closes the connection after this response.
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -115,6 +115,16 @@
             .count()
     }
 
+    /// Number of live hosts that rank before this one for an item with this hash. Hosts with the same
+    /// view of the fleet agree on the order.
+    pub(crate) fn rank_for(&self, item: u64, now: Millis) -> usize {
+        let rank = |name: &str| affinity_rank(item, hash_bytes(name.as_bytes()));
+        let own = rank(&self.own_name);
+        self.live_peers(now)
+            .filter(|(name, _)| rank(name) > own)
+            .count()
+    }
+
     fn is_near(&self, peer: &Peer) -> bool {
         peer.zone.as_ref() == Some(&self.zone)
     }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name};
+use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name, time::Millis};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -19,6 +19,7 @@
     host_state::HostState,
     rollout::RolloutReport,
     rollouts::SessionVersion,
+    server::Server,
 };
 
 /// Largest datagram that is read, bytes.
@@ -54,6 +55,37 @@
     rollouts: Vec<RolloutReport>,
     #[serde(rename = "suspects")]
     crash_evidence: Vec<EvidenceRow>,
+    /// Limits of servers, by what any host heard last.
+    #[serde(default)]
+    server_limits: Vec<LimitRow>,
+}
+
+/// What a server said of its limit: hash of its name, requests per second or none, and the age of the
+/// answer in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct LimitRow(u64, Option<f64>, u64);
+
+/// Age up to which hosts are told that a server is no longer in need.
+const ENDED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+
+fn limit_rows(state: &HostState, now: Millis) -> Vec<LimitRow> {
+    let servers = state.servers.all();
+    let row = |server: &Arc<Server>| {
+        let limit = server.named_limit()?;
+        let age = now.since(limit.named_at);
+        let is_current = limit.per_s.is_some() || age <= ENDED_LIMIT_LIFETIME;
+        is_current.then(|| LimitRow(server.name_hash, limit.per_s, age.as_millis() as u64))
+    };
+    servers.iter().filter_map(row).collect()
+}
+
+fn merge_limits(state: &HostState, rows: &[LimitRow], now: Millis) {
+    for LimitRow(name_hash, per_s, age_ms) in rows {
+        if let Some(server) = state.servers.by_hash(*name_hash) {
+            let named_at = Millis(now.0.saturating_sub(*age_ms));
+            state.record_limit(&server, *per_s, named_at);
+        }
+    }
 }
 
 /// Sends this host's gossip and receives that of its peers.
@@ -141,6 +173,7 @@
                 state.running_on_other_versions(service, target)
             }),
             crash_evidence: state.crash_evidence.lock().rows(now),
+            server_limits: limit_rows(state, now),
         };
         let peers = state.fleet.lock().report_targets(now);
         self.send(&Datagram::Report(Box::new(report)), &peers).await;
@@ -191,6 +224,7 @@
     state
         .rollouts
         .merge_reports(&report.from, zone, report.rollouts, now);
+    merge_limits(state, &report.server_limits, now);
     let newly_blocked = state
         .crash_evidence
         .lock()
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -6,6 +6,7 @@
     names::{FastMap, Name},
     placement::PREFIX_CACHE_LIFETIME,
     server_health::{AttemptOutcome, ServerHealth},
+    server_limit::Pacer,
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -92,6 +93,19 @@
     latency_ratio: Option<f64>,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
+    /// The limit that the server named last, or that it names none any more.
+    limit: Option<NamedLimit>,
+    /// Spaces this host's requests while the server names a limit.
+    pacer: Pacer,
+}
+
+/// What a server said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct NamedLimit {
+    /// Requests per second from all hosts together; none if the server is no longer in need.
+    pub(crate) per_s: Option<f64>,
+    /// When the server said so.
+    pub(crate) named_at: Millis,
 }
 
 impl Observations {
@@ -158,6 +172,8 @@
             parts: std::mem::take(&mut observed.parts),
             parts_in_order: std::mem::take(&mut observed.parts_in_order),
             latency_ratio: observed.latency_ratio,
+            limit: observed.limit,
+            pacer: observed.pacer,
             ..Observations::default()
         };
         drop(observed);
@@ -251,6 +267,39 @@
         self.observed.lock().last_contact
     }
 
+    /// Records the limit that an answer at `named_at` named, or that it named none. Returns whether
+    /// that is a change.
+    pub(crate) fn record_limit(&self, per_s: Option<f64>, named_at: Millis) -> bool {
+        let mut observed = self.observed.lock();
+        let known = observed.limit;
+        let is_news = known.map_or(per_s.is_some(), |known| named_at >= known.named_at);
+        if !is_news {
+            return false;
+        }
+        observed.limit = Some(NamedLimit { per_s, named_at });
+        known.and_then(|known| known.per_s) != per_s
+    }
+
+    /// What the server said last of its limit; none if it has never named one.
+    pub(crate) fn named_limit(&self) -> Option<NamedLimit> {
+        self.observed.lock().limit
+    }
+
+    /// Rate that the server takes from all hosts together, if it names one.
+    pub(crate) fn limit(&self) -> Option<f64> {
+        self.named_limit().and_then(|limit| limit.per_s)
+    }
+
+    /// Time until this host may send another request, as far as its pace decides.
+    pub(crate) fn limit_wait(&self, now: Millis) -> Duration {
+        self.observed.lock().pacer.wait(now)
+    }
+
+    /// Counts a request to the server, to which this host sends one in each `interval`.
+    pub(crate) fn take_paced(&self, interval: Duration, now: Millis) {
+        self.observed.lock().pacer.try_take(interval, now);
+    }
+
     /// Records the load that the server reported with a response.
     pub(crate) fn record_load(&self, report: LoadReport, now: Millis) {
         let mut observed = self.observed.lock();
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -57,7 +57,8 @@
     let rule = state
         .rollouts
         .version_rule(&call.service, call.rollout_hash(), has_session, now);
-    let eligible = eligible_servers(&pool, call, &rule, tried, now);
+    let mut eligible = eligible_servers(&pool, call, &rule, tried, now);
+    eligible.retain(|server| state.is_within_limit(server, now));
     let views = server_views(call, &eligible, size, now);
     let query = PlacementQuery {
         zone: &state.settings.zone,
@@ -70,6 +71,11 @@
     };
     let index = choose_server(&views, &query)?;
     let server = eligible[index].clone();
+    if let Some(per_s) = server.limit()
+        && let Some(interval) = state.limited_interval(&server, per_s, now)
+    {
+        server.take_paced(interval, now);
+    }
     let uncached_tokens = (query.prompt_tokens - views[index].cached_tokens).max(0.0);
     if let Some(prompt) = &call.head.prompt {
         server.record_parts(prompt, size, now);
