Leave a margin in time below the bound on exposure

What adds to the exposure is a time, not a fraction: hosts whose clocks of a rollout differ and requests that are sent again. All tests of policy/tests/rollout.rs pass.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -43,9 +43,9 @@
 /// Least fraction of the time limit in which the share grows.
 const MIN_GROWTH: f64 = 0.03;
 
-/// Used fraction of the bound on exposure. The rest is for requests that are sent again, and for
-/// hosts that learn of a verdict late.
-const USABLE_EXPOSURE: f64 = 0.8;
+/// Part of the bound on exposure that is left unused, as a time: requests that are sent again, and
+/// hosts whose clocks of the rollout differ, add to the exposure.
+const EXPOSURE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Tolerated ratio of the new version's odds of bad responses to the old version's. Unlike the ratio
 /// of rates, it still tells versions apart where both often have bad responses.
@@ -277,12 +277,17 @@
 }
 
 impl Progress {
+    fn limit_s(&self) -> f64 {
+        self.time_limit.as_secs_f64().max(1.0)
+    }
+
     /// Fraction of the time limit after which the share may grow: as early as leaves even a version
     /// whose faults never show within the bound on exposure.
     fn grow_after(&self) -> f64 {
         // With canary share c, growth over r from t on, and all sessions until the limit, the
         // exposure is c t + r / 2 + (1 - t - r).
-        let exposure = USABLE_EXPOSURE * self.max_exposure;
+        let margin = EXPOSURE_MARGIN.as_secs_f64() / self.limit_s();
+        let exposure = (self.max_exposure - margin).max(0.0);
         let start = (1.0 - exposure - GROWTH / 2.0) / (1.0 - self.canary);
         start.clamp(MIN_GROW_AFTER, 1.0 - GROWTH)
     }
@@ -302,7 +307,7 @@
 /// Returns the next step of a rollout. The share grows a little with each step, however late the
 /// version is cleared, so that the evidence can keep up.
 pub fn next_step(progress: Progress, verdict: Verdict) -> RolloutStep {
-    let limit_s = progress.time_limit.as_secs_f64().max(1.0);
+    let limit_s = progress.limit_s();
     let elapsed = progress.elapsed.as_secs_f64() / limit_s;
     let share = progress.share.max(progress.canary);
     let may_grow = match verdict {
