Tell very slow streams from slow ones

Beside dark servers a slow version was found late or not at all: three quarters of the old version's streams were slow as well, at two to three times the usual time between events, those of the new version at four to five times. Streams beyond four times now count as very slow, too, and are tested on their own, as are attempts that were given up.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -103,6 +103,12 @@
     Failures,
     /// Slow responses.
     Pace,
+    /// Very slow responses.
+    Stalls,
+}
+
+impl Kind {
+    const ALL: [Self; 3] = [Self::Failures, Self::Pace, Self::Stalls];
 }
 
 impl Kind {
@@ -110,6 +116,7 @@
         match self {
             Self::Failures => outcomes.responses,
             Self::Pace => outcomes.pace,
+            Self::Stalls => outcomes.stalls,
         }
     }
 }
@@ -129,16 +136,14 @@
 
 /// Assesses the new version by the evidence of all hosts.
 ///
-/// It is bad if its failures or slow responses, on all routes together or on one of them, are
-/// significantly more frequent than the old version's at the same time. It is cleared if both are
+/// It is bad if its failures, slow or very slow responses, on all routes together or on one of them, are
+/// significantly more frequent than the old version's at the same time. It is cleared if all are
 /// as rare as the old version's at its best: an old version in trouble is no measure.
 pub fn assess(evidence: &Evidence) -> Assessment {
     let all = evidence.by_period(None);
     let routes = evidence.routes();
-    let mut scopes = vec![
-        (Kind::Failures, None, suspicion(&all, Kind::Failures)),
-        (Kind::Pace, None, suspicion(&all, Kind::Pace)),
-    ];
+    let of_all = |kind| (kind, None, suspicion(&all, kind));
+    let mut scopes = Kind::ALL.map(of_all).to_vec();
     for route in &routes {
         let periods = evidence.by_period(Some(*route));
         let log_ratio = suspicion(&periods, Kind::Failures);
@@ -154,10 +159,7 @@
         Verdict::Bad
     } else if log_ratio >= (SUSPECT_RATIO * ALTERNATIVE_FACTORS.len() as f64).ln() {
         Verdict::Suspect
-    } else if [Kind::Failures, Kind::Pace]
-        .iter()
-        .all(|kind| is_cleared(&all, *kind))
-    {
+    } else if Kind::ALL.iter().all(|kind| is_cleared(&all, *kind)) {
         Verdict::Cleared
     } else {
         Verdict::Open
--- a/policy/src/rollout_evidence.rs
+++ b/policy/src/rollout_evidence.rs
@@ -35,8 +35,10 @@
     Failure,
     /// The response came at the usual pace.
     InTime,
-    /// The response took several times longer than usual.
+    /// The response took much longer than usual.
     Slow,
+    /// The response took many times longer than usual.
+    VerySlow,
 }
 
 /// Outcomes of one version's responses.
@@ -46,6 +48,9 @@
     pub responses: Counts,
     /// Responses in time and slow ones, of those whose pace can be judged.
     pub pace: Counts,
+    /// The same responses; bad ones are very slow. Trouble that makes responses slow makes few of
+    /// them very slow.
+    pub stalls: Counts,
 }
 
 impl Outcomes {
@@ -54,8 +59,10 @@
         match outcome {
             Outcome::Success => self.responses.add(false),
             Outcome::Failure => self.responses.add(true),
-            Outcome::InTime => self.pace.add(false),
-            Outcome::Slow => self.pace.add(true),
+            Outcome::InTime | Outcome::Slow | Outcome::VerySlow => {
+                self.pace.add(outcome != Outcome::InTime);
+                self.stalls.add(outcome == Outcome::VerySlow);
+            }
         }
     }
 
@@ -64,6 +71,7 @@
         Self {
             responses: self.responses.later(other.responses),
             pace: self.pace.later(other.pace),
+            stalls: self.stalls.later(other.stalls),
         }
     }
 
@@ -72,6 +80,7 @@
         Self {
             responses: self.responses.plus(other.responses),
             pace: self.pace.plus(other.pace),
+            stalls: self.stalls.plus(other.stalls),
         }
     }
 
@@ -111,18 +120,18 @@
 }
 
 /// Outcomes of one route in one period, as exchanged between hosts: period, hash of the route, and
-/// the good and bad responses and paces of the new and the old versions.
+/// the good and bad responses, paces and stalls of the new and the old versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EvidenceRow(u16, u32, [u32; 8]);
+pub struct EvidenceRow(u16, u32, [u32; 12]);
 
 impl EvidenceRow {
     fn new((period, route): (u16, u32), pair: &Pair) -> Self {
-        let of = |counts: Counts| [counts.good as u32, counts.bad as u32];
-        let [a, b] = of(pair.new.responses);
-        let [c, d] = of(pair.new.pace);
-        let [e, f] = of(pair.old.responses);
-        let [g, h] = of(pair.old.pace);
-        Self(period, route, [a, b, c, d, e, f, g, h])
+        let mut numbers = [0; 12];
+        let counts = [pair.new, pair.old].map(|it| [it.responses, it.pace, it.stalls]);
+        for (pair, counts) in numbers.chunks_exact_mut(2).zip(counts.as_flattened()) {
+            pair.copy_from_slice(&[counts.good as u32, counts.bad as u32]);
+        }
+        Self(period, route, numbers)
     }
 
     fn pair(&self) -> Pair {
@@ -133,10 +142,11 @@
         let outcomes = |at: usize| Outcomes {
             responses: counts(at),
             pace: counts(at + 2),
+            stalls: counts(at + 4),
         };
         Pair {
             new: outcomes(0),
-            old: outcomes(4),
+            old: outcomes(6),
         }
     }
 }
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -503,7 +503,7 @@
         _ if check_crash(state, call, in_flight, now).await => {}
         _ => {
             // Otherwise only the responses of a slow version that were fast enough would count.
-            state.count_outcome(call, server, Outcome::Slow, now);
+            state.count_outcome(call, server, Outcome::VerySlow, now);
             if why != NEXT_EVENT_OVERDUE {
                 record_server_outcome(state, server, AttemptOutcome::Failed, now);
             }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -240,10 +240,12 @@
         ("new_failed", total.new.responses.bad),
         ("new_in_time", total.new.pace.good),
         ("new_slow", total.new.pace.bad),
+        ("new_very_slow", total.new.stalls.bad),
         ("old_ok", total.old.responses.good),
         ("old_failed", total.old.responses.bad),
         ("old_in_time", total.old.pace.good),
         ("old_slow", total.old.pace.bad),
+        ("old_very_slow", total.old.stalls.bad),
     ];
     let mut inputs = vec![
         ("elapsed_ms", change.elapsed.as_millis() as f64),
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -31,6 +31,9 @@
 /// version. Unlike the time to the first event, that time hardly depends on prompt and queue.
 const SLOW_GAP_FACTOR: f64 = 2.0;
 
+/// The same multiple above which a stream is very slow.
+const VERY_SLOW_GAP_FACTOR: f64 = 4.0;
+
 /// Shortest time between events that is told apart, seconds.
 const MIN_GAP_S: f64 = 0.001;
 
@@ -60,7 +63,7 @@
         }
         let latency = now.since(sent_at);
         self.count(server, Outcome::Success, now);
-        self.count_pace(server, self.is_slow(latency), now);
+        self.count_latency_pace(server, latency, now);
         self.record_latency(server, latency);
     }
 
@@ -71,7 +74,7 @@
         self.count(server, Outcome::Success, now);
         self.is_pace_due = true;
         if self.is_slow(latency) {
-            self.count_pace(server, true, now);
+            self.count_pace(server, Outcome::Slow, now);
         }
         self.record_latency(server, latency);
     }
@@ -94,7 +97,7 @@
         let mean_log = self.state.event_gap_logs.get(service, self.size);
         let Some(first) = self.first_event_at.filter(|_| gaps >= MIN_GAPS) else {
             if mean_log.is_none() {
-                self.count_pace(server, false, now);
+                self.count_pace(server, Outcome::InTime, now);
             }
             return;
         };
@@ -103,8 +106,15 @@
         if self.may_set_usual_gap(server) {
             self.state.event_gap_logs.record(service, self.size, log);
         }
-        let is_slow = mean_log.is_some_and(|mean| log > mean + SLOW_GAP_FACTOR.ln());
-        self.count_pace(server, is_slow, now);
+        let usual = mean_log.unwrap_or(log);
+        let outcome = if log > usual + VERY_SLOW_GAP_FACTOR.ln() {
+            Outcome::VerySlow
+        } else if log > usual + SLOW_GAP_FACTOR.ln() {
+            Outcome::Slow
+        } else {
+            Outcome::InTime
+        };
+        self.count_pace(server, outcome, now);
     }
 
     /// Whether the pace of a stream from the server counts as usual. During a rollout the mean stands
@@ -120,14 +130,18 @@
 
     /// Counts the pace of a response for the version that gave it, for the old and the new version
     /// alike, since load slows both.
-    fn count_pace(&mut self, server: &Server, is_slow: bool, now: Millis) {
+    fn count_pace(&mut self, server: &Server, outcome: Outcome, now: Millis) {
         self.is_pace_due = false;
-        let outcome = if is_slow {
+        self.count(server, outcome, now);
+    }
+
+    fn count_latency_pace(&mut self, server: &Server, latency: Duration, now: Millis) {
+        let outcome = if self.is_slow(latency) {
             Outcome::Slow
         } else {
             Outcome::InTime
         };
-        self.count(server, outcome, now);
+        self.count_pace(server, outcome, now);
     }
 
     fn count(&self, server: &Server, outcome: Outcome, now: Millis) {
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -236,7 +236,7 @@
         let mut pair = Pair::default();
         let period = period_at(self.elapsed(now), self.order.time_limit);
         if *self.order.target == *version {
-            let is_pace = matches!(outcome, Outcome::InTime | Outcome::Slow);
+            let is_pace = !matches!(outcome, Outcome::Success | Outcome::Failure);
             if is_pace && self.has_grown() {
                 // While sessions move, the servers of the new version read prompts again that the
                 // old ones have in their caches, which slows them without being a fault.
