Roll back a version that is worse than the old one ever was

Beside dark servers the old version can be as slow as a slow new one, at the same time; such a version was neither cleared nor suspect and was completed. If it is conclusively worse than the old version in its best periods, its share does not grow, and it is rolled back when the time is nearly up.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -90,6 +90,8 @@
     Open,
     /// It serves as well as the old version does in its best periods.
     Cleared,
+    /// It looks worse than the old version in its best periods, if not at the same time.
+    Doubtful,
     /// It looks worse than the old version.
     Suspect,
     /// It is significantly worse than the old version.
@@ -138,7 +140,8 @@
 ///
 /// It is bad if its failures, slow or very slow responses, on all routes together or on one of them, are
 /// significantly more frequent than the old version's at the same time. It is cleared if all are
-/// as rare as the old version's at its best: an old version in trouble is no measure.
+/// as rare as the old version's at its best: an old version in trouble is no measure. Worse than
+/// that, but not than the old version at the same time, it is doubtful.
 pub fn assess(evidence: &Evidence) -> Assessment {
     let all = evidence.by_period(None);
     let routes = evidence.routes();
@@ -155,10 +158,17 @@
         .max_by(|one, other| one.2.total_cmp(&other.2))
         .unwrap_or((Kind::Failures, None, 0.0));
     let tests = ALTERNATIVE_FACTORS.len() as f64 * count;
-    let verdict = if log_ratio >= (ROLLOUTS_PER_FALSE_HALT * tests).ln() {
+    let suspect = (SUSPECT_RATIO * ALTERNATIVE_FACTORS.len() as f64).ln();
+    let conclusive = (ROLLOUTS_PER_FALSE_HALT * tests).ln();
+    let verdict = if log_ratio >= conclusive {
         Verdict::Bad
-    } else if log_ratio >= (SUSPECT_RATIO * ALTERNATIVE_FACTORS.len() as f64).ln() {
+    } else if log_ratio >= suspect {
         Verdict::Suspect
+    } else if Kind::ALL
+        .iter()
+        .any(|kind| doubt(&all, *kind) >= conclusive)
+    {
+        Verdict::Doubtful
     } else if Kind::ALL.iter().all(|kind| is_cleared(&all, *kind)) {
         Verdict::Cleared
     } else {
@@ -248,17 +258,26 @@
 
 /// Whether the new version is as good as the old one at its best, rather than bad.
 fn is_cleared(periods: &BTreeMap<u16, Pair>, kind: Kind) -> bool {
-    let Some(best) = best_old_rate(periods, kind) else {
-        // Without responses of this kind there is nothing to compare.
-        return true;
-    };
+    // Without responses of this kind there is nothing to compare.
+    let clearance = best_comparison(periods, kind, -1.0);
+    clearance.is_none_or(|sum| sum >= CLEARING_RATIO.ln())
+}
+
+/// Returns the evidence that the new version is bad rather than as good as the old one at its best.
+fn doubt(periods: &BTreeMap<u16, Pair>, kind: Kind) -> f64 {
+    best_comparison(periods, kind, 1.0).unwrap_or_default()
+}
+
+/// Returns the cumulative sum, times `sign`, of log-likelihood ratios of [`BAD_RATE`] against the
+/// old version's rate in its best periods; none if the old version has given no responses.
+fn best_comparison(periods: &BTreeMap<u16, Pair>, kind: Kind, sign: f64) -> Option<f64> {
+    let best = best_old_rate(periods, kind)?;
     let allowed = with_odds(best, TOLERATED_ODDS_RATIO).clamp(ALLOWED_RATE, BAD_RATE);
-    let since_order = periods.iter().filter(|(period, _)| **period > BEFORE_ORDER);
-    let sum = since_order.fold(0.0, |sum, (_, pair)| {
+    let since_order = periods.range(BEFORE_ORDER + 1..);
+    Some(since_order.fold(0.0, |sum, (_, pair)| {
         let ratio = log_ratio(kind.counts(pair.new), allowed, BAD_RATE);
-        f64::max(sum - ratio, 0.0)
-    });
-    sum >= CLEARING_RATIO.ln()
+        f64::max(sum + sign * ratio, 0.0)
+    }))
 }
 
 /// How far a rollout has got, and its bounds.
@@ -314,8 +333,10 @@
     let share = progress.share.max(progress.canary);
     let may_grow = match verdict {
         Verdict::Bad => return RolloutStep::RollBack,
-        Verdict::Suspect if elapsed >= DECIDE_AFTER => return RolloutStep::RollBack,
-        Verdict::Suspect => false,
+        Verdict::Suspect | Verdict::Doubtful if elapsed >= DECIDE_AFTER => {
+            return RolloutStep::RollBack;
+        }
+        Verdict::Suspect | Verdict::Doubtful => false,
         Verdict::Cleared => elapsed >= progress.grow_after(),
         Verdict::Open => elapsed >= progress.grow_after() + UNCLEARED_DELAY,
     };
