Read reports with the evidence of many routes whole

A report on a rollout carries up to 96 rows of evidence twice, which may exceed the 8 KiB that a receiver read of a datagram: it would have been cut off and dropped.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -111,9 +111,7 @@
 
 impl Kind {
     const ALL: [Self; 3] = [Self::Failures, Self::Pace, Self::Stalls];
-}
 
-impl Kind {
     fn counts(self, outcomes: Outcomes) -> Counts {
         match self {
             Self::Failures => outcomes.responses,
@@ -138,10 +136,10 @@
 
 /// Assesses the new version by the evidence of all hosts.
 ///
-/// It is bad if its failures, slow or very slow responses, on all routes together or on one of them, are
-/// significantly more frequent than the old version's at the same time. It is cleared if all are
-/// as rare as the old version's at its best: an old version in trouble is no measure. Worse than
-/// that, but not than the old version at the same time, it is doubtful.
+/// It is bad if its failures, slow or very slow responses on all routes together, or its failures on
+/// one of them, are significantly more frequent than the old version's at the same time. It is
+/// cleared if all are as rare as the old version's at its best: an old version in trouble is no
+/// measure. Worse than that, but not than the old version at the same time, it is doubtful.
 pub fn assess(evidence: &Evidence) -> Assessment {
     let all = evidence.by_period(None);
     let routes = evidence.routes();
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -22,8 +22,9 @@
     server::Server,
 };
 
-/// Largest datagram that is read, bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Largest datagram that is read, bytes. Reports with the evidence of a rollout on many routes are
+/// the largest.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
 /// Shortest time for which events are gathered into a batch.
 const EVENT_BATCH_PERIOD: Duration = Duration::from_millis(25);
