--- a/host/tests/route_rollouts.rs
+++ b/host/tests/route_rollouts.rs
@@ -251,32 +251,27 @@
     assert!(ended.exposure <= MAX_EXPOSURE, "{}", ended.exposure);
 }
 
-/// The old version fails most requests for the first half of the rollout.
-#[test]
-fn trouble_of_the_old_version_does_not_hide_a_bad_one() {
+/// Script of an old version that fails most requests for the first half of the rollout.
+fn troubled_script() -> impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Clone + Send + Sync {
     const TROUBLE: Duration = Duration::from_secs(8);
     let started_at = Instant::now();
-    let old = move |number: usize, received: &ReceivedRequest| {
+    move |number, received| {
         if started_at.elapsed() < TROUBLE && !number.is_multiple_of(5) {
             return failure(received);
         }
         stream(received, "", PAUSE)
-    };
-    let ended = run(16, 12, old, |number, _, _| is_unlucky(number));
+    }
+}
+
+#[test]
+fn trouble_of_the_old_version_does_not_hide_a_bad_one() {
+    let ended = run(16, 12, troubled_script(), |number, _, _| is_unlucky(number));
     assert_eq!(ended.state, "rolled_back");
     assert!(ended.exposure <= MAX_EXPOSURE, "{}", ended.exposure);
 }
 
 #[test]
 fn a_good_version_is_completed_while_the_old_one_is_in_trouble() {
-    const TROUBLE: Duration = Duration::from_secs(8);
-    let started_at = Instant::now();
-    let old = move |number: usize, received: &ReceivedRequest| {
-        if started_at.elapsed() < TROUBLE && !number.is_multiple_of(5) {
-            return failure(received);
-        }
-        stream(received, "", PAUSE)
-    };
-    let ended = run(12, 12, old, |_, _, _| false);
+    let ended = run(12, 12, troubled_script(), |_, _, _| false);
     assert_eq!(ended.state, "completed");
 }
