Use equal servers in turn, however fast they are

The clock counts whole milliseconds, so a server that answers within one had a latency ratio of 0 or 1 over a mean of at least 1, mostly below the 1.0 of a server without responses. It then got every request of a quiet service until a slow response raised its ratio; equal costs went to the first server of the list.

The average is a type of its own, `RelativeLatency`.

Measured: the new test got [1, 299, 0, 0, 0, 0] requests on six servers before, and passes.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod plan;
 pub mod prefill_time;
 pub mod quality;
+pub mod relative_latency;
 pub mod request_id;
 pub mod retry_budget;
 pub mod rollout;
--- a/policy/src/placement.rs
+++ b/policy/src/placement.rs
@@ -93,11 +93,17 @@
     mixed ^ (mixed >> 31)
 }
 
-/// Returns the index of the server with the lowest cost.
-pub fn choose_server(servers: &[ServerView], query: &PlacementQuery<'_>) -> Option<usize> {
-    let costs = servers.iter().map(|server| placement_cost(server, query));
-    costs
-        .enumerate()
-        .min_by(|left, right| left.1.total_cmp(&right.1))
-        .map(|(index, _)| index)
+/// Returns the index of the server with the lowest cost. Of several, it is the first one from
+/// `offset` on, so that callers that vary it use equal servers equally.
+pub fn choose_server(
+    servers: &[ServerView],
+    query: &PlacementQuery<'_>,
+    offset: usize,
+) -> Option<usize> {
+    let costs: Vec<f64> = servers
+        .iter()
+        .map(|server| placement_cost(server, query))
+        .collect();
+    let indices = (0..costs.len()).map(|index| (index + offset) % costs.len());
+    indices.min_by(|left, right| costs[*left].total_cmp(&costs[*right]))
 }
--- a/policy/tests/placement.rs
+++ b/policy/tests/placement.rs
@@ -4,6 +4,7 @@
 use clementinearch_policy::{
     placement::{PlacementQuery, ServerView, affinity_rank, choose_server, placement_cost},
     prefill_time::PrefillTime,
+    relative_latency::RelativeLatency,
 };
 use std::time::Duration;
 
@@ -61,7 +62,7 @@
                 ..idle()
             })
             .collect();
-        let index = choose_server(&views, &query(tokens, ms_per_token)).unwrap();
+        let index = choose_server(&views, &query(tokens, ms_per_token), 0).unwrap();
         let begin = busy_until[index].max(now);
         if !is_album {
             waits.push(begin - now);
@@ -107,11 +108,11 @@
     let album = query(6_000.0, LARGE_MS_PER_TOKEN);
     cached.pending_ms = 100.0;
     assert_eq!(
-        choose_server(&[cached.clone(), other.clone()], &album),
+        choose_server(&[cached.clone(), other.clone()], &album, 0),
         Some(0)
     );
     cached.pending_ms = 400.0;
-    assert_eq!(choose_server(&[cached, other], &album), Some(1));
+    assert_eq!(choose_server(&[cached, other], &album, 0), Some(1));
 }
 
 #[test]
@@ -128,14 +129,14 @@
     };
     let plain = query(0.0, 0.0);
     assert_eq!(
-        choose_server(&[full.clone(), remote.clone()], &plain),
+        choose_server(&[full.clone(), remote.clone()], &plain, 0),
         Some(1)
     );
     let free = ServerView {
         running: 1.0,
         ..full
     };
-    assert_eq!(choose_server(&[free, remote], &plain), Some(0));
+    assert_eq!(choose_server(&[free, remote], &plain, 0), Some(0));
 }
 
 #[test]
@@ -184,3 +185,31 @@
     );
     assert!(prefill_time.ms_per_token(0) < prefill_time.ms_per_token(1));
 }
+
+/// A clock in whole milliseconds shows most of these responses as taking none.
+#[test]
+fn servers_faster_than_the_clock_are_all_used() {
+    const SERVERS: usize = 6;
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut latencies = [RelativeLatency::default(); SERVERS];
+    let mut requests = [0; SERVERS];
+    let mut mean_ms = None;
+    for number in 0..300 {
+        let views: Vec<ServerView> = latencies
+            .iter()
+            .map(|latency| ServerView {
+                latency_ratio: latency.ratio(),
+                ..idle()
+            })
+            .collect();
+        let index = choose_server(&views, &query(0.0, 0.0), number).unwrap();
+        requests[index] += 1;
+        let latency_ms = f64::from(u8::from(rng.f64() < 0.2));
+        if let Some(mean_ms) = mean_ms {
+            latencies[index].record(latency_ms, mean_ms);
+        }
+        let mean = mean_ms.get_or_insert(20.0);
+        *mean += 0.1 * (latency_ms - *mean);
+    }
+    assert!(requests.iter().all(|count| *count > 0), "{requests:?}");
+}
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -89,6 +89,8 @@
     table_changed: Notify,
     view_changed: Notify,
     /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
+    /// Number of servers chosen so far, by which equal servers are chosen in turn.
+    pub(crate) placements: AtomicUsize,
     /// first.
     last_store_contact_ms: AtomicU64,
     /// Start of the graceful shutdown, milliseconds of the host's clock; zero before.
@@ -133,6 +135,7 @@
             event_gap_logs: MovingAverages::with_weight(USUAL_GAP_WEIGHT),
             table: RwLock::default(),
             table_changed: Notify::new(),
+            placements: AtomicUsize::new(0),
             last_store_contact_ms: AtomicU64::new(0),
             stopping_since_ms: AtomicU64::new(0),
         }
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -164,7 +164,7 @@
         let route = &self.call.head.route.name;
         let latency_ms = latency.as_secs_f64() * 1_000.0;
         if let Some(mean_ms) = self.state.latencies_ms.get(route, self.size) {
-            server.record_latency(latency_ms / mean_ms.max(1.0));
+            server.record_latency(latency_ms, mean_ms);
         }
         if !self.is_on_target(server) {
             self.state.latencies_ms.record(route, self.size, latency_ms);
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -5,6 +5,7 @@
 use clementinearch_policy::{
     names::{FastMap, Name},
     placement::PREFIX_CACHE_LIFETIME,
+    relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
     server_limit::Pacer,
     time::Millis,
@@ -27,9 +28,6 @@
 /// Maximum number of prompt parts remembered for one server; the oldest are forgotten first.
 const MAX_PARTS: usize = 2_000;
 
-/// Weight of the latest response in a server's moving average of relative latency.
-const LATENCY_WEIGHT: f64 = 0.2;
-
 /// The lifecycle state that a server publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -89,8 +87,7 @@
     parts: FastMap<(u64, usize), Millis>,
     /// The keys of `parts`, oldest first.
     parts_in_order: VecDeque<(u64, usize)>,
-    /// Moving average of the latency as a multiple of the route's mean latency.
-    latency_ratio: Option<f64>,
+    latency: RelativeLatency,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
     /// The limit that the server named last, or that it names none any more.
@@ -171,7 +168,7 @@
             last_contact: observed.last_contact,
             parts: std::mem::take(&mut observed.parts),
             parts_in_order: std::mem::take(&mut observed.parts_in_order),
-            latency_ratio: observed.latency_ratio,
+            latency: observed.latency,
             limit: observed.limit,
             pacer: observed.pacer,
             ..Observations::default()
@@ -320,11 +317,9 @@
         observed.health.is_ejected(now) && !was_ejected
     }
 
-    /// Records a latency, given as a multiple of the mean latency.
-    pub(crate) fn record_latency(&self, ratio: f64) {
-        let mut observed = self.observed.lock();
-        let mean = observed.latency_ratio.get_or_insert(ratio);
-        *mean += LATENCY_WEIGHT * (ratio - *mean);
+    /// Records the latency of a response on a route with the given mean, both in milliseconds.
+    pub(crate) fn record_latency(&self, latency_ms: f64, mean_ms: f64) {
+        self.observed.lock().latency.record(latency_ms, mean_ms);
     }
 
     /// Estimates the current load from the last report and the requests sent or finished since.
@@ -346,7 +341,7 @@
             waiting,
             pending_ms: observed.local_prefill_ms
                 + observed.peer_prefill_until.since(now).as_secs_f64() * 1_000.0,
-            latency_ratio: observed.latency_ratio.unwrap_or(1.0).clamp(0.5, 20.0),
+            latency_ratio: observed.latency.ratio(),
         }
     }
 
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -1,6 +1,6 @@
 //! Selection of a backend server for an attempt, from this host's current view of the pool.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use clementinearch_policy::{
     placement::{PlacementQuery, ServerView, affinity_rank, choose_server},
@@ -69,7 +69,8 @@
             .map_or(0.0, |prompt| f64::from(prompt.tokens)),
         ms_per_token: state.ms_per_token(&call.service, size),
     };
-    let index = choose_server(&views, &query)?;
+    let offset = state.placements.fetch_add(1, Ordering::Relaxed);
+    let index = choose_server(&views, &query, offset)?;
     let server = eligible[index].clone();
     if let Some(per_s) = server.limit()
         && let Some(interval) = state.limited_interval(&server, per_s, now)
