Stop the listener of a crashed stand-in, not only its descriptor

Cause: `a_block_by_a_host_without_the_store_is_written_by_another` failed in 1 of 32, 1 of 60 and 1 of 150 runs beside load. Its log: the host ruled the second crash out, because the crashed server accepted a connection. The stand-in had closed its listener, but other tests of the process start hosts, and between fork and exec a child holds a copy of every socket.

Change: the stand-in shuts the listener down, which holds for all copies. `ScriptedServer::address` tells the port if the system chose it.

--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -64,7 +64,8 @@
     disconnects: AtomicUsize,
     connections: AtomicU64,
     is_down: AtomicBool,
-    /// Thread that accepts connections; it owns the listener.
+    listener: TcpListener,
+    /// Thread that accepts connections.
     acceptor: Mutex<Option<JoinHandle<()>>>,
     /// Connections so far; those that have ended are gone.
     streams: Mutex<Vec<Weak<TcpStream>>>,
@@ -74,7 +75,7 @@
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 impl ScriptedServer {
-    /// Starts a server that listens at `address` and responds to requests as `script` says.
+    /// Starts a server that listens at `address`, or at any port of it if that is zero, and responds to requests as `script` says.
     ///
     /// # Errors
     ///
@@ -85,21 +86,27 @@
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
         let server = Arc::new(Self {
-            address,
+            address: listener.local_addr()?,
             script: Box::new(script),
             requests: Mutex::default(),
             disconnects: AtomicUsize::new(0),
             connections: AtomicU64::new(0),
             is_down: AtomicBool::new(false),
+            listener,
             acceptor: Mutex::default(),
             streams: Mutex::default(),
         });
         let accepting = server.clone();
-        let acceptor = thread::spawn(move || accepting.accept(&listener));
+        let acceptor = thread::spawn(move || accepting.accept());
         *server.acceptor.lock() = Some(acceptor);
         Ok(server)
     }
 
+    /// Returns the address at which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the requests received so far.
     pub fn requests(&self) -> Vec<ReceivedRequest> {
         self.requests.lock().clone()
@@ -110,8 +117,8 @@
         self.disconnects.load(Ordering::Relaxed)
     }
 
-    fn accept(self: &Arc<Self>, listener: &TcpListener) {
-        for stream in listener.incoming() {
+    fn accept(self: &Arc<Self>) {
+        for stream in self.listener.incoming() {
             let Ok(stream) = stream else { return };
             if self.is_down.load(Ordering::Relaxed) {
                 return;
@@ -173,8 +180,8 @@
 
     fn stop_listening(&self) {
         self.is_down.store(true, Ordering::Relaxed);
-        // Wakes up the accepting thread, which then closes the listener.
-        drop(TcpStream::connect(self.address));
+        // Closing it would not be enough: a child process of a parallel test may hold it until exec.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
         if let Some(acceptor) = self.acceptor.lock().take() {
             let _ = acceptor.join();
         }
