Compare a new version with the old one's best period alone

The old version's best rate was taken over each period and its neighbours, so the responses before the order (101 in time, 15 slow) were never taken without those of the first period, when half of the servers were silent (0 in time, 23 slow): the best rate rose from 12% to 25%, and 22 slow responses of the new version raised no doubt.

Change: the best rate is that of any period with enough responses; only the comparison at the same time takes neighbours.

Measured: the new test, on the counts of that play, gave Open before and gives Doubtful.

--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -68,6 +68,9 @@
 /// Likelihood ratio against a version from which its share does not grow.
 const SUSPECT_RATIO: f64 = 10.0;
 
+/// Distance of periods that count as the same time: conditions change between responses.
+const CONCURRENT_RADIUS: u16 = 1;
+
 /// Least responses of the old version in a span of periods whose rate is a measure.
 const MIN_OLD_RESPONSES: u64 = 50;
 
@@ -205,15 +208,14 @@
     odds / (1.0 + odds)
 }
 
-/// Returns the old version's counts in a period and its neighbours, or in a wider span if these
-/// have too few responses, or fewer than the new version: near its end a rollout leaves the old
-/// version without any.
-fn old_around(periods: &BTreeMap<u16, Pair>, period: u16, kind: Kind) -> Counts {
+/// Returns the old version's counts in the periods up to `radius` from `period`, or in a wider span
+/// if these have too few responses, or fewer than the new version: near its end a rollout leaves the
+/// old version without any.
+fn old_around(periods: &BTreeMap<u16, Pair>, period: u16, mut radius: u16, kind: Kind) -> Counts {
     let last = periods.keys().next_back().copied().unwrap_or_default();
     let new = periods.get(&period).copied().unwrap_or_default().new;
     let new = kind.counts(new);
     let wanted = MIN_OLD_RESPONSES.max(new.good + new.bad);
-    let mut radius = 1;
     loop {
         let span = period.saturating_sub(radius)..=period + radius;
         let is_all = *span.start() == 0 && *span.end() >= last;
@@ -234,7 +236,7 @@
 fn suspicion(periods: &BTreeMap<u16, Pair>, kind: Kind) -> f64 {
     let mut sums = [0.0; ALTERNATIVE_FACTORS.len()];
     for (period, pair) in periods {
-        let allowed = allowed_rate(old_around(periods, *period, kind));
+        let allowed = allowed_rate(old_around(periods, *period, CONCURRENT_RADIUS, kind));
         for (sum, factor) in sums.iter_mut().zip(ALTERNATIVE_FACTORS) {
             let alternative = with_odds(allowed, factor);
             let ratio = log_ratio(kind.counts(pair.new), allowed, alternative);
@@ -244,12 +246,12 @@
     sums.into_iter().fold(0.0, f64::max)
 }
 
-/// Returns the old version's lowest rate of bad responses over spans of periods; none if it has
-/// given no responses.
+/// Returns the old version's lowest rate of bad responses in a period, or in a span of periods with
+/// enough responses; none if it has given no responses.
 fn best_old_rate(periods: &BTreeMap<u16, Pair>, kind: Kind) -> Option<f64> {
     let spans = periods
         .keys()
-        .map(|period| old_around(periods, *period, kind));
+        .map(|period| old_around(periods, *period, 0, kind));
     let measured = spans.filter(|old| old.good + old.bad > 0);
     measured.map(smoothed_rate).reduce(f64::min)
 }
--- a/policy/tests/rollout.rs
+++ b/policy/tests/rollout.rs
@@ -6,7 +6,7 @@
 use clementinearch_policy::{
     quality::Counts,
     rollout::{Progress, RolloutStep, Verdict, assess, canary_share, next_step},
-    rollout_evidence::{Evidence, Outcome, Outcomes, Pair, period_at},
+    rollout_evidence::{BEFORE_ORDER, Evidence, Outcome, Outcomes, Pair, period_at},
 };
 
 const LIMIT: Duration = Duration::from_secs(24);
@@ -332,3 +332,26 @@
         assert!(share <= 0.5, "{share} after {elapsed} of the time");
     }
 }
+
+/// The counts are those of a play with half of the servers silent from just before the order on.
+#[test]
+fn trouble_from_the_order_on_does_not_hide_how_good_the_old_version_was() {
+    let pace = |good, bad| Outcomes {
+        pace: Counts { good, bad },
+        ..Outcomes::default()
+    };
+    let mut evidence = Evidence::default();
+    let before = Pair {
+        old: pace(101, 15),
+        ..Pair::default()
+    };
+    evidence.add(BEFORE_ORDER, 1, before);
+    for period in 1..=11 {
+        let pair = Pair {
+            new: pace(u64::from(period % 5 == 0), 2),
+            old: pace(4, 34),
+        };
+        evidence.add(period, 1, pair);
+    }
+    assert_eq!(assess(&evidence).verdict, Verdict::Doubtful);
+}
