Tell every zone of a block before its caller is refused

Cause: a host that blocks a content refuses its caller at once and gossips afterwards: to its own zone at the next turn of its loop, to another zone in a random round. A caller that comes to another host meanwhile crashes a third server. This is the red test `a_request_crashes_at_most_two_servers_and_no_other_request_is_lost`.

Change: the refusal waits, for 300 ms at most, for an exchange with a few hosts of the own zone and one of each other zone, once for each block. These pass it on.

--- a/host/src/controllers/gossip.rs
+++ b/host/src/controllers/gossip.rs
@@ -6,7 +6,7 @@
 
 use clementinearch_policy::{
     membership::{Member, MemberState},
-    names::Name,
+    names::{FastSet, Name},
 };
 use tokio::time::{Instant, sleep_until};
 
@@ -22,6 +22,9 @@
 /// configuration.
 const TRIGGERED_FANOUT: usize = 3;
 
+/// Longest wait until peers have heard an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// One in this many rounds also contacts a host that was declared dead, so that the sides of a
 /// healed partition find each other.
 const ROUNDS_PER_DEAD_CONTACT: u64 = 10;
@@ -126,16 +129,38 @@
 
 /// Exchanges with a few random peers of this host's zone.
 async fn exchange_in_zone(state: &HostState, clients: &PeerClients, shared: &SharedState) {
-    let targets = {
-        let members = state.members.lock();
-        let zone = &state.settings.zone;
-        let local = members.peers().filter(|member| member.zone == *zone);
-        fastrand::choose_multiple(local, TRIGGERED_FANOUT)
-            .into_iter()
-            .map(Target::member)
-            .collect()
-    };
-    exchange_with_all(state, clients, shared, targets).await;
+    exchange_with_all(state, clients, shared, zone_targets(state)).await;
+}
+
+/// Chooses a few random peers of this host's zone.
+fn zone_targets(state: &HostState) -> Vec<Target> {
+    let members = state.members.lock();
+    let zone = &state.settings.zone;
+    let local = members.peers().filter(|member| member.zone == *zone);
+    fastrand::choose_multiple(local, TRIGGERED_FANOUT)
+        .into_iter()
+        .map(Target::member)
+        .collect()
+}
+
+/// Chooses a random peer of each other zone.
+fn remote_targets(state: &HostState) -> Vec<Target> {
+    let members = state.members.lock();
+    let mut peers: Vec<&Member> = members.peers().collect();
+    fastrand::shuffle(&mut peers);
+    let mut zones = FastSet::default();
+    zones.insert(state.settings.zone.clone());
+    peers.retain(|member| zones.insert(member.zone.clone()));
+    peers.into_iter().map(Target::member).collect()
+}
+
+/// Exchanges with a few peers of this host's zone and one of each other zone, which pass on in their
+/// zones what they learn. Returns when they have it, or after [`ANNOUNCE_TIMEOUT`].
+pub(crate) async fn announce(state: &HostState, clients: &PeerClients, shared: &SharedState) {
+    let mut targets = zone_targets(state);
+    targets.extend(remote_targets(state));
+    let exchanges = exchange_with_all(state, clients, shared, targets);
+    let _ = tokio::time::timeout(ANNOUNCE_TIMEOUT, exchanges).await;
 }
 
 async fn exchange_with_all(
--- a/host/src/shared/trials.rs
+++ b/host/src/shared/trials.rs
@@ -14,9 +14,11 @@
 use crate::{
     backends::servers::Server,
     clock,
+    controllers::gossip,
     host_state::HostState,
     peers::clients::{PeerClients, call_context},
     refusal::Refusal,
+    shared::state::SharedState,
 };
 
 /// Retry delay for callers when every server is reserved for another suspect.
@@ -36,6 +38,8 @@
     state: Arc<HostState>,
     clients: Arc<PeerClients>,
     suspects: Mutex<CrashSuspects>,
+    /// Content that this host has blocked last, until that is announced.
+    unannounced_block: Mutex<Option<u64>>,
 }
 
 /// A server reserved for one suspect. It is released on drop, also if the caller disconnects.
@@ -60,6 +64,7 @@
             state,
             clients,
             suspects: Mutex::default(),
+            unannounced_block: Mutex::default(),
         }
     }
 
@@ -179,6 +184,7 @@
             .lock()
             .record_crash(content_hash, on_trial, clock::now());
         if let ContentStatus::Blocked(_) = status {
+            *self.unannounced_block.lock() = Some(content_hash);
             log::warn!(
                 "content {content_hash:016x} crashed a server on trial and is temporarily blocked"
             );
@@ -186,6 +192,19 @@
         self.state.gossip_trigger.notify_one();
     }
 
+    /// Announces a block by this host, unless that has been done. The caller of the blocked request
+    /// may come to another host as soon as it is refused here.
+    pub(crate) async fn announce_block(&self, content_hash: u64, shared: &SharedState) {
+        let is_due = self
+            .unannounced_block
+            .lock()
+            .take_if(|content| *content == content_hash)
+            .is_some();
+        if is_due {
+            gossip::announce(&self.state, &self.clients, shared).await;
+        }
+    }
+
     /// Clears a suspect whose response was completed.
     pub(crate) fn clear(&self, content_hash: u64) {
         self.suspects.lock().clear(content_hash, clock::now());
--- a/host/tests/crashes.rs
+++ b/host/tests/crashes.rs
@@ -78,3 +78,15 @@
         );
     }
 }
+
+/// The hosts of the zone are killed as soon as the caller has its answer.
+#[test]
+fn a_block_outlives_the_hosts_of_its_zone() {
+    let mut fleet = start_fleet(&["a", "a", "b"]);
+    let crashing = chat_body(CRASH_MARK, 5, true);
+    assert_eq!(chat(&fleet.hosts[0], "one", &[], &crashing).status, 422);
+    fleet.hosts[0].process.kill();
+    fleet.hosts[1].process.kill();
+    assert_eq!(chat(&fleet.hosts[2], "one", &[], &crashing).status, 422);
+    assert_eq!(crashed_engines(&fleet), 2);
+}
