Give crash checks, health tracking and limits files of their own

Change: moved as they were to crash_check.rs, health_tracking.rs and server_limits.rs; no file imports in a circle that did not before.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -1,5 +1,4 @@
-//! One attempt of a request on a backend server, up to the head of the response, and the health of
-//! servers and zones as attempts show it.
+//! One attempt of a request on a backend server, up to the head of the response.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,13 +12,13 @@
 use crate::{
     call::Call,
     connections::{Connection, SendOutcome, connect},
-    decision_log::{Decision, Severity},
+    crash_check::{check_crash, record_crash},
     dialect::{AttemptContext, EventReader, ResponseHead, Verdict},
-    hooks::RequestContext,
+    health_tracking::record_server_outcome,
     host_state::HostState,
     refusal::Refusal,
     request_metrics::Phase,
-    server::{AttemptTarget, InFlight, Server},
+    server::{InFlight, Server},
 };
 
 /// How often a waiting attempt checks its time limits and the server.
@@ -58,9 +57,6 @@
 /// Reason of a stream whose next event takes too long.
 pub(crate) const NEXT_EVENT_OVERDUE: &str = "next event overdue";
 
-/// Time limit for the test connection that shows whether a server has crashed.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// A response whose head has arrived, with its body still to be read.
 pub(crate) struct AttemptResponse {
     /// Head as parsed by the dialect.
@@ -148,127 +144,6 @@
     }
 }
 
-/// Records the outcome of an attempt, and logs if it ejects the server from selection.
-pub(crate) fn record_server_outcome(
-    state: &HostState,
-    server: &Server,
-    outcome: AttemptOutcome,
-    now: Millis,
-) {
-    let pool = state.servers.pool(&server.entry.service);
-    let rates: f64 = pool.iter().map(|server| server.failure_rate()).sum();
-    let pool_rate = rates / pool.len().max(1) as f64;
-    if outcome == AttemptOutcome::Unreachable {
-        mark_zone_if_unreachable(state, server, now);
-    }
-    if server.record_outcome(outcome, pool_rate, now) {
-        let rate = server.failure_rate();
-        state.log_event(
-            "server_left_alone",
-            &server.entry.name,
-            match outcome {
-                AttemptOutcome::Unreachable => "unreachable or silent",
-                _ => "fails more often than its pool",
-            },
-            &[("failure_rate", rate), ("pool_rate", pool_rate)],
-        );
-    }
-}
-
-/// How often the servers are scanned for due probes.
-const PROBE_SCAN_PERIOD: Duration = Duration::from_millis(100);
-
-/// Number of unreachable servers in a zone from which the whole zone counts as unreachable.
-const MIN_UNREACHABLE_SERVERS: usize = 2;
-
-/// Time within which bytes from any server of a zone show that the zone is reachable.
-const ZONE_CONTACT_WINDOW: Duration = Duration::from_millis(300);
-
-/// Marks all servers of a zone as unreachable if several of them are and none has sent bytes
-/// recently. Otherwise requests would run into the partition server by server. Probes soon bring
-/// back the servers that still accept connections.
-fn mark_zone_if_unreachable(state: &HostState, server: &Server, now: Millis) {
-    let zone = &server.entry.zone;
-    let all = state.servers.all();
-    let of_zone = || all.iter().filter(|other| other.entry.zone == *zone);
-    let unreachable = of_zone().filter(|other| other.is_unreachable()).count();
-    let has_contact = of_zone().any(|other| now.since(other.last_contact()) <= ZONE_CONTACT_WINDOW);
-    // The server at hand counts as one more: its outcome is recorded after this check.
-    if unreachable + 1 < MIN_UNREACHABLE_SERVERS || has_contact {
-        return;
-    }
-    let newly_marked = of_zone()
-        .filter(|other| other.mark_unreachable(now))
-        .count();
-    if newly_marked > 0 {
-        let inputs = [("servers", newly_marked as f64)];
-        state.log_event("zone_out_of_reach", zone, "", &inputs);
-    }
-}
-
-/// Probes unreachable servers for new connections until the process ends.
-pub(crate) async fn probe_unreachable(state: Arc<HostState>) {
-    loop {
-        tokio::time::sleep(PROBE_SCAN_PERIOD).await;
-        let now = state.now();
-        for server in state.servers.all() {
-            if !server.begin_probe(now) {
-                continue;
-            }
-            let state = state.clone();
-            tokio::spawn(async move {
-                if connect(server.entry.address).await.is_ok() {
-                    server.record_connected(state.now());
-                    state.log_event("server_in_reach", &server.entry.name, "", &[]);
-                }
-            });
-        }
-    }
-}
-
-/// What a test connection shows of a server that broke off a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CrashCheck {
-    /// It refuses connections: its process has ended.
-    Refused,
-    /// It accepts connections.
-    Accepted,
-    /// It answers neither way in time.
-    Silent,
-}
-
-impl CrashCheck {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Refused => "refuses connections",
-            Self::Accepted => "accepts connections",
-            Self::Silent => "silent",
-        }
-    }
-}
-
-/// Looks at a server that broke off a response.
-async fn look_at_server(state: &HostState, server: &Server) -> CrashCheck {
-    let first = try_connect(server).await;
-    if first == CrashCheck::Refused {
-        return first;
-    }
-    let Some(delay) = state.hooks.crash_recheck_delay() else {
-        return first;
-    };
-    tokio::time::sleep(delay).await;
-    try_connect(server).await
-}
-
-async fn try_connect(server: &Server) -> CrashCheck {
-    let connected = tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect(server.entry.address)).await;
-    match connected {
-        Ok(Ok(_)) => CrashCheck::Accepted,
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => CrashCheck::Refused,
-        Ok(Err(_)) | Err(_) => CrashCheck::Silent,
-    }
-}
-
 impl Attempt<'_> {
     /// Sends the request to the server of `in_flight` and waits for the head of the response.
     pub(crate) async fn run(&self, mut in_flight: InFlight) -> AttemptResult {
@@ -511,64 +386,6 @@
     }
 }
 
-/// Checks whether the server of a request that broke off has crashed, and if so records that
-/// against the request's content. Returns whether it has.
-async fn check_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) -> bool {
-    let server = in_flight.server();
-    let check = look_at_server(state, server).await;
-    metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
-    if check == CrashCheck::Refused {
-        record_crash(state, call, in_flight, now);
-        return true;
-    }
-    let context = RequestContext { state, call, now };
-    log_crash(
-        context,
-        &server.entry.name,
-        "crash_ruled_out",
-        check.label(),
-    );
-    false
-}
-
-/// Records that the server of a request has crashed, also against the request's content.
-fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) {
-    let server = in_flight.server();
-    record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
-    record_content_crash(state, call, in_flight.attempt_target(), now);
-}
-
-/// Records that a server crashed at `now` under the content of a request.
-pub(crate) fn record_content_crash(
-    state: &HostState,
-    call: &Call,
-    target: AttemptTarget<'_>,
-    now: Millis,
-) {
-    let context = RequestContext { state, call, now };
-    state.hooks.record_crash(context, target);
-    log_crash(context, target.name, "server_crashed", &call.head.id);
-}
-
-/// Logs the result of a crash check, with the crashes that the request's content is known for.
-fn log_crash(context: RequestContext<'_>, server: &str, event: &str, why: &str) {
-    let RequestContext { state, call, now } = context;
-    let evidence = state.crash_evidence.lock();
-    let crashes = evidence.crash_count(call.content_hash, now);
-    drop(evidence);
-    let decision = Decision {
-        ms: now.0,
-        event,
-        id: &call.head.id,
-        route: &call.head.route.name,
-        server,
-        why,
-        content: &format!("{:016x}", call.content_hash),
-        inputs: &[("crashes", crashes as f64)],
-    };
-    state.log.write(Severity::Important, &decision);
-}
-
 /// The result of waiting for the head of a response.
 enum WaitResult {
     Sent(SendOutcome),
--- /dev/null
+++ b/router/src/crash_check.rs
@@ -0,0 +1,125 @@
+//! Whether a server that broke off a response has crashed, and the record of crashes against the
+//! content of requests.
+
+use std::time::Duration;
+
+use clementinearch_policy::{server_health::AttemptOutcome, time::Millis};
+
+use crate::{
+    call::Call,
+    connections::connect,
+    decision_log::{Decision, Severity},
+    health_tracking::record_server_outcome,
+    hooks::RequestContext,
+    host_state::HostState,
+    server::{AttemptTarget, InFlight, Server},
+};
+
+/// Time limit for the test connection that shows whether a server has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// What a test connection shows of a server that broke off a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashCheck {
+    /// It refuses connections: its process has ended.
+    Refused,
+    /// It accepts connections.
+    Accepted,
+    /// It answers neither way in time.
+    Silent,
+}
+
+impl CrashCheck {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refuses connections",
+            Self::Accepted => "accepts connections",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Looks at a server that broke off a response.
+async fn look_at_server(state: &HostState, server: &Server) -> CrashCheck {
+    let first = try_connect(server).await;
+    if first == CrashCheck::Refused {
+        return first;
+    }
+    let Some(delay) = state.hooks.crash_recheck_delay() else {
+        return first;
+    };
+    tokio::time::sleep(delay).await;
+    try_connect(server).await
+}
+
+async fn try_connect(server: &Server) -> CrashCheck {
+    let connected = tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect(server.entry.address)).await;
+    match connected {
+        Ok(Ok(_)) => CrashCheck::Accepted,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => CrashCheck::Refused,
+        Ok(Err(_)) | Err(_) => CrashCheck::Silent,
+    }
+}
+
+/// Checks whether the server of a request that broke off has crashed, and if so records that
+/// against the request's content. Returns whether it has.
+pub(crate) async fn check_crash(
+    state: &HostState,
+    call: &Call,
+    in_flight: &InFlight,
+    now: Millis,
+) -> bool {
+    let server = in_flight.server();
+    let check = look_at_server(state, server).await;
+    metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
+    if check == CrashCheck::Refused {
+        record_crash(state, call, in_flight, now);
+        return true;
+    }
+    let context = RequestContext { state, call, now };
+    log_crash(
+        context,
+        &server.entry.name,
+        "crash_ruled_out",
+        check.label(),
+    );
+    false
+}
+
+/// Records that the server of a request has crashed, also against the request's content.
+pub(crate) fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) {
+    let server = in_flight.server();
+    record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
+    record_content_crash(state, call, in_flight.attempt_target(), now);
+}
+
+/// Records that a server crashed at `now` under the content of a request.
+pub(crate) fn record_content_crash(
+    state: &HostState,
+    call: &Call,
+    target: AttemptTarget<'_>,
+    now: Millis,
+) {
+    let context = RequestContext { state, call, now };
+    state.hooks.record_crash(context, target);
+    log_crash(context, target.name, "server_crashed", &call.head.id);
+}
+
+/// Logs the result of a crash check, with the crashes that the request's content is known for.
+fn log_crash(context: RequestContext<'_>, server: &str, event: &str, why: &str) {
+    let RequestContext { state, call, now } = context;
+    let evidence = state.crash_evidence.lock();
+    let crashes = evidence.crash_count(call.content_hash, now);
+    drop(evidence);
+    let decision = Decision {
+        ms: now.0,
+        event,
+        id: &call.head.id,
+        route: &call.head.route.name,
+        server,
+        why,
+        content: &format!("{:016x}", call.content_hash),
+        inputs: &[("crashes", crashes as f64)],
+    };
+    state.log.write(Severity::Important, &decision);
+}
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name, time::Millis};
+use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -19,7 +19,7 @@
     host_state::HostState,
     rollout::RolloutReport,
     rollouts::SessionVersion,
-    server::Server,
+    server_limits::{LimitRow, limit_rows, merge_limits},
 };
 
 /// Largest datagram that is read, bytes. Reports with the evidence of a rollout on many routes are
@@ -61,34 +61,6 @@
     server_limits: Vec<LimitRow>,
 }
 
-/// What a server said of its limit: hash of its name, requests per second or none, and the age of the
-/// answer in milliseconds.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct LimitRow(u64, Option<f64>, u64);
-
-/// Age up to which hosts are told that a server is no longer in need.
-const ENDED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
-
-fn limit_rows(state: &HostState, now: Millis) -> Vec<LimitRow> {
-    let servers = state.servers.all();
-    let row = |server: &Arc<Server>| {
-        let limit = server.named_limit()?;
-        let age = now.since(limit.named_at);
-        let is_current = limit.per_s.is_some() || age <= ENDED_LIMIT_LIFETIME;
-        is_current.then(|| LimitRow(server.name_hash, limit.per_s, age.as_millis() as u64))
-    };
-    servers.iter().filter_map(row).collect()
-}
-
-fn merge_limits(state: &HostState, rows: &[LimitRow], now: Millis) {
-    for LimitRow(name_hash, per_s, age_ms) in rows {
-        if let Some(server) = state.servers.by_hash(*name_hash) {
-            let named_at = Millis(now.0.saturating_sub(*age_ms));
-            state.record_limit(&server, *per_s, named_at);
-        }
-    }
-}
-
 /// Sends this host's gossip and receives that of its peers.
 pub(crate) struct Gossip {
     state: Arc<HostState>,
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -17,11 +17,12 @@
 };
 
 use crate::{
-    admin, attempt,
+    admin,
     decision_log::DecisionLog,
     dialect::{Dialect, StoreSchema},
     gossip::Gossip,
     gossip_event::GossipEvent,
+    health_tracking,
     hooks::DefaultHooks,
     host_state::HostState,
     ingress::Ingress,
@@ -154,7 +155,7 @@
     tokio::spawn(stored_blocks::keep(state.clone(), store.clone()));
     tokio::spawn(step_rollouts(state.clone(), store));
     tokio::spawn(sweep(state.clone(), metrics));
-    tokio::spawn(attempt::probe_unreachable(state.clone()));
+    tokio::spawn(health_tracking::probe_unreachable(state.clone()));
     let (ingress, drain) = Ingress::new(state.clone());
     tokio::spawn(ingress.run(callers));
     while let Some(signal) = signals.recv().await {
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -17,16 +17,16 @@
     retry_budget::{RetryBudget, RetryLimit},
     rollout_evidence::Outcome,
     routes::{Route, RoutingTable},
-    server_limit::{ReturnSchedule, send_interval, senders},
+    server_limit::ReturnSchedule,
     time::Millis,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    attempt::record_content_crash,
     call::{Call, hash_bytes},
     clock::Clock,
+    crash_check::record_content_crash,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreItem, StoreSchema},
     fleet::Fleet,
@@ -73,7 +73,7 @@
     pub(crate) stored_blocks: StoredBlocks,
     pub(crate) request_metrics: RequestMetrics,
     /// When refused callers return, by service.
-    return_schedules: Mutex<FastMap<Name, ReturnSchedule>>,
+    pub(crate) return_schedules: Mutex<FastMap<Name, ReturnSchedule>>,
     /// Retry budgets by service.
     retry_budgets: Mutex<FastMap<Name, RetryBudget>>,
     /// Time to the first event or the complete response by route, milliseconds.
@@ -335,61 +335,6 @@
             .count_response(&call.service, route, version, outcome, now);
     }
 
-    /// Records the limit that a server names at `named_at`, or that it names none.
-    pub(crate) fn record_limit(&self, server: &Server, per_s: Option<f64>, named_at: Millis) {
-        if server.record_limit(per_s, named_at) {
-            let event = if per_s.is_some() {
-                "server_limit_named"
-            } else {
-                "server_limit_ended"
-            };
-            let inputs: Vec<(&str, f64)> =
-                per_s.map(|limit| ("per_s", limit)).into_iter().collect();
-            self.log_event(event, &server.entry.name, "", &inputs);
-        }
-    }
-
-    /// Returns the interval at which this host sends to a server with this limit, or none if other
-    /// hosts do.
-    pub(crate) fn limited_interval(
-        &self,
-        server: &Server,
-        per_s: f64,
-        now: Millis,
-    ) -> Option<Duration> {
-        let fleet = self.fleet.lock();
-        let hosts = fleet.known_hosts();
-        let is_sender = fleet.rank_for(server.name_hash, now) < senders(per_s, hosts);
-        is_sender.then(|| send_interval(per_s, hosts))
-    }
-
-    /// Whether this host may send to a server as far as its limit goes.
-    pub(crate) fn is_within_limit(&self, server: &Server, now: Millis) -> bool {
-        server.limit().is_none_or(|per_s| {
-            server.limit_wait(now).is_zero() && self.limited_interval(server, per_s, now).is_some()
-        })
-    }
-
-    /// If every ready server of a service names a limit, returns the time after which a refused
-    /// caller should return.
-    pub(crate) fn return_delay(&self, service: &Name, now: Millis) -> Option<Duration> {
-        let pool = self.servers.pool(service);
-        let ready = pool.iter().filter(|server| server.accepts_requests());
-        let limits: Option<Vec<f64>> = ready.map(|server| server.limit()).collect();
-        let total: f64 = limits.filter(|limits| !limits.is_empty())?.iter().sum();
-        let own_rate = total / self.fleet.lock().known_hosts() as f64;
-        let own = pool.iter().filter(|server| {
-            let interval = server
-                .limit()
-                .map(|it| self.limited_interval(server, it, now));
-            server.accepts_requests() && interval.flatten().is_some()
-        });
-        let earliest = own.map(|server| server.limit_wait(now)).min();
-        let mut schedules = self.return_schedules.lock();
-        let schedule = schedules.entry(service.clone()).or_default();
-        Some(schedule.delay(own_rate, earliest.unwrap_or_default(), now))
-    }
-
     /// Records that a server crashed at `at` while it had a request with this content.
     pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
         let incarnation = server.incarnation.to_le_bytes();
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     active_request::ActiveRequest,
-    attempt::{AttemptResponse, record_break, record_server_outcome},
+    attempt::{AttemptResponse, record_break},
     call::Call,
+    health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     host_state::HostState,
     refusal::Refusal,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -16,11 +16,11 @@
     active_request::ActiveRequest,
     attempt::{
         AttemptResponse, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES, SERVER_SILENT,
-        attempt_timeout, exceeds_idle_timeout, record_abandoned, record_break,
-        record_server_outcome, unreachable_reason,
+        attempt_timeout, exceeds_idle_timeout, record_abandoned, record_break, unreachable_reason,
     },
     connections::Connection,
     dialect::{EventReader, ResponseHead},
+    health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     refusal::Refusal,
     server::InFlight,
--- /dev/null
+++ b/router/src/server_limits.rs
@@ -0,0 +1,99 @@
+//! Limits that servers name, as this host keeps them and tells its peers.
+
+use std::{sync::Arc, time::Duration};
+
+use clementinearch_policy::{
+    names::Name,
+    server_limit::{send_interval, senders},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{host_state::HostState, server::Server};
+
+/// What a server said of its limit: hash of its name, requests per second or none, and the age of the
+/// answer in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct LimitRow(u64, Option<f64>, u64);
+
+/// Age up to which hosts are told that a server is no longer in need.
+const ENDED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Returns what this host knows of the servers' limits, for peers.
+pub(crate) fn limit_rows(state: &HostState, now: Millis) -> Vec<LimitRow> {
+    let servers = state.servers.all();
+    let row = |server: &Arc<Server>| {
+        let limit = server.named_limit()?;
+        let age = now.since(limit.named_at);
+        let is_current = limit.per_s.is_some() || age <= ENDED_LIMIT_LIFETIME;
+        is_current.then(|| LimitRow(server.name_hash, limit.per_s, age.as_millis() as u64))
+    };
+    servers.iter().filter_map(row).collect()
+}
+
+/// Records what a peer knows of the servers' limits.
+pub(crate) fn merge_limits(state: &HostState, rows: &[LimitRow], now: Millis) {
+    for LimitRow(name_hash, per_s, age_ms) in rows {
+        if let Some(server) = state.servers.by_hash(*name_hash) {
+            let named_at = Millis(now.0.saturating_sub(*age_ms));
+            state.record_limit(&server, *per_s, named_at);
+        }
+    }
+}
+
+impl HostState {
+    /// Records the limit that a server names at `named_at`, or that it names none.
+    pub(crate) fn record_limit(&self, server: &Server, per_s: Option<f64>, named_at: Millis) {
+        if server.record_limit(per_s, named_at) {
+            let event = if per_s.is_some() {
+                "server_limit_named"
+            } else {
+                "server_limit_ended"
+            };
+            let inputs: Vec<(&str, f64)> =
+                per_s.map(|limit| ("per_s", limit)).into_iter().collect();
+            self.log_event(event, &server.entry.name, "", &inputs);
+        }
+    }
+
+    /// Returns the interval at which this host sends to a server with this limit, or none if other
+    /// hosts do.
+    pub(crate) fn limited_interval(
+        &self,
+        server: &Server,
+        per_s: f64,
+        now: Millis,
+    ) -> Option<Duration> {
+        let fleet = self.fleet.lock();
+        let hosts = fleet.known_hosts();
+        let is_sender = fleet.rank_for(server.name_hash, now) < senders(per_s, hosts);
+        is_sender.then(|| send_interval(per_s, hosts))
+    }
+
+    /// Whether this host may send to a server as far as its limit goes.
+    pub(crate) fn is_within_limit(&self, server: &Server, now: Millis) -> bool {
+        server.limit().is_none_or(|per_s| {
+            server.limit_wait(now).is_zero() && self.limited_interval(server, per_s, now).is_some()
+        })
+    }
+
+    /// If every ready server of a service names a limit, returns the time after which a refused
+    /// caller should return.
+    pub(crate) fn return_delay(&self, service: &Name, now: Millis) -> Option<Duration> {
+        let pool = self.servers.pool(service);
+        let ready = pool.iter().filter(|server| server.accepts_requests());
+        let limits: Option<Vec<f64>> = ready.map(|server| server.limit()).collect();
+        let total: f64 = limits.filter(|limits| !limits.is_empty())?.iter().sum();
+        let own_rate = total / self.fleet.lock().known_hosts() as f64;
+        let own = pool.iter().filter(|server| {
+            let interval = server
+                .limit()
+                .map(|it| self.limited_interval(server, it, now));
+            server.accepts_requests() && interval.flatten().is_some()
+        });
+        let earliest = own.map(|server| server.limit_wait(now)).min();
+        let mut schedules = self.return_schedules.lock();
+        let schedule = schedules.entry(service.clone()).or_default();
+        Some(schedule.delay(own_rate, earliest.unwrap_or_default(), now))
+    }
+}
