Say once what a blocked content is, and build only the rows that are sent

Change: `Evidence::is_blocked` and `Evidence::row`; contents are ordered and cut before their rows are built; `USABLE_FRACTION` is public. No behaviour changes.

--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -6,7 +6,7 @@
 //! content that crashes servers never completes, while a popular one may well run on several
 //! servers that crash for another reason.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -110,6 +110,24 @@
         }
     }
 
+    fn is_blocked(&self, now: Millis) -> bool {
+        self.crash_count(now) >= BLOCKING_CRASHES
+    }
+
+    fn row(&self, content: u64, now: Millis) -> EvidenceRow {
+        let ms_since = |at: Millis| now.since(at).as_millis() as u64;
+        let crashes = self.crashes.iter();
+        EvidenceRow {
+            content,
+            crashes: self.crash_count(now) as u32,
+            age: now.since(self.changed_at()),
+            servers: crashes
+                .map(|crash| (crash.server, ms_since(crash.at)))
+                .collect(),
+            completed_ms: self.completed_at.map(ms_since),
+        }
+    }
+
     fn add_crash(&mut self, crash: Crash) {
         let is_known = self.crashes.iter().any(|known| {
             let apart = known.at.since(crash.at).max(crash.at.since(known.at));
@@ -188,7 +206,7 @@
         let blocked = self
             .contents
             .iter()
-            .filter(move |(_, evidence)| evidence.crash_count(now) >= BLOCKING_CRASHES);
+            .filter(move |(_, evidence)| evidence.is_blocked(now));
         blocked.map(|(content, _)| *content)
     }
 
@@ -202,28 +220,18 @@
 
     /// Returns rows for a peer: blocked contents, then the others, each with the latest first.
     pub fn rows(&self, now: Millis) -> Vec<EvidenceRow> {
-        let row = |(content, evidence): (&u64, &Evidence)| EvidenceRow {
-            content: *content,
-            crashes: evidence.crash_count(now) as u32,
-            age: now.since(evidence.changed_at()),
-            servers: evidence
-                .crashes
-                .iter()
-                .map(|crash| (crash.server, now.since(crash.at).as_millis() as u64))
-                .collect(),
-            completed_ms: evidence
-                .completed_at
-                .map(|at| now.since(at).as_millis() as u64),
-        };
-        let rows = self.contents.iter().map(row);
-        let (mut blocked, mut rows): (Vec<_>, Vec<_>) =
-            rows.partition(|row| row.crashes as usize >= BLOCKING_CRASHES);
-        blocked.sort_unstable_by_key(|row| (row.age, row.content));
+        let all = self.contents.iter();
+        let (mut blocked, mut others): (Vec<_>, Vec<_>) =
+            all.partition(|(_, evidence)| evidence.is_blocked(now));
+        let latest_first =
+            |(content, evidence): &(&u64, &Evidence)| (Reverse(evidence.changed_at()), **content);
+        blocked.sort_unstable_by_key(latest_first);
         blocked.truncate(BLOCKED_ROWS_PER_EXCHANGE);
-        rows.sort_unstable_by_key(|row| (row.age, row.content));
-        rows.truncate(MAX_ROWS_PER_EXCHANGE - blocked.len());
-        blocked.extend(rows);
-        blocked
+        others.sort_unstable_by_key(latest_first);
+        others.truncate(MAX_ROWS_PER_EXCHANGE - blocked.len());
+        let kept = blocked.into_iter().chain(others);
+        kept.map(|(content, evidence)| evidence.row(*content, now))
+            .collect()
     }
 
     /// Merges a peer's rows. Returns the contents that are blocked now and were not before.
@@ -232,7 +240,7 @@
         let mut newly_blocked = Vec::new();
         for row in rows.iter().filter(|row| row.age <= EVIDENCE_LIFETIME) {
             let evidence = self.evidence(row.content);
-            let was_blocked = evidence.crash_count(now) >= BLOCKING_CRASHES;
+            let was_blocked = evidence.is_blocked(now);
             for (server, age_ms) in &row.servers {
                 evidence.add_crash(Crash {
                     server: *server,
@@ -244,7 +252,7 @@
                 let blocked_at = ago(row.age.as_millis() as u64);
                 evidence.reported_blocked_at.get_or_insert(blocked_at);
             }
-            if !was_blocked && evidence.crash_count(now) >= BLOCKING_CRASHES {
+            if !was_blocked && evidence.is_blocked(now) {
                 newly_blocked.push(row.content);
             }
         }
@@ -258,10 +266,7 @@
         self.completions
             .retain(|_, at| now.since(*at) <= COMPLETION_LIFETIME);
         let excess = self.contents.len().saturating_sub(MAX_CONTENTS);
-        let rank = |evidence: &Evidence| {
-            let is_blocked = evidence.crash_count(now) >= BLOCKING_CRASHES;
-            (is_blocked, evidence.changed_at())
-        };
+        let rank = |evidence: &Evidence| (evidence.is_blocked(now), evidence.changed_at());
         evict(&mut self.contents, excess, rank);
         let excess = self.completions.len().saturating_sub(MAX_COMPLETIONS);
         evict(&mut self.completions, excess, |at| *at);
--- a/policy/src/retry_budget.rs
+++ b/policy/src/retry_budget.rs
@@ -9,7 +9,7 @@
 
 /// Fraction of its allowance that a host uses; the rest covers requests in flight at a window's
 /// boundary.
-const USABLE_FRACTION: f64 = 0.92;
+pub const USABLE_FRACTION: f64 = 0.92;
 
 /// Number of buckets in a window.
 const BUCKETS: u64 = 10;
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -318,10 +318,12 @@
 
     /// Builds the refusal for when no server is eligible.
     fn refusal_without_server(&self, now: Millis) -> Refusal {
-        if self.may_have_run {
-            return self.refusal_after_attempts("no server left");
-        }
-        match self.state.return_delay(&self.call.service, now) {
+        let return_delay = if self.may_have_run {
+            None
+        } else {
+            self.state.return_delay(&self.call.service, now)
+        };
+        match return_delay {
             Some(delay) => Refusal::not_run(SERVERS_LIMITED, delay),
             None => self.refusal_after_attempts("no server left"),
         }
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -5,15 +5,12 @@
     time::Duration,
 };
 
-use clementinearch_policy::{names::Name, time::Millis};
+use clementinearch_policy::{names::Name, retry_budget::USABLE_FRACTION, time::Millis};
 
 use crate::fleet::{Fleet, PEERS_PER_PERIOD, PeerInfo, REMOTE_PEERS_PER_PERIOD};
 
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Fraction of its allowance of retries that a host uses (`policy::retry_budget`).
-const USABLE_FRACTION: f64 = 0.92;
-
 fn address(host: usize) -> SocketAddr {
     let number = u32::from(Ipv4Addr::new(10, 0, 0, 0)) + host as u32;
     SocketAddr::from((Ipv4Addr::from(number), 7070))
