Ask the gossip controller for announcements over a channel

Cause: the announcement of a block made `shared::trials` import the gossip controller, against the order of the host's folders and in a circle.

Change: `shared::announcements` holds the asking end and its wait; the controller carries requests out, each in a task of its own, so that a host that is gone delays no other.

--- a/host/src/controllers/gossip.rs
+++ b/host/src/controllers/gossip.rs
@@ -15,16 +15,13 @@
     controllers::peer_server::{apply_snapshot, merge_digest, own_digest, snapshot_for},
     host_state::HostState,
     peers::clients::{PeerClients, PeerError, call_context},
-    shared::state::SharedState,
+    shared::{announcements::AnnouncementRequests, state::SharedState},
 };
 
 /// Peers of the zone that are contacted when a round is triggered early, for example by a new
 /// configuration.
 const TRIGGERED_FANOUT: usize = 3;
 
-/// Longest wait until peers have heard an announcement.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// One in this many rounds also contacts a host that was declared dead, so that the sides of a
 /// healed partition find each other.
 const ROUNDS_PER_DEAD_CONTACT: u64 = 10;
@@ -154,13 +151,24 @@
     peers.into_iter().map(Target::member).collect()
 }
 
-/// Exchanges with a few peers of this host's zone and one of each other zone, which pass on in their
-/// zones what they learn. Returns when they have it, or after [`ANNOUNCE_TIMEOUT`].
-pub(crate) async fn announce(state: &HostState, clients: &PeerClients, shared: &SharedState) {
-    let mut targets = zone_targets(state);
-    targets.extend(remote_targets(state));
-    let exchanges = exchange_with_all(state, clients, shared, targets);
-    let _ = tokio::time::timeout(ANNOUNCE_TIMEOUT, exchanges).await;
+/// Carries out announcements without end: exchanges with a few peers of this host's zone and one of
+/// each other zone, which pass on in their zones what they learn.
+pub(crate) async fn announce(
+    state: Arc<HostState>,
+    clients: Arc<PeerClients>,
+    shared: Arc<SharedState>,
+    mut requests: AnnouncementRequests,
+) {
+    while let Some(heard) = requests.recv().await {
+        let mut targets = zone_targets(&state);
+        targets.extend(remote_targets(&state));
+        let (state, clients, shared) = (state.clone(), clients.clone(), shared.clone());
+        // An exchange with a host that is gone must not delay the next announcement.
+        tokio::spawn(async move {
+            exchange_with_all(&state, &clients, &shared, targets).await;
+            let _ = heard.send(());
+        });
+    }
 }
 
 async fn exchange_with_all(
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -31,6 +31,7 @@
     requests::dialect::NativeDialect,
     requests::hooks::NativeHooks,
     settings::Settings,
+    shared::announcements::Announcements,
     shared::cascades::Cascades,
     shared::ledger::Ledger,
     shared::quality::QualityMonitor,
@@ -85,11 +86,20 @@
     spawn("keeper", move || config_sync::run(&sync.0, &*sync.1))?;
     let listed = state.clone();
     spawn("listing", move || host_list::run(&listed, &*hosts))?;
+    let (announcements, requests) = Announcements::new();
+    let trials = Trials::new(state.clone(), clients.clone(), announcements);
     let shared = Arc::new(SharedState {
-        trials: Arc::new(Trials::new(state.clone(), clients.clone())),
+        trials: Arc::new(trials),
         quality: QualityMonitor::new(state.clone()),
         cascades: Cascades::new(state.clone()),
     });
+    let announcer = (state.clone(), clients.clone(), shared.clone());
+    runtime.spawn(gossip::announce(
+        announcer.0,
+        announcer.1,
+        announcer.2,
+        requests,
+    ));
     let admin = admin::AdminServer {
         state: state.clone(),
         clients: clients.clone(),
--- a/host/src/requests/hooks.rs
+++ b/host/src/requests/hooks.rs
@@ -43,12 +43,14 @@
     ) -> Result<Option<ChosenServer>, Refusal> {
         let RequestContext { call, now, .. } = query.context;
         let (servers, trials) = (&self.app.state.servers, &self.app.shared.trials);
-        let is_suspect = trials.is_suspect(call.content_hash);
-        if is_suspect.is_err() {
-            let shared = &self.app.shared;
-            trials.announce_block(call.content_hash, shared).await;
-        }
-        if !is_suspect? {
+        let is_suspect = match trials.is_suspect(call.content_hash) {
+            Ok(is_suspect) => is_suspect,
+            Err(refusal) => {
+                trials.announce_block(call.content_hash).await;
+                return Err(refusal);
+            }
+        };
+        if !is_suspect {
             let server = servers.pick(&chat.pool, &chat.label, clock::now());
             return Ok(server.map(|server| ChosenServer::new(&server.data_path_server, None, now)));
         }
--- a/host/src/shared/trials.rs
+++ b/host/src/shared/trials.rs
@@ -14,11 +14,10 @@
 use crate::{
     backends::servers::Server,
     clock,
-    controllers::gossip,
     host_state::HostState,
     peers::clients::{PeerClients, call_context},
     refusal::Refusal,
-    shared::state::SharedState,
+    shared::announcements::Announcements,
 };
 
 /// Retry delay for callers when every server is reserved for another suspect.
@@ -40,6 +39,7 @@
     suspects: Mutex<CrashSuspects>,
     /// Content that this host has blocked last, until that is announced.
     unannounced_block: Mutex<Option<u64>>,
+    announcements: Announcements,
 }
 
 /// A server reserved for one suspect. It is released on drop, also if the caller disconnects.
@@ -59,12 +59,17 @@
 
 impl Trials {
     /// Creates the state of a host that knows no suspects.
-    pub(crate) fn new(state: Arc<HostState>, clients: Arc<PeerClients>) -> Self {
+    pub(crate) fn new(
+        state: Arc<HostState>,
+        clients: Arc<PeerClients>,
+        announcements: Announcements,
+    ) -> Self {
         Self {
             state,
             clients,
             suspects: Mutex::default(),
             unannounced_block: Mutex::default(),
+            announcements,
         }
     }
 
@@ -194,17 +199,17 @@
 
     /// Announces a block by this host, unless that has been done. The caller of the blocked request
     /// may come to another host as soon as it is refused here.
-    pub(crate) async fn announce_block(&self, content_hash: u64, shared: &SharedState) {
-        let is_due = self
-            .unannounced_block
-            .lock()
-            .take_if(|content| *content == content_hash)
-            .is_some();
-        if is_due {
-            gossip::announce(&self.state, &self.clients, shared).await;
+    pub(crate) async fn announce_block(&self, content_hash: u64) {
+        if self.take_unannounced_block(content_hash) {
+            self.announcements.announce().await;
         }
     }
 
+    fn take_unannounced_block(&self, content_hash: u64) -> bool {
+        let mut block = self.unannounced_block.lock();
+        block.take_if(|content| *content == content_hash).is_some()
+    }
+
     /// Clears a suspect whose response was completed.
     pub(crate) fn clear(&self, content_hash: u64) {
         self.suspects.lock().clear(content_hash, clock::now());
