Put a doc comment back on its field, and name the announcement task

Cause: read as a newcomer. The field `placements` had been inserted into the doc comment of `last_store_contact_ms`, so that both were documented wrongly; `gossip::announce` named a task that runs without end, and was started through a tuple of clones.

Change: the comment is whole again; the task is `run_announcements`, started like the others; one doc line is wrapped. No behaviour changes.

--- a/host/src/controllers/gossip.rs
+++ b/host/src/controllers/gossip.rs
@@ -153,7 +153,7 @@
 
 /// Carries out announcements without end: exchanges with a few peers of this host's zone and one of
 /// each other zone, which pass on in their zones what they learn.
-pub(crate) async fn announce(
+pub(crate) async fn run_announcements(
     state: Arc<HostState>,
     clients: Arc<PeerClients>,
     shared: Arc<SharedState>,
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -93,11 +93,10 @@
         quality: QualityMonitor::new(state.clone()),
         cascades: Cascades::new(state.clone()),
     });
-    let announcer = (state.clone(), clients.clone(), shared.clone());
-    runtime.spawn(gossip::announce(
-        announcer.0,
-        announcer.1,
-        announcer.2,
+    runtime.spawn(gossip::run_announcements(
+        state.clone(),
+        clients.clone(),
+        shared.clone(),
         requests,
     ));
     let admin = admin::AdminServer {
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -88,9 +88,9 @@
     table: RwLock<Option<Arc<RoutingTable>>>,
     table_changed: Notify,
     view_changed: Notify,
-    /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
     /// Number of servers chosen so far, by which equal servers are chosen in turn.
     pub(crate) placements: AtomicUsize,
+    /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
     /// first.
     last_store_contact_ms: AtomicU64,
     /// Start of the graceful shutdown, milliseconds of the host's clock; zero before.
--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -75,7 +75,8 @@
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 impl ScriptedServer {
-    /// Starts a server that listens at `address`, or at any port of it if that is zero, and responds to requests as `script` says.
+    /// Starts a server that listens at `address`, or at any port if that is zero, and responds to
+    /// requests as `script` says.
     ///
     /// # Errors
     ///
