Send nothing more to a server that says that it leaves

Cause: callers' requests reached servers that were about to exit. A server that leaves says so in all its answers (Server-Leaving), and nothing read the header: a host went on until the list of servers showed the end, for servers that never report draining until their entry was gone.

Change: an answer of the server itself, a failure or refusal too, marks it as leaving. It is no longer chosen, its idle connections are closed, and an attempt that is connecting gives up before the write, without charge to the retry budget. The mark belongs to one start of the server: it moves to the record of a changed entry, and returns with an entry that had lapsed. Its end is no crash under the requests that it leaves unfinished. An answer from another server at the same address (421) says nothing of the addressed one.

--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    attempt::{Attempt, AttemptResponse, AttemptResult, NOT_REACHED},
+    attempt::{Attempt, AttemptResponse, AttemptResult, NOT_REACHED, SERVER_LEAVES},
     call::{Call, ModelChoice},
     connections::Connection,
     decision_log::{Decision, Severity},
@@ -434,7 +434,7 @@
                 }
                 AttemptResult::NotRun { why } => {
                     request_metrics::count_attempt(why);
-                    if why == NOT_REACHED {
+                    if matches!(why, NOT_REACHED | SERVER_LEAVES) {
                         self.return_retry(now);
                     }
                     self.record_attempt(target, AttemptEnd::NotRun);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -42,6 +42,9 @@
 /// Reason of an attempt that could not connect.
 pub(crate) const NOT_REACHED: &str = "server not reached";
 
+/// Reason of an attempt on a server that said that it leaves while the attempt connected.
+pub(crate) const SERVER_LEAVES: &str = "server leaves";
+
 /// Reason of an attempt on a server that sends nothing and cannot be reached.
 pub(crate) const SERVER_SILENT: &str = "server silent";
 
@@ -164,6 +167,9 @@
                 None => return AttemptResult::NotRun { why: NOT_REACHED },
             },
         };
+        if !server.accepts_requests() {
+            return AttemptResult::NotRun { why: SERVER_LEAVES };
+        }
         let sent_at = state.now();
         let Some(req) = self.request(&server, sent_at) else {
             return AttemptResult::NotRun {
@@ -208,6 +214,9 @@
             && parts.status != StatusCode::MISDIRECTED_REQUEST
         {
             state.record_limit(&server, head.limit, now);
+            if head.is_leaving && state.servers.mark_leaving(&server, now) {
+                state.log_event("server_leaving", &server.entry.name, "", &[]);
+            }
         }
         if let Some(result) = self.read_verdict(&head.verdict, parts.status, &server, now) {
             if !matches!(result, AttemptResult::Lost { .. }) {
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -70,6 +70,8 @@
     /// Rate of requests that the server takes from all hosts together, requests per second; none if
     /// it names none.
     pub limit: Option<f64>,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Whether the server closes the connection after this response.
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -88,6 +88,8 @@
     /// The keys of `parts`, oldest first.
     parts_in_order: VecDeque<(u64, usize)>,
     latency: RelativeLatency,
+    /// Whether the server has said that it leaves.
+    is_leaving: bool,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
     /// The limit that the server named last, or that it names none any more.
@@ -169,6 +171,7 @@
             parts: std::mem::take(&mut observed.parts),
             parts_in_order: std::mem::take(&mut observed.parts_in_order),
             latency: observed.latency,
+            is_leaving: observed.is_leaving,
             limit: observed.limit,
             pacer: observed.pacer,
             ..Observations::default()
@@ -182,9 +185,17 @@
         self.observed.lock().has_lapsed_entry = has_lapsed;
     }
 
-    /// Whether the server accepts new requests.
+    /// Whether the server accepts new requests: neither its entry nor its answers say that it
+    /// leaves.
     pub(crate) fn accepts_requests(&self) -> bool {
-        self.entry.state == ServerState::Ready
+        self.entry.state == ServerState::Ready && !self.observed.lock().is_leaving
+    }
+
+    /// Marks the server as leaving and closes its idle connections. Returns whether it was not
+    /// marked before.
+    pub(crate) fn mark_leaving(&self) -> bool {
+        self.idle_connections.lock().clear();
+        !std::mem::replace(&mut self.observed.lock().is_leaving, true)
     }
 
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -1,22 +1,33 @@
 //! The registry of backend servers on one host, indexed by name, service and name hash.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
-use clementinearch_policy::names::{FastMap, Name};
-use parking_lot::RwLock;
+use clementinearch_policy::{
+    names::{FastMap, Name},
+    time::Millis,
+};
+use parking_lot::{Mutex, RwLock};
 
 use crate::server::{Server, ServerEntry, ServerState};
 
 type Pool = Arc<[Arc<Server>]>;
 
+/// How long the word of a leaving server outlives its entry, which may lapse and return.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(600);
+
 /// The backend servers known to a host.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
     by_name: RwLock<FastMap<Name, Arc<Server>>>,
     index: RwLock<Index>,
+    /// Incarnation of each server that has said that it leaves, and when.
+    leaving: Mutex<FastMap<Name, (u64, Millis)>>,
     /// Whether `by_name` has changed since the index was built.
     is_dirty: AtomicBool,
 }
@@ -99,11 +110,37 @@
             Some(known) if change != EntryChange::Restarted => known.with_entry(entry),
             _ => Server::new(entry),
         };
+        if self.has_left(&next.entry) {
+            next.mark_leaving();
+        }
         by_name.insert(name, Arc::new(next));
         self.is_dirty.store(true, Ordering::Relaxed);
         change
     }
 
+    /// Records that a server has said that it leaves. Returns whether that is news.
+    pub(crate) fn mark_leaving(&self, server: &Server, now: Millis) -> bool {
+        let entry = &server.entry;
+        let mut leaving = self.leaving.lock();
+        leaving.retain(|_, (_, since)| now.since(*since) <= LEAVING_LIFETIME);
+        leaving.insert(entry.name.clone(), (entry.incarnation, now));
+        drop(leaving);
+        let is_news = server.mark_leaving();
+        // The record may have been replaced since the request was sent.
+        if let Some(current) = self.get(&entry.name)
+            && current.entry.incarnation == entry.incarnation
+        {
+            current.mark_leaving();
+        }
+        is_news
+    }
+
+    fn has_left(&self, entry: &ServerEntry) -> bool {
+        let leaving = self.leaving.lock();
+        let known = leaving.get(&entry.name);
+        known.is_some_and(|(incarnation, _)| *incarnation == entry.incarnation)
+    }
+
     /// Marks a server whose entry lapsed while the store was unavailable.
     pub(crate) fn mark_lapsed(&self, name: &str) {
         if let Some(server) = self.by_name.read().get(name) {
--- a/router/src/unfinished_attempts.rs
+++ b/router/src/unfinished_attempts.rs
@@ -8,10 +8,7 @@
 use clementinearch_policy::time::Millis;
 use parking_lot::Mutex;
 
-use crate::{
-    call::Call,
-    server::{Server, ServerState},
-};
+use crate::{call::Call, server::Server};
 
 /// Longest time from a crash until the list of servers shows it.
 const LISTING_DELAY: Duration = Duration::from_secs(8);
@@ -84,15 +81,15 @@
 
     /// Returns the attempts under which a server crashed that has started again.
     pub(crate) fn on_restart(&self, server: &Server, now: Millis) -> Vec<UnfinishedAttempt> {
-        if server.entry.state == ServerState::Draining {
+        if !server.accepts_requests() {
             return Vec::new();
         }
         self.rows.lock().take_attempts(server, now)
     }
 
-    /// Records that a server's entry was removed. A draining server leaves as announced.
+    /// Records that a server's entry was removed. A draining or leaving server leaves as announced.
     pub(crate) fn on_removal(&self, server: Arc<Server>, now: Millis) {
-        if server.entry.state == ServerState::Draining {
+        if !server.accepts_requests() {
             return;
         }
         let mut rows = self.rows.lock();
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -129,3 +129,13 @@
     }
     assert!(attempts.confirm(after(5), |_| 1).is_empty());
 }
+
+#[test]
+fn a_server_that_said_that_it_leaves_ends_without_a_crash() {
+    let one = server("one", ServerState::Ready);
+    let attempts = unfinished_on(&[&one, &one]);
+    one.mark_leaving();
+    assert!(attempts.on_restart(&one, after(1)).is_empty());
+    attempts.on_removal(one, after(1));
+    assert!(attempts.confirm(after(3), |_| 5).is_empty());
+}
