Take the announced end of a server for no crash of its requests

Cause: a draining or leaving server that exits cuts off what it still runs. If its address refused connections by then, the break counted as a crash under each of these requests, and two such ends within ten minutes blocked a harmless content. The list of servers, the other sign of a crash, had made the exception for draining servers already.

Change: the end of a server that accepts no requests any more is recorded for the server alone; crash_ruled_out says "announced".

--- a/host/tests/route_leaving.rs
+++ b/host/tests/route_leaving.rs
@@ -163,6 +163,29 @@
     assert_eq!(leaver.answer(host).status, 200);
 }
 
+/// A server that has announced its end may cut off what it still runs.
+#[test]
+fn the_announced_end_of_a_server_is_no_crash_of_its_requests() {
+    let mut platform = Platform::new();
+    for _ in 0..3 {
+        platform.add_backend("orders", "v1", |_, received| {
+            let extra = format!("{LEAVING}Content-Length: 100\r\n");
+            let head = signed_response(received, "200 OK", &extra, "");
+            let head = head.replace("Content-Length: 0\r\n", "");
+            vec![Step::Send(head), Step::Crash]
+        });
+    }
+    platform.start_hosts(1);
+    let host = &platform.hosts[0];
+    for number in 0..3 {
+        let id = format!("cut-{number}");
+        assert_eq!(send_request(host, "POST /pay/1", &id, "", "").status, 502);
+    }
+    let status = host.status();
+    assert_eq!(status["suspect_contents"], 0);
+    assert_eq!(status["blocked_contents"], 0);
+}
+
 /// Another server at the same address speaks for itself alone.
 #[test]
 fn a_misdirected_answer_does_not_say_that_the_addressed_server_leaves() {
--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -61,8 +61,8 @@
     }
 }
 
-/// Checks whether the server of a request that broke off has crashed, and if so records that
-/// against the request's content. Returns whether it has.
+/// Checks whether the server of a request that broke off has ended, and if so records that. Returns
+/// whether it has.
 pub(crate) async fn check_crash(
     state: &HostState,
     call: &Call,
@@ -86,10 +86,16 @@
     false
 }
 
-/// Records that the server of a request has crashed, also against the request's content.
+/// Records that the server of a request has ended: a crash under the request's content, unless the
+/// server had announced its end.
 pub(crate) fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) {
     let server = in_flight.server();
     record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
+    if !server.accepts_requests() {
+        let context = RequestContext { state, call, now };
+        log_crash(context, &server.entry.name, "crash_ruled_out", "announced");
+        return;
+    }
     record_content_crash(state, call, in_flight.attempt_target(), now);
 }
 
