Log the prompt parts of a request under which a server crashed

Cause: after the incident with crashing prompt parts, nothing in the logs told whether bystanders share a part with the requests that crash servers, nor whether the answer of a blamed request had begun.

Change: server_crashed and crash_ruled_out name the shared parts of the prompt, and say whether events of the answer had come for a quarter of a second (answering). No decision changes.

--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -82,6 +82,7 @@
         &server.entry.name,
         "crash_ruled_out",
         check.label(),
+        in_flight.is_answering(),
     );
     false
 }
@@ -93,30 +94,53 @@
     record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
     if !server.accepts_requests() {
         let context = RequestContext { state, call, now };
-        log_crash(context, &server.entry.name, "crash_ruled_out", "announced");
+        log_crash(
+            context,
+            &server.entry.name,
+            "crash_ruled_out",
+            "announced",
+            in_flight.is_answering(),
+        );
         return;
     }
-    record_content_crash(state, call, in_flight.attempt_target(), now);
+    let is_answering = in_flight.is_answering();
+    record_content_crash(state, call, in_flight.attempt_target(), is_answering, now);
 }
 
-/// Records that a server crashed at `now` under the content of a request.
+/// Records that a server crashed at `now` under the content of a request. `is_answering` is whether
+/// it had survived the begin of the response.
 pub(crate) fn record_content_crash(
     state: &HostState,
     call: &Call,
     target: AttemptTarget<'_>,
+    is_answering: bool,
     now: Millis,
 ) {
     let context = RequestContext { state, call, now };
     state.hooks.record_crash(context, target);
-    log_crash(context, target.name, "server_crashed", &call.head.id);
+    log_crash(
+        context,
+        target.name,
+        "server_crashed",
+        &call.head.id,
+        is_answering,
+    );
 }
 
 /// Logs the result of a crash check, with the crashes that the request's content is known for.
-fn log_crash(context: RequestContext<'_>, server: &str, event: &str, why: &str) {
+fn log_crash(
+    context: RequestContext<'_>,
+    server: &str,
+    event: &str,
+    why: &str,
+    is_answering: bool,
+) {
     let RequestContext { state, call, now } = context;
     let evidence = state.crash_evidence.lock();
     let crashes = evidence.crash_count(call.content_hash, now);
     drop(evidence);
+    let prompt = call.head.prompt.as_ref();
+    let parts = prompt.map_or_else(Vec::new, |prompt| prompt.shared_parts().collect());
     let decision = Decision {
         ms: now.0,
         event,
@@ -125,7 +149,17 @@
         server,
         why,
         content: &format!("{:016x}", call.content_hash),
-        inputs: &[("crashes", crashes as f64)],
+        parts: &format_parts(&parts),
+        inputs: &[
+            ("crashes", crashes as f64),
+            ("answering", f64::from(u8::from(is_answering))),
+        ],
     };
     state.log.write(Severity::Important, &decision);
 }
+
+/// Formats ids of prompt parts as in requests: in hexadecimal and separated by commas.
+fn format_parts(parts: &[u64]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
--- a/router/src/decision_log.rs
+++ b/router/src/decision_log.rs
@@ -54,6 +54,9 @@
     /// Hash of the request's account and content, in hexadecimal.
     #[serde(skip_serializing_if = "str::is_empty")]
     pub(crate) content: &'a str,
+    /// Ids of the prompt parts that the decision is about, in hexadecimal and separated by commas.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub(crate) parts: &'a str,
     /// Numbers on which the decision is based, by name.
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
     pub(crate) inputs: &'a [(&'a str, f64)],
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -367,7 +367,13 @@
     pub(crate) fn record_crashes(&self, attempts: Vec<UnfinishedAttempt>) {
         for attempt in attempts {
             let target = attempt.server.attempt_target(attempt.is_trial);
-            record_content_crash(self, &attempt.call, target, attempt.ended_at);
+            let UnfinishedAttempt {
+                call,
+                is_answering,
+                ended_at,
+                ..
+            } = &attempt;
+            record_content_crash(self, call, target, *is_answering, *ended_at);
         }
     }
 
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -127,6 +127,7 @@
                     }
                     if !events.is_empty() {
                         self.last_event = now;
+                        self.in_flight.record_events(now);
                         self.in_flight.finish_prefill();
                         return StreamStep::Events(events);
                     }
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -28,6 +28,10 @@
 /// Maximum number of prompt parts remembered for one server; the oldest are forgotten first.
 const MAX_PARTS: usize = 2_000;
 
+/// Time for which events arrive on a response before its begin counts as survived. A server that
+/// crashes as it begins to write sends nothing for so long.
+const ANSWERING_SPAN: Duration = Duration::from_millis(250);
+
 /// The lifecycle state that a server publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -443,6 +447,10 @@
     uncached_tokens: f64,
     /// Expected prefill time that is still counted on the server, milliseconds.
     prefill_ms: f64,
+    /// When the first event of the response arrived.
+    first_event_at: Option<Millis>,
+    /// Whether events have arrived for [`ANSWERING_SPAN`].
+    is_answering: bool,
 }
 
 impl InFlight {
@@ -467,6 +475,8 @@
             unfinished: None,
             uncached_tokens,
             prefill_ms,
+            first_event_at: None,
+            is_answering: false,
         }
     }
 
@@ -511,6 +521,20 @@
         Duration::from_secs_f64(self.prefill_ms / 1_000.0)
     }
 
+    /// Records that events of the response arrived. Returns when the first one did, once the server
+    /// has shown that it survives the begin of this response.
+    pub(crate) fn record_events(&mut self, now: Millis) -> Option<Millis> {
+        let first = *self.first_event_at.get_or_insert(now);
+        let is_news = !self.is_answering && now.since(first) >= ANSWERING_SPAN;
+        self.is_answering |= is_news;
+        is_news.then_some(first)
+    }
+
+    /// Whether the server has survived the begin of the response.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.is_answering
+    }
+
     /// Stops counting the request's prefill time, as its first event has arrived or it has ended.
     pub(crate) fn finish_prefill(&mut self) {
         let prefill_ms = std::mem::take(&mut self.prefill_ms);
@@ -528,6 +552,7 @@
                 server: self.server.clone(),
                 call,
                 is_trial: self.is_trial(),
+                is_answering: self.is_answering,
                 ended_at: state.now(),
             });
         }
--- a/router/src/unfinished_attempts.rs
+++ b/router/src/unfinished_attempts.rs
@@ -30,6 +30,8 @@
     pub(crate) call: Arc<Call>,
     /// Whether it was the trial of a suspect request.
     pub(crate) is_trial: bool,
+    /// Whether the server had survived the begin of the response.
+    pub(crate) is_answering: bool,
     pub(crate) ended_at: Millis,
 }
 
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -77,6 +77,7 @@
             server: (*server).clone(),
             call: call(),
             is_trial: false,
+            is_answering: false,
             ended_at: NOW,
         });
     }
