--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -48,6 +48,9 @@
     Close,
     /// Resets the TCP connection, closes all others and stops listening, like a crashed process.
     Crash,
+    /// Stops listening and closes all TCP connections properly, like the kernel for a process that
+    /// crashed with nothing left to read.
+    CrashCleanly,
     /// Stops listening and leaves the connection open without sending anything, like a crash behind
     /// a link that loses the reset.
     CrashSilently,
@@ -155,8 +158,10 @@
                     }
                     Step::Reset => return SockRef::from(stream).set_linger(Some(Duration::ZERO)),
                     Step::Close => return Ok(()),
-                    Step::Crash => {
-                        SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+                    Step::Crash | Step::CrashCleanly => {
+                        if matches!(step, Step::Crash) {
+                            SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+                        }
                         self.stop_listening();
                         for other in self.streams.lock().drain(..) {
                             if let Some(other) = other.upgrade()
