Refuse requests with a prompt part that crashes servers

Cause: requests that share one part of their prompts, no two alike, crashed server after server. Evidence was kept for whole contents only, so that each of them was new; their bystanders, blamed for the same crashes, were refused.

Change: policy::part_evidence keeps, for each shared part, the crashes of servers that had not survived the begin of an answer on it. An answer that goes on for a quarter of a second, or is whole, clears its parts of earlier crashes. Crashes of a blocked part are explained by it and count against no other part or content. Hosts tell each other news at once, and keep blocks in the store. What waits, connects or has no event yet is given up when its part is blocked. The end of a connection as the only end of an answer proves nothing; a stream that ends so while its server refuses connections has been broken off. Rows and eviction are shared with the evidence on contents.

--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -10,7 +10,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{crash_suspects::ContentStatus, names::FastMap, time::Millis};
+use crate::{
+    crash_set::{Crash, CrashSet, read_rows},
+    crash_suspects::ContentStatus,
+    eviction::evict,
+    names::FastMap,
+    time::Millis,
+};
 
 /// How long a crash counts, and how long a content stays blocked.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
@@ -31,10 +37,6 @@
 /// Largest number of crashes remembered for one content.
 const MAX_CRASHES: usize = 4;
 
-/// Time between two reports on one incarnation of a server within which they are about the same
-/// crash. Later ones are about another crash, of an incarnation that is not listed yet.
-const SAME_CRASH_SPAN: Duration = Duration::from_secs(1);
-
 /// How long a complete response shows that later crashes have another cause.
 const COMPLETION_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -59,17 +61,9 @@
     pub completed_ms: Option<u64>,
 }
 
-/// The crash of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    server: u32,
-    at: Millis,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Evidence {
-    /// Crashes, oldest first.
-    crashes: Vec<Crash>,
+    crashes: CrashSet,
     /// When the content was reported as blocked without the crashes that led to it.
     reported_blocked_at: Option<Millis>,
     /// Time of the last complete response.
@@ -95,8 +89,8 @@
     }
 
     fn changed_at(&self) -> Millis {
-        let crashed_at = self.crashes.iter().map(|crash| crash.at).max();
-        crashed_at
+        self.crashes
+            .latest()
             .max(self.reported_blocked_at)
             .max(self.completed_at)
             .unwrap_or_default()
@@ -116,32 +110,14 @@
 
     fn row(&self, content: u64, now: Millis) -> EvidenceRow {
         let ms_since = |at: Millis| now.since(at).as_millis() as u64;
-        let crashes = self.crashes.iter();
         EvidenceRow {
             content,
             crashes: self.crash_count(now) as u32,
             age: now.since(self.changed_at()),
-            servers: crashes
-                .map(|crash| (crash.server, ms_since(crash.at)))
-                .collect(),
+            servers: self.crashes.rows(now),
             completed_ms: self.completed_at.map(ms_since),
         }
     }
-
-    fn add_crash(&mut self, crash: Crash) {
-        let is_known = self.crashes.iter().any(|known| {
-            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-            known.server == crash.server && apart <= SAME_CRASH_SPAN
-        });
-        if is_known {
-            return;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.at);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-    }
 }
 
 /// Evidence on all contents, as known to one host.
@@ -150,6 +126,8 @@
     contents: FastMap<u64, Evidence>,
     /// Latest complete response of each content on this host.
     completions: FastMap<u64, Millis>,
+    /// Crashes of which no content is the cause.
+    excused: Vec<Crash>,
 }
 
 impl CrashEvidence {
@@ -174,9 +152,33 @@
         at: Millis,
         now: Millis,
     ) -> ContentStatus {
-        let evidence = self.evidence(content);
-        evidence.add_crash(Crash { server, at });
-        evidence.status(now)
+        self.add_crash(content, Crash { server, at });
+        self.status(content, now)
+    }
+
+    fn add_crash(&mut self, content: u64, crash: Crash) {
+        if !self.excused.iter().any(|it| it.is_same(&crash)) {
+            self.evidence(content).crashes.add(crash, MAX_CRASHES);
+        }
+    }
+
+    /// Sets the crashes that count against no content, since they have another cause.
+    pub fn excuse(&mut self, crashes: &[Crash]) {
+        if self.excused == crashes {
+            return;
+        }
+        self.excused = crashes.to_vec();
+        for evidence in self.contents.values_mut() {
+            let is_excused = |crash: &Crash| crashes.iter().any(|it| it.is_same(crash));
+            evidence.crashes.retain(|crash| !is_excused(crash));
+        }
+    }
+
+    /// Records that the store does not hold the content's block any more.
+    pub fn retract_block(&mut self, content: u64) {
+        if let Some(evidence) = self.contents.get_mut(&content) {
+            evidence.reported_blocked_at = None;
+        }
     }
 
     /// Records that the content is blocked, without the crashes that led to it.
@@ -239,14 +241,11 @@
         let ago = |ms: u64| Millis(now.0.saturating_sub(ms));
         let mut newly_blocked = Vec::new();
         for row in rows.iter().filter(|row| row.age <= EVIDENCE_LIFETIME) {
-            let evidence = self.evidence(row.content);
-            let was_blocked = evidence.is_blocked(now);
-            for (server, age_ms) in &row.servers {
-                evidence.add_crash(Crash {
-                    server: *server,
-                    at: ago(*age_ms),
-                });
+            let was_blocked = self.evidence(row.content).is_blocked(now);
+            for crash in read_rows(&row.servers, now) {
+                self.add_crash(row.content, crash);
             }
+            let evidence = self.evidence(row.content);
             evidence.completed_at = evidence.completed_at.max(row.completed_ms.map(ago));
             if row.crashes as usize >= BLOCKING_CRASHES && row.servers.len() < BLOCKING_CRASHES {
                 let blocked_at = ago(row.age.as_millis() as u64);
@@ -266,24 +265,9 @@
         self.completions
             .retain(|_, at| now.since(*at) <= COMPLETION_LIFETIME);
         let excess = self.contents.len().saturating_sub(MAX_CONTENTS);
-        let rank = |evidence: &Evidence| (evidence.is_blocked(now), evidence.changed_at());
+        let rank = |_, evidence: &Evidence| (evidence.is_blocked(now), evidence.changed_at());
         evict(&mut self.contents, excess, rank);
         let excess = self.completions.len().saturating_sub(MAX_COMPLETIONS);
-        evict(&mut self.completions, excess, |at| *at);
-    }
-}
-
-/// Removes the `excess` entries with the lowest ranks.
-fn evict<T, R: Ord>(entries: &mut FastMap<u64, T>, excess: usize, rank: impl Fn(&T) -> R) {
-    if excess == 0 {
-        return;
-    }
-    let mut ranked: Vec<(R, u64)> = entries
-        .iter()
-        .map(|(content, entry)| (rank(entry), *content))
-        .collect();
-    ranked.sort_unstable();
-    for (_, content) in ranked.into_iter().take(excess) {
-        entries.remove(&content);
+        evict(&mut self.completions, excess, |_, at| *at);
     }
 }
--- /dev/null
+++ b/policy/src/crash_set.rs
@@ -0,0 +1,79 @@
+//! Crashes of servers, as a set that hosts can merge in any order.
+
+use std::time::Duration;
+
+use crate::time::Millis;
+
+/// Time between two reports on one incarnation of a server within which they are about the same
+/// crash. Later ones are about another crash, of an incarnation that is not listed yet.
+const SAME_CRASH_SPAN: Duration = Duration::from_secs(1);
+
+/// The crash of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Hash of the server's name and incarnation.
+    pub server: u32,
+    /// When it was seen.
+    pub at: Millis,
+}
+
+impl Crash {
+    /// Whether two hosts that report these crashes saw the same one.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.server == other.server && apart <= SAME_CRASH_SPAN
+    }
+}
+
+/// The latest crashes, oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CrashSet(Vec<Crash>);
+
+impl CrashSet {
+    /// Adds a crash unless it is known. Beyond `max` the oldest are dropped. Returns whether it is
+    /// news.
+    pub(crate) fn add(&mut self, crash: Crash, max: usize) -> bool {
+        if self.contains(&crash) {
+            return false;
+        }
+        self.0.push(crash);
+        self.0.sort_by_key(|crash| crash.at);
+        if self.0.len() > max {
+            self.0.remove(0);
+        }
+        true
+    }
+
+    /// Whether the crash is known.
+    pub(crate) fn contains(&self, crash: &Crash) -> bool {
+        self.0.iter().any(|known| known.is_same(crash))
+    }
+
+    /// Drops the crashes for which `keep` is false.
+    pub(crate) fn retain(&mut self, keep: impl FnMut(&Crash) -> bool) {
+        self.0.retain(keep);
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Crash> {
+        self.0.iter()
+    }
+
+    /// Time of the latest crash.
+    pub(crate) fn latest(&self) -> Option<Millis> {
+        self.0.last().map(|crash| crash.at)
+    }
+
+    /// Servers, and the time since each crash, milliseconds.
+    pub(crate) fn rows(&self, now: Millis) -> Vec<(u32, u64)> {
+        let row = |crash: &Crash| (crash.server, now.since(crash.at).as_millis() as u64);
+        self.0.iter().map(row).collect()
+    }
+}
+
+/// Reads the crashes that [`CrashSet::rows`] wrote on another host.
+pub(crate) fn read_rows(rows: &[(u32, u64)], now: Millis) -> impl Iterator<Item = Crash> {
+    rows.iter().map(move |(server, age_ms)| Crash {
+        server: *server,
+        at: Millis(now.0.saturating_sub(*age_ms)),
+    })
+}
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -10,7 +10,9 @@
 };
 
 use crate::{
-    attempt::{Attempt, AttemptResponse, AttemptResult, NOT_REACHED, SERVER_LEAVES},
+    attempt::{
+        Attempt, AttemptResponse, AttemptResult, CRASHES_SERVERS, NOT_REACHED, SERVER_LEAVES,
+    },
     call::{Call, ModelChoice},
     connections::Connection,
     decision_log::{Decision, Severity},
@@ -476,18 +478,21 @@
         sizes.get(self.size).map(|name| &**name)
     }
 
-    /// Refuses a request whose content is blocked because it crashed servers.
+    /// Refuses a request whose content or part of its prompt is blocked because it crashed servers.
     fn check_crash_suspicion(&self, now: Millis) -> Result<(), Refusal> {
-        match self.state.hooks.suspect_status(self.context(now)) {
-            ContentStatus::Blocked(_) if self.may_have_run => Err(Refusal::MayHaveRun {
-                reason: "the request crashes servers",
-            }),
-            ContentStatus::Blocked(_) => Err(Refusal::not_run(
-                "the request crashes servers",
-                CRASHING_REQUEST_RETRY_AFTER,
-            )),
-            ContentStatus::Clear | ContentStatus::Suspect => Ok(()),
+        let status = self.state.hooks.suspect_status(self.context(now));
+        let is_blocked =
+            matches!(status, ContentStatus::Blocked(_)) || self.state.has_blocked_part(&self.call);
+        if !is_blocked {
+            return Ok(());
         }
+        Err(if self.may_have_run {
+            Refusal::MayHaveRun {
+                reason: CRASHES_SERVERS,
+            }
+        } else {
+            Refusal::not_run(CRASHES_SERVERS, CRASHING_REQUEST_RETRY_AFTER)
+        })
     }
 }
 
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -34,6 +34,10 @@
     suspect_contents: usize,
     /// Contents of requests that are refused because they crash servers.
     blocked_contents: usize,
+    /// Prompt parts that may crash servers.
+    suspect_parts: usize,
+    /// Prompt parts that are refused because they crash servers.
+    blocked_parts: usize,
 }
 
 /// Serves readiness probes: 200 if the host is ready and 503 otherwise, at any path.
@@ -80,6 +84,7 @@
 fn status(state: &HostState) -> Status {
     let now = state.now();
     let (suspect_contents, blocked_contents) = state.crash_evidence.lock().counts(now);
+    let (suspect_parts, blocked_parts) = state.part_evidence.lock().counts(now);
     Status {
         name: state.settings.name.to_string(),
         is_ready: state.is_ready(),
@@ -91,6 +96,8 @@
         hosts: state.fleet.lock().live_hosts(now),
         suspect_contents,
         blocked_contents,
+        suspect_parts,
+        blocked_parts,
     }
 }
 
@@ -106,6 +113,9 @@
     let (suspects, blocked) = state.crash_evidence.lock().counts(now);
     metrics::gauge!("clementinearch_contents_suspect").set(suspects as f64);
     metrics::gauge!("clementinearch_contents_blocked").set(blocked as f64);
+    let (suspects, blocked) = state.part_evidence.lock().counts(now);
+    metrics::gauge!("clementinearch_parts_suspect").set(suspects as f64);
+    metrics::gauge!("clementinearch_parts_blocked").set(blocked as f64);
     let store_age = now.since(state.last_store_contact());
     metrics::gauge!("clementinearch_store_age_seconds").set(store_age.as_secs_f64());
     for (service, used) in state.retry_budget_used(now) {
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -7,7 +7,12 @@
     time::Millis,
 };
 use http_body_util::Full;
-use hyper::{Request, StatusCode, body::Incoming, http::response};
+use hyper::{
+    Request, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 
 use crate::{
     call::Call,
@@ -51,6 +56,9 @@
 /// Reason of an attempt on a server that sends nothing and refuses connections: it has crashed.
 pub(crate) const SERVER_REFUSES: &str = "server refuses connections";
 
+/// Reason of a request that is refused or given up because it crashes servers.
+pub(crate) const CRASHES_SERVERS: &str = "the request crashes servers";
+
 /// Reason of an attempt whose response takes too long.
 const ANSWER_OVERDUE: &str = "answer overdue";
 
@@ -170,6 +178,12 @@
         if !server.accepts_requests() {
             return AttemptResult::NotRun { why: SERVER_LEAVES };
         }
+        // The block may have become known while the attempt connected.
+        if state.has_blocked_part(self.call) {
+            return AttemptResult::NotRun {
+                why: CRASHES_SERVERS,
+            };
+        }
         let sent_at = state.now();
         let Some(req) = self.request(&server, sent_at) else {
             return AttemptResult::NotRun {
@@ -300,6 +314,9 @@
             if now >= self.call.deadline {
                 return WaitResult::DeadlinePassed;
             }
+            if self.state.has_blocked_part(self.call) {
+                return WaitResult::Abandoned(CRASHES_SERVERS);
+            }
             if exceeds_idle_timeout(self.call, sent_at, now) {
                 return WaitResult::Abandoned(SERVER_SILENT);
             }
@@ -349,6 +366,13 @@
     }
 }
 
+/// Whether the end of a response's body is told by its framing rather than by the end of its
+/// connection.
+pub(crate) fn is_framed(parts: &response::Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether the time since `since` exceeds the request's idle time-out.
 pub(crate) fn exceeds_idle_timeout(call: &Call, since: Millis, now: Millis) -> bool {
     let limit = call.head.server_idle_timeout;
@@ -383,6 +407,7 @@
     match why {
         SERVER_REFUSES => record_crash(state, call, in_flight, now),
         SERVER_SILENT => record_server_outcome(state, server, AttemptOutcome::Unreachable, now),
+        CRASHES_SERVERS => {}
         // A server that crashed without a reset looks slow at first.
         _ if check_crash(state, call, in_flight, now).await => {}
         _ => {
--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -8,6 +8,7 @@
 use crate::{
     call::Call,
     connections::connect,
+    crashing_parts::format_parts,
     decision_log::{Decision, Severity},
     health_tracking::record_server_outcome,
     hooks::RequestContext,
@@ -52,6 +53,12 @@
     try_connect(server).await
 }
 
+/// Whether a server refuses connections, so that its process has ended. A server that said that it
+/// leaves may have ended after a complete response.
+pub(crate) async fn has_ended(server: &Server) -> bool {
+    server.accepts_requests() && try_connect(server).await == CrashCheck::Refused
+}
+
 async fn try_connect(server: &Server) -> CrashCheck {
     let connected = tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect(server.entry.address)).await;
     match connected {
@@ -118,6 +125,9 @@
 ) {
     let context = RequestContext { state, call, now };
     state.hooks.record_crash(context, target);
+    if !is_answering {
+        state.record_part_crash(call, target, now);
+    }
     log_crash(
         context,
         target.name,
@@ -139,8 +149,6 @@
     let evidence = state.crash_evidence.lock();
     let crashes = evidence.crash_count(call.content_hash, now);
     drop(evidence);
-    let prompt = call.head.prompt.as_ref();
-    let parts = prompt.map_or_else(Vec::new, |prompt| prompt.shared_parts().collect());
     let decision = Decision {
         ms: now.0,
         event,
@@ -149,7 +157,7 @@
         server,
         why,
         content: &format!("{:016x}", call.content_hash),
-        parts: &format_parts(&parts),
+        parts: &format_parts(&call.shared_parts()),
         inputs: &[
             ("crashes", crashes as f64),
             ("answering", f64::from(u8::from(is_answering))),
@@ -157,9 +165,3 @@
     };
     state.log.write(Severity::Important, &decision);
 }
-
-/// Formats ids of prompt parts as in requests: in hexadecimal and separated by commas.
-fn format_parts(parts: &[u64]) -> String {
-    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    ids.join(",")
-}
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -178,6 +178,15 @@
     fn promises_not_run(&self, status: StatusCode) -> bool;
 }
 
+/// What is refused because it crashes servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Block {
+    /// A request content, by the hash of account and content.
+    Content(u64),
+    /// A prompt part, by its id.
+    Part(u64),
+}
+
 /// A parsed item of the store.
 pub enum StoreItem {
     /// The operators' routing table.
@@ -195,11 +204,8 @@
         /// Address on which the host serves its peers.
         address: SocketAddr,
     },
-    /// A request content that is refused because it crashes servers.
-    BlockedContent {
-        /// Hash of account and content.
-        content: u64,
-    },
+    /// A content or prompt part that is refused because it crashes servers.
+    Block(Block),
     /// An item that the router does not use.
     Other,
 }
@@ -229,11 +235,11 @@
         (status.service.to_string(), Vec::new())
     }
 
-    fn block_item(&self, content: u64) -> (String, Vec<u8>) {
-        (content.to_string(), Vec::new())
+    fn block_item(&self, block: Block) -> (String, Vec<u8>) {
+        (format!("{block:?}"), Vec::new())
     }
 
-    fn blocked_content(&self, _key: &str) -> Option<u64> {
+    fn block(&self, _key: &str) -> Option<Block> {
         None
     }
 }
@@ -259,9 +265,9 @@
     /// Builds the key and value of a rollout's status.
     fn status_item(&self, status: &RolloutStatus) -> (String, Vec<u8>);
 
-    /// Builds the key and value of the block of a request content.
-    fn block_item(&self, content: u64) -> (String, Vec<u8>);
+    /// Builds the key and value of a block.
+    fn block_item(&self, block: Block) -> (String, Vec<u8>);
 
-    /// Returns the content if `key` is that of a block.
-    fn blocked_content(&self, key: &str) -> Option<u64>;
+    /// Returns the block if `key` is that of one.
+    fn block(&self, key: &str) -> Option<Block>;
 }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -5,7 +5,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use clementinearch_policy::{crash_evidence::EvidenceRow, names::Name};
+use clementinearch_policy::{
+    crash_evidence::EvidenceRow,
+    names::{FastSet, Name},
+    part_evidence::PartRow,
+};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -14,6 +18,7 @@
 };
 
 use crate::{
+    dialect::Block,
     fleet::{PEERS_PER_PERIOD, PeerInfo},
     gossip_event::{GossipEvent, Prefill},
     host_state::HostState,
@@ -44,6 +49,7 @@
     #[serde(rename = "Readings")]
     Prefills(Vec<Prefill>),
     Sessions(Vec<SessionVersion>),
+    Parts(Vec<PartRow>),
 }
 
 /// The periodic report of a host on itself, its rollouts and suspect requests.
@@ -56,6 +62,9 @@
     rollouts: Vec<RolloutReport>,
     #[serde(rename = "suspects")]
     crash_evidence: Vec<EvidenceRow>,
+    /// Prompt parts that may crash servers.
+    #[serde(default)]
+    part_evidence: Vec<PartRow>,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -68,6 +77,8 @@
     events: mpsc::UnboundedReceiver<GossipEvent>,
     prefills: Vec<Prefill>,
     sessions: Vec<SessionVersion>,
+    /// Prompt parts of which there is news.
+    parts: FastSet<u64>,
 }
 
 impl Gossip {
@@ -83,6 +94,7 @@
             events,
             prefills: Vec::new(),
             sessions: Vec::new(),
+            parts: FastSet::default(),
         }
     }
 
@@ -92,7 +104,8 @@
         let mut next_report = Instant::now();
         let mut next_events = next_report;
         loop {
-            let has_events = !self.prefills.is_empty() || !self.sessions.is_empty();
+            let has_events =
+                !self.prefills.is_empty() || !self.sessions.is_empty() || !self.parts.is_empty();
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
                     if let Ok((length, _)) = received {
@@ -115,12 +128,20 @@
         match event {
             GossipEvent::Prefill(prefill) => self.prefills.push(prefill),
             GossipEvent::Session(session) => self.sessions.push(session),
+            GossipEvent::PartEvidence(parts) => self.parts.extend(parts),
         }
     }
 
     /// Sends the buffered events. Returns the time until the next batch.
     async fn send_events(&mut self) -> Duration {
-        let mut peers = self.state.fleet.lock().gossip_targets(self.state.now());
+        let now = self.state.now();
+        let parts: Vec<u64> = self.parts.drain().collect();
+        let rows = self.state.part_evidence.lock().rows_on(&parts, now);
+        let hearers = self.state.fleet.lock().report_targets(now);
+        for chunk in rows.chunks(ROWS_PER_DATAGRAM) {
+            self.send(&Datagram::Parts(chunk.to_vec()), &hearers).await;
+        }
+        let mut peers = self.state.fleet.lock().gossip_targets(now);
         for chunk in std::mem::take(&mut self.sessions).chunks(ROWS_PER_DATAGRAM) {
             // Sessions go to all peers: any of them may get the next request.
             self.send(&Datagram::Sessions(chunk.to_vec()), &peers).await;
@@ -146,6 +167,7 @@
                 state.running_on_other_versions(service, target)
             }),
             crash_evidence: state.crash_evidence.lock().rows(now),
+            part_evidence: state.part_evidence.lock().rows(now),
             server_limits: limit_rows(state, now),
         };
         let peers = state.fleet.lock().report_targets(now);
@@ -183,6 +205,7 @@
                 state.rollouts.record_peer_session(session, now);
             }
         }
+        Ok(Datagram::Parts(rows)) => state.merge_part_rows(&rows, now),
         Ok(Datagram::Report(report)) => receive_report(state, *report),
         Err(e) => state.log_event("word_unreadable", "", &e.to_string(), &[]),
     }
@@ -198,12 +221,13 @@
         .rollouts
         .merge_reports(&report.from, zone, report.rollouts, now);
     merge_limits(state, &report.server_limits, now);
+    state.merge_part_rows(&report.part_evidence, now);
     let newly_blocked = state
         .crash_evidence
         .lock()
         .merge(&report.crash_evidence, now);
     for content in newly_blocked {
-        state.log_content("content_blocked", content, "peer");
+        state.log_block("content_blocked", Block::Content(content), "peer");
     }
     let peer = PeerInfo {
         name: report.from,
--- a/router/src/gossip_event.rs
+++ b/router/src/gossip_event.rs
@@ -9,6 +9,8 @@
 pub(crate) enum GossipEvent {
     /// A server was sent a prompt.
     Prefill(Prefill),
+    /// There is news of prompt parts that may crash servers.
+    PartEvidence(Vec<u64>),
     /// A request of a session was sent to a server.
     Session(SessionVersion),
 }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -188,6 +188,7 @@
         let listed = |zone: &str| state.servers.count_in_zone(zone);
         state.record_crashes(state.unfinished_attempts.confirm(now, listed));
         state.crash_evidence.lock().expire(now);
+        state.part_evidence.lock().expire(now);
         state.rollouts.expire_sessions(now);
     }
 }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -13,6 +13,7 @@
     crash_evidence::CrashEvidence,
     crash_suspects::ContentStatus,
     names::{FastMap, Name},
+    part_evidence::PartEvidence,
     prefill_time::PrefillTime,
     retry_budget::{RetryBudget, RetryLimit},
     rollout_evidence::Outcome,
@@ -27,15 +28,16 @@
     call::{Call, hash_bytes},
     clock::Clock,
     crash_check::record_content_crash,
+    crashing_parts::{crash_of, format_parts},
     decision_log::{Decision, DecisionLog, Severity},
-    dialect::{Dialect, StoreItem, StoreSchema},
+    dialect::{Block, Dialect, StoreItem, StoreSchema},
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
     moving_averages::MovingAverages,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
-    server::{AttemptTarget, MAX_IDLE_CONNECTIONS, Server},
+    server::{ANSWERING_SPAN, AttemptTarget, MAX_IDLE_CONNECTIONS, Server},
     servers::{EntryChange, Servers},
     settings::Settings,
     stored_blocks::StoredBlocks,
@@ -69,6 +71,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) view: Mutex<View>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
+    pub(crate) part_evidence: Mutex<PartEvidence>,
     pub(crate) unfinished_attempts: UnfinishedAttempts,
     pub(crate) stored_blocks: StoredBlocks,
     pub(crate) request_metrics: RequestMetrics,
@@ -126,6 +129,7 @@
             settings,
             view: Mutex::default(),
             crash_evidence: Mutex::default(),
+            part_evidence: Mutex::default(),
             unfinished_attempts: UnfinishedAttempts::default(),
             stored_blocks: StoredBlocks::default(),
             request_metrics: RequestMetrics::default(),
@@ -337,29 +341,45 @@
 
     /// Records that a server crashed at `at` while it had a request with this content.
     pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
-        let incarnation = server.incarnation.to_le_bytes();
-        let server = hash_bytes(&[server.name.as_bytes(), &incarnation].concat()) as u32;
         let now = self.now();
         let mut evidence = self.crash_evidence.lock();
         let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
-        let status = evidence.record_crash(content, server, at, now);
+        let status = evidence.record_crash(content, crash_of(server, at).server, at, now);
         drop(evidence);
         if !was_blocked && matches!(status, ContentStatus::Blocked(_)) {
-            self.log_content("content_blocked", content, "own");
-            self.stored_blocks.record_own(content);
+            let block = Block::Content(content);
+            self.log_block("content_blocked", block, "own");
+            self.stored_blocks.record_own(block);
         }
     }
 
-    /// Records that the store holds the block of a content.
-    fn record_stored_block(&self, content: u64) {
+    /// Records that the store holds a block.
+    fn record_stored_block(&self, block: Block) {
+        self.stored_blocks.record_stored(block);
+        match block {
+            Block::Content(content) => self.record_stored_content_block(content),
+            Block::Part(part) => self.record_stored_part_block(part),
+        }
+    }
+
+    /// Records that the store does not hold a block any more. The crashes that this host knows of
+    /// still count.
+    fn record_removed_block(&self, block: Block) {
+        self.stored_blocks.record_removed(block);
+        match block {
+            Block::Content(content) => self.crash_evidence.lock().retract_block(content),
+            Block::Part(part) => self.part_evidence.lock().retract_block(part, self.now()),
+        }
+    }
+
+    fn record_stored_content_block(&self, content: u64) {
         let now = self.now();
-        self.stored_blocks.record_stored(content);
         let mut evidence = self.crash_evidence.lock();
         let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
         evidence.record_block(content, now);
         drop(evidence);
         if !was_blocked {
-            self.log_content("content_blocked", content, "store");
+            self.log_block("content_blocked", Block::Content(content), "store");
         }
     }
 
@@ -373,17 +393,25 @@
                 ended_at,
                 ..
             } = &attempt;
-            record_content_crash(self, call, target, *is_answering, *ended_at);
+            // A server that went on sending has survived the begin of this answer as well.
+            let survived_at = attempt.server.last_contact();
+            let has_survived = *is_answering || survived_at.since(*ended_at) >= ANSWERING_SPAN;
+            record_content_crash(self, call, target, has_survived, *ended_at);
         }
     }
 
-    /// Logs a change of what the host believes of a request content.
-    pub(crate) fn log_content(&self, event: &str, content: u64, why: &str) {
+    /// Logs a change of what the host believes of a request content or a prompt part.
+    pub(crate) fn log_block(&self, event: &str, block: Block, why: &str) {
+        let (content, parts) = match block {
+            Block::Content(content) => (format!("{content:016x}"), String::new()),
+            Block::Part(part) => (String::new(), format_parts(&[part])),
+        };
         let decision = Decision {
             ms: self.now().0,
             event,
             why,
-            content: &format!("{content:016x}"),
+            content: &content,
+            parts: &parts,
             ..Decision::default()
         };
         self.log.write(Severity::Important, &decision);
@@ -447,8 +475,8 @@
                     self.log_event("server_gone", name, "entry removed", &[]);
                     self.unfinished_attempts.on_removal(server, self.now());
                 }
-                if let Some(content) = self.schema.blocked_content(&key) {
-                    self.stored_blocks.record_removed(content);
+                if let Some(block) = self.schema.block(&key) {
+                    self.record_removed_block(block);
                 }
                 true
             }
@@ -496,7 +524,7 @@
                 let hosts = self.fleet.lock().add_host(name, address);
                 self.rollouts.set_fleet_size(hosts);
             }
-            StoreItem::BlockedContent { content } => self.record_stored_block(content),
+            StoreItem::Block(block) => self.record_stored_block(block),
             StoreItem::Other => return false,
         }
         true
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod connections;
 mod crash_check;
+mod crashing_parts;
 mod data_path;
 mod decision_log;
 mod dialect;
@@ -54,7 +55,7 @@
 pub use connections::{Connection, SendOutcome, connect};
 pub use data_path::DataPath;
 pub use dialect::{
-    AttemptContext, Dialect, EventReader, ResponseHead, StoreItem, StoreSchema, Verdict,
+    AttemptContext, Block, Dialect, EventReader, ResponseHead, StoreItem, StoreSchema, Verdict,
 };
 pub use hooks::{AttemptEnd, CallEnd, DefaultHooks, RequestContext, RequestHooks, ServerQuery};
 pub use host::{StartError, run};
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     active_request::ActiveRequest,
-    attempt::{AttemptResponse, record_break},
+    attempt::{AttemptResponse, is_framed, record_break},
     call::Call,
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
@@ -140,10 +140,13 @@
         match read {
             Ok(Ok(body)) if is_own && !response.head.is_encoded => {
                 server.record_contact(now);
-                response.in_flight.finish();
                 self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Whole);
-                if parts.status.is_success() {
-                    self.record_success();
+                // The end of a connection alone does not show that the server has survived.
+                if is_framed(&parts) {
+                    response.in_flight.finish();
+                    if parts.status.is_success() {
+                        self.record_success();
+                    }
                 }
                 self.keep_connection(&server, response.connection, &response.head, now);
                 Some(CompleteResponse {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -15,10 +15,12 @@
 use crate::{
     active_request::ActiveRequest,
     attempt::{
-        AttemptResponse, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES, SERVER_SILENT,
-        attempt_timeout, exceeds_idle_timeout, record_abandoned, record_break, unreachable_reason,
+        AttemptResponse, CRASHES_SERVERS, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES,
+        SERVER_SILENT, attempt_timeout, exceeds_idle_timeout, is_framed, record_abandoned,
+        record_break, unreachable_reason,
     },
     connections::Connection,
+    crash_check::has_ended,
     dialect::{EventReader, ResponseHead},
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
@@ -57,6 +59,8 @@
     head: ResponseHead,
     /// Whether the stream continues after events of an earlier attempt.
     is_resumed: bool,
+    /// Whether the end of the body is told by its framing rather than by that of the connection.
+    is_framed: bool,
     has_ended: bool,
     /// When the last event arrived; before the first one, when the request was sent.
     last_event: Millis,
@@ -72,6 +76,7 @@
             in_flight: response.in_flight,
             head: response.head,
             is_resumed,
+            is_framed: is_framed(&response.parts),
             has_ended: false,
             last_event: response.sent_at,
         };
@@ -127,7 +132,9 @@
                     }
                     if !events.is_empty() {
                         self.last_event = now;
-                        self.in_flight.record_events(now);
+                        if let Some(began_at) = self.in_flight.record_events(now) {
+                            state.record_part_answer(call, began_at);
+                        }
                         self.in_flight.finish_prefill();
                         return StreamStep::Events(events);
                     }
@@ -139,6 +146,9 @@
                 Ok(None) if self.is_without_events() => {
                     return StreamStep::Broken("stream without events");
                 }
+                Ok(None) if self.has_server_ended().await => {
+                    return StreamStep::Broken(SERVER_REFUSES);
+                }
                 Ok(None) => {
                     if let Some(connection) = self.connection.take() {
                         request.keep_connection(
@@ -150,6 +160,9 @@
                     }
                     self.end(request);
                 }
+                Err(_) if self.event_count() == 0 && state.has_blocked_part(call) => {
+                    return StreamStep::Broken(CRASHES_SERVERS);
+                }
                 Err(_) => {
                     if let Some(why) = self.stall_reason(request, now).await {
                         return self.end_or_broken(request, why);
@@ -164,12 +177,26 @@
         self.reader.event_count() == 0 && !self.is_resumed && !self.reader.is_complete(false)
     }
 
+    /// Whether the body ended with its connection because the server has ended. Its kernel closes the
+    /// connection as if the response were complete.
+    async fn has_server_ended(&self) -> bool {
+        !self.is_framed && has_ended(self.in_flight.server()).await
+    }
+
     /// Marks the stream as complete and records the attempt.
     fn end(&mut self, request: &ActiveRequest) {
         self.has_ended = true;
-        self.in_flight.finish();
         request.record_attempt(self.in_flight.attempt_target(), AttemptEnd::Whole);
-        request.record_success();
+        // The end of a connection alone does not show that the server has survived the response.
+        if self.is_framed || self.in_flight.is_answering() {
+            let began_at = self.in_flight.first_event_at();
+            let now = request.state.now();
+            request
+                .state
+                .record_part_answer(&request.call, began_at.unwrap_or(now));
+            self.in_flight.finish();
+            request.record_success();
+        }
     }
 
     /// Handles a break of the stream, which counts as its end if the response is complete already.
@@ -403,7 +430,8 @@
             &[("events", source.event_count() as f64)],
         );
         match why {
-            SERVER_SILENT | SERVER_REFUSES | FIRST_EVENT_OVERDUE | NEXT_EVENT_OVERDUE => {
+            CRASHES_SERVERS | SERVER_SILENT | SERVER_REFUSES | FIRST_EVENT_OVERDUE
+            | NEXT_EVENT_OVERDUE => {
                 record_abandoned(&self.state, &self.call, in_flight, why, now).await;
             }
             _ => record_break(&self.state, &self.call, in_flight, now).await,
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -30,7 +30,7 @@
 
 /// Time for which events arrive on a response before its begin counts as survived. A server that
 /// crashes as it begins to write sends nothing for so long.
-const ANSWERING_SPAN: Duration = Duration::from_millis(250);
+pub(crate) const ANSWERING_SPAN: Duration = Duration::from_millis(250);
 
 /// The lifecycle state that a server publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -530,6 +530,11 @@
         is_news.then_some(first)
     }
 
+    /// When the first event of the response arrived.
+    pub(crate) fn first_event_at(&self) -> Option<Millis> {
+        self.first_event_at
+    }
+
     /// Whether the server has survived the begin of the response.
     pub(crate) fn is_answering(&self) -> bool {
         self.is_answering
