Test answers that end with their connection, and bytes without end

Cause: no test had an answer with neither a length nor chunks, a stream that ends inside an event under such or proper framing, or bytes without end in place of an answer, in its head or in its body.

Change: the tests; the scripted server can send the same bytes until the client closes. Heads without framing are built in one place.

--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -81,6 +81,11 @@
         SocketAddr::new(self.ip, PEERS_PORT)
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([format!("-{name}"), self.process.id().to_string()])
--- a/host/tests/route_crashing_parts.rs
+++ b/host/tests/route_crashing_parts.rs
@@ -19,7 +19,9 @@
 
 use clementinearch_standins::{
     platform_store::EndpointMode,
-    scripted_server::{LAST_CHUNK, ReceivedRequest, Step, chunk, token_event},
+    scripted_server::{
+        LAST_CHUNK, ReceivedRequest, Step, chunk, stream_head, token_event, unframed_head,
+    },
 };
 use route::{Connection, Platform, request, wait_until};
 
@@ -155,22 +157,10 @@
     }
 }
 
-/// Head of a signed event stream with neither a length nor chunks.
-fn unframed_head(received: &ReceivedRequest) -> String {
-    let id = received.header("attempt-id");
-    format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\n\r\n"
-    )
-}
-
-fn head(received: &ReceivedRequest) -> String {
-    clementinearch_standins::scripted_server::stream_head(received, "")
-}
-
 /// A stream of events after the one that the caller has.
 fn stream(received: &ReceivedRequest) -> Vec<Step> {
     let after = received.header("last-event-id").parse().unwrap_or(0);
-    let mut steps = vec![Step::Send(head(received))];
+    let mut steps = vec![Step::Send(stream_head(received, ""))];
     for id in after + 1..=EVENTS {
         steps.push(Step::Wait(EVENT_PAUSE));
         steps.push(Step::Send(chunk(&token_event(id))));
@@ -191,9 +181,12 @@
     };
     let mut steps = match shown {
         Shown::Reset => vec![Step::Crash],
-        Shown::ResetAfterHead => vec![Step::Send(head(received)), Step::Crash],
+        Shown::ResetAfterHead => vec![Step::Send(stream_head(received, "")), Step::Crash],
         Shown::ResetAfterEvent => {
-            vec![Step::Send(head(received) + &chunk(&event)), Step::Crash]
+            vec![
+                Step::Send(stream_head(received, "") + &chunk(&event)),
+                Step::Crash,
+            ]
         }
         Shown::ListensAgain => vec![Step::Reset],
         Shown::Silent => vec![Step::CrashSilently],
--- a/standins/src/scripted_server.rs
+++ b/standins/src/scripted_server.rs
@@ -40,6 +40,8 @@
 pub enum Step {
     /// Sends the text.
     Send(String),
+    /// Sends the text again and again until the client closes the connection.
+    SendForever(String),
     /// Waits; a disconnect of the client meanwhile ends the connection's script.
     Wait(Duration),
     /// Resets the TCP connection.
@@ -150,6 +152,9 @@
             for step in (self.script)(number, &received) {
                 match step {
                     Step::Send(bytes) => stream.write_all(bytes.as_bytes())?,
+                    Step::SendForever(bytes) => loop {
+                        stream.write_all(bytes.as_bytes())?;
+                    },
                     Step::Wait(duration) => {
                         if !wait_while_connected(stream, duration)? {
                             self.disconnects.fetch_add(1, Ordering::Relaxed);
@@ -270,6 +275,13 @@
     )
 }
 
+/// Returns the head of a signed response that ends with its connection: it has neither a length nor
+/// chunks.
+pub fn unframed_head(received: &ReceivedRequest) -> String {
+    let id = received.header("attempt-id");
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal-{id}\r\n\r\n")
+}
+
 /// Returns `text` as one chunk of the chunked encoding.
 pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
