Keep the span of a part's crashes when they are too many to remember

Cause: in a simulated fleet of 320 hosts, 4 requests with the crashing part were sent on after the window, 3 allowed. 21 servers had crashed; hosts that heard of all at once kept the latest 16, which spanned 290 ms, one time instead of two, and did not block the part that the others had blocked.

Change: crashes that an answer has cleared go first, then those in the densest place, so that the first and the last stay.

The new unit test fails with the latest 16 alone.

--- a/host/tests/route_unframed.rs
+++ b/host/tests/route_unframed.rs
@@ -90,14 +90,14 @@
 fn an_answer_without_length_that_is_reset_is_broken_off() {
     let reset =
         |received: &ReceivedRequest| vec![Step::Send(unframed_head(received) + "do"), Step::Reset];
-    let (platform, server) = start("orders", reset, |received| ok(received));
+    let (platform, server) = start("orders", reset, ok);
     let host = &platform.hosts[0];
     assert_eq!(
         send_request(host, "POST /pay/1", "once", "", "").status,
         502
     );
     assert_eq!(server.requests().len(), 1);
-    let (platform, _) = start("orders", reset, |received| ok(received));
+    let (platform, _) = start("orders", reset, ok);
     let answer = send_request(&platform.hosts[0], "GET /look/1", "again", "", "");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
 }
@@ -191,12 +191,12 @@
             Step::SendForever(endless.clone()),
         ]
     };
-    let (platform, _) = start("orders", first.clone(), |received| ok(received));
+    let (platform, _) = start("orders", first.clone(), ok);
     let host = &platform.hosts[0];
     let answer = send_request(host, "GET /look/1", "again", "", "");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
     assert!(peak_memory_kb(host) < MOST_MEMORY_KB);
-    let (platform, server) = start("orders", first.clone(), |received| ok(received));
+    let (platform, server) = start("orders", first.clone(), ok);
     let answer = send_request(&platform.hosts[0], "POST /pay/1", "once", "", "");
     assert_eq!(answer.status, 502);
     assert_eq!(server.requests().len(), 1);
--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -158,7 +158,9 @@
 
     fn add_crash(&mut self, content: u64, crash: Crash) {
         if !self.excused.iter().any(|it| it.is_same(&crash)) {
-            self.evidence(content).crashes.add(crash, MAX_CRASHES);
+            let crashes = &mut self.evidence(content).crashes;
+            crashes.add(crash);
+            crashes.keep_latest(MAX_CRASHES);
         }
     }
 
--- a/policy/src/crash_set.rs
+++ b/policy/src/crash_set.rs
@@ -30,23 +30,30 @@
 pub(crate) struct CrashSet(Vec<Crash>);
 
 impl CrashSet {
-    /// Adds a crash unless it is known. Beyond `max` the oldest are dropped. Returns whether it is
-    /// news.
-    pub(crate) fn add(&mut self, crash: Crash, max: usize) -> bool {
-        if self.contains(&crash) {
-            return false;
+    /// Adds a crash unless it is known.
+    pub(crate) fn add(&mut self, crash: Crash) {
+        if !self.0.iter().any(|known| known.is_same(&crash)) {
+            self.0.push(crash);
+            self.0.sort_by_key(|crash| crash.at);
         }
-        self.0.push(crash);
-        self.0.sort_by_key(|crash| crash.at);
-        if self.0.len() > max {
-            self.0.remove(0);
-        }
-        true
     }
 
-    /// Whether the crash is known.
-    pub(crate) fn contains(&self, crash: &Crash) -> bool {
-        self.0.iter().any(|known| known.is_same(crash))
+    /// Drops the oldest crashes beyond `max`.
+    pub(crate) fn keep_latest(&mut self, max: usize) {
+        let excess = self.0.len().saturating_sub(max);
+        self.0.drain(..excess);
+    }
+
+    /// Drops crashes beyond `max` where they are densest, so that the others still span the same
+    /// time. The first and the last stay.
+    pub(crate) fn thin_out(&mut self, max: usize) {
+        while self.0.len() > max.max(2) {
+            let gap = |index: &usize| self.0[index + 1].at.since(self.0[index - 1].at);
+            let Some(densest) = (1..self.0.len() - 1).min_by_key(gap) else {
+                return;
+            };
+            self.0.remove(densest);
+        }
     }
 
     /// Drops the crashes for which `keep` is false.
@@ -54,6 +61,10 @@
         self.0.retain(keep);
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Crash> {
         self.0.iter()
     }
--- a/policy/src/part_evidence.rs
+++ b/policy/src/part_evidence.rs
@@ -102,6 +102,17 @@
         !is_cleared && now.since(at) <= CRASH_LIFETIME
     }
 
+    /// Adds a crash. Those that don't count are the first to go, and the rest keeps its span.
+    fn add_crash(&mut self, crash: Crash, now: Millis) {
+        self.crashes.add(crash);
+        if self.crashes.len() > MAX_CRASHES {
+            let mut crashes = std::mem::take(&mut self.crashes);
+            crashes.retain(|crash| self.counts(crash.at, now));
+            crashes.thin_out(MAX_CRASHES);
+            self.crashes = crashes;
+        }
+    }
+
     fn counted_crashes(&self, now: Millis) -> Vec<Crash> {
         let counted = self.crashes.iter().filter(|it| self.counts(it.at, now));
         counted.copied().collect()
@@ -204,7 +215,7 @@
         now: Millis,
     ) -> Vec<u64> {
         for part in parts {
-            self.evidence(part).crashes.add(crash, MAX_CRASHES);
+            self.evidence(part).add_crash(crash, now);
         }
         self.judge(now)
     }
@@ -339,7 +350,7 @@
             let evidence = self.evidence(row.part);
             let told = row.answered_ms.map(ago);
             for crash in read_rows(&row.servers, now) {
-                evidence.crashes.add(crash, MAX_CRASHES);
+                evidence.add_crash(crash, now);
                 // Told once that the crash does not count, the peer needs no later answer.
                 if evidence.answered_at >= Some(crash.at) && told < Some(crash.at) {
                     answered_since.push(row.part);
--- a/policy/tests/part_evidence.rs
+++ b/policy/tests/part_evidence.rs
@@ -92,6 +92,21 @@
     assert_eq!(evidence.record_crash([GUILTY], last, last.at), [GUILTY]);
 }
 
+/// A host that hears of many crashes at once must not forget that they came at different times.
+#[test]
+fn crashes_beyond_the_limit_on_memory_still_block_a_part() {
+    let mut evidence = PartEvidence::default();
+    for server in 0..8 {
+        let early = crash(server, u64::from(server));
+        evidence.record_crash([GUILTY], early, early.at);
+    }
+    for server in 10..40 {
+        let late = crash(server, 400 + u64::from(server));
+        evidence.record_crash([GUILTY], late, late.at);
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
 /// A subject whose only requests came along with the guilty part is innocent of those crashes.
 #[test]
 fn crashes_of_a_blocked_part_are_explained_by_it() {
--- a/policy/tests/part_evidence_fleet.rs
+++ b/policy/tests/part_evidence_fleet.rs
@@ -318,6 +318,11 @@
     check(79);
 }
 
+#[test]
+fn three_hundred_and_twenty_hosts_tell_the_part_that_crashes_servers() {
+    check(320);
+}
+
 #[test]
 fn crashes_without_answers_refuse_harmless_requests() {
     let result = run(Way::CrashesOnly, 7);
