Let plain answers clear the parts of their prompts

Cause: read once more, evidence on prompt parts was cleared by streams alone. On a route whose answers are no streams, crashes with another cause would have added up to a block of every shared part.

Change: each whole, successful answer clears its parts, in the place where it clears its content. Targets for news of parts are chosen only if there is some.

--- a/host/tests/route_crashing_parts.rs
+++ b/host/tests/route_crashing_parts.rs
@@ -23,7 +23,7 @@
         LAST_CHUNK, ReceivedRequest, Step, chunk, stream_head, token_event, unframed_head,
     },
 };
-use route::{Connection, Platform, request, wait_until};
+use route::{Connection, Platform, ok, request, send_request, wait_until};
 
 const SERVERS: usize = 12;
 const HOSTS: usize = 3;
@@ -493,6 +493,38 @@
     check(cell(Shown::ListensAgain, SeenBy::All, Beside::Nothing));
 }
 
+/// Answers without events show that the parts of their prompts are harmless, too.
+#[test]
+fn whole_answers_clear_their_prompt_parts_of_crashes_that_they_did_not_cause() {
+    const CRASHES: usize = 4;
+    let mut platform = Platform::new();
+    let crashes_left = Arc::new(AtomicUsize::new(0));
+    for _ in 0..2 * CRASHES {
+        let left = crashes_left.clone();
+        platform.add_backend("orders", "v1", move |_, received| {
+            let take = |count: usize| count.checked_sub(1);
+            let crash = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+            if crash.is_ok() {
+                vec![Step::Crash]
+            } else {
+                ok(received)
+            }
+        });
+    }
+    platform.start_hosts(1);
+    let host = &platform.hosts[0];
+    let extra = "Token-Usage: 200,50\r\nPrompt-Prefix: f0:100,51:50,a1:20\r\n";
+    for number in 0..CRASHES {
+        crashes_left.store(1, Ordering::Relaxed);
+        let id = format!("id-{number}");
+        let answer = send_request(host, "GET /look/1", &id, extra, &id);
+        assert_eq!(answer.status, 200);
+        // Crashes at one time would not count.
+        thread::sleep(Duration::from_millis(350));
+    }
+    assert_eq!(host.status()["blocked_parts"], 0);
+}
+
 /// Only the list of servers, which nobody can read, shows these crashes.
 #[test]
 fn a_crashing_prompt_part_of_servers_that_listen_again_is_refused_without_the_store() {
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -224,10 +224,12 @@
         self.state.hooks.record_attempt(&self.call, target, outcome);
     }
 
-    /// Passes a complete and successful response to the hooks.
-    pub(crate) fn record_success(&self) {
+    /// Records a complete and successful response, which began at `began_at`: it shows that neither
+    /// the content nor a part of the prompt crashes servers.
+    pub(crate) fn record_success(&self, began_at: Millis) {
         let context = self.context(self.state.now());
         self.state.hooks.record_success(context);
+        self.state.record_part_answer(&self.call, began_at);
     }
 
     /// Keeps a connection for reuse after a complete response, unless the server closes it.
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -9,6 +9,7 @@
     crash_evidence::EvidenceRow,
     names::{FastSet, Name},
     part_evidence::PartRow,
+    time::Millis,
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -138,11 +139,8 @@
     /// Sends the buffered events. Returns the time until the next batch.
     async fn send_events(&mut self) -> Duration {
         let now = self.state.now();
-        let parts: Vec<u64> = self.parts.drain().collect();
-        let rows = self.state.part_evidence.lock().rows_on(&parts, now);
-        let hearers = self.state.fleet.lock().report_targets(now);
-        for chunk in rows.chunks(ROWS_PER_DATAGRAM) {
-            self.send(&Datagram::Parts(chunk.to_vec()), &hearers).await;
+        if !self.parts.is_empty() {
+            self.send_part_evidence(now).await;
         }
         let mut peers = self.state.fleet.lock().gossip_targets(now);
         for chunk in std::mem::take(&mut self.sessions).chunks(ROWS_PER_DATAGRAM) {
@@ -158,6 +156,16 @@
         period
     }
 
+    /// Sends the evidence on prompt parts of which there is news, to peers in all zones.
+    async fn send_part_evidence(&mut self, now: Millis) {
+        let parts: Vec<u64> = self.parts.drain().collect();
+        let rows = self.state.part_evidence.lock().rows_on(&parts, now);
+        let peers = self.state.fleet.lock().report_targets(now);
+        for chunk in rows.chunks(ROWS_PER_DATAGRAM) {
+            self.send(&Datagram::Parts(chunk.to_vec()), &peers).await;
+        }
+    }
+
     async fn send_report(&self) {
         let state = &self.state;
         let now = state.now();
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -145,7 +145,7 @@
                 if is_framed(&parts) {
                     response.in_flight.finish();
                     if parts.status.is_success() {
-                        self.record_success();
+                        self.record_success(now);
                     }
                 }
                 self.keep_connection(&server, response.connection, &response.head, now);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -190,12 +190,8 @@
         // The end of a connection alone does not show that the server has survived the response.
         if self.is_framed || self.in_flight.is_answering() {
             let began_at = self.in_flight.first_event_at();
-            let now = request.state.now();
-            request
-                .state
-                .record_part_answer(&request.call, began_at.unwrap_or(now));
             self.in_flight.finish();
-            request.record_success();
+            request.record_success(began_at.unwrap_or_else(|| request.state.now()));
         }
     }
 
