Give requests in flight and records of crashes files of their own

Change: in_flight.rs and crash_records.rs take them; a server counts its own requests through methods. Nothing else changes; no module is renamed.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -21,9 +21,10 @@
     dialect::{AttemptContext, EventReader, ResponseHead, Verdict},
     health_tracking::record_server_outcome,
     host_state::HostState,
+    in_flight::InFlight,
     refusal::Refusal,
     request_metrics::Phase,
-    server::{InFlight, Server},
+    server::Server,
 };
 
 /// How often a waiting attempt checks its time limits and the server.
--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -8,12 +8,13 @@
 use crate::{
     call::Call,
     connections::connect,
-    crashing_parts::format_parts,
+    crash_records::format_parts,
     decision_log::{Decision, Severity},
     health_tracking::record_server_outcome,
     hooks::RequestContext,
     host_state::HostState,
-    server::{AttemptTarget, InFlight, Server},
+    in_flight::InFlight,
+    server::{AttemptTarget, Server},
 };
 
 /// Time limit for the test connection that shows whether a server has crashed.
--- a/router/src/crashing_parts.rs
+++ b/router/src/crashing_parts.rs
@@ -1,32 +1,15 @@
 //! Prompt parts that crash servers, as this host records them and tells its peers.
 
 use clementinearch_policy::{
-    crash_set::Crash,
     part_evidence::{Merged, PartRow},
     time::Millis,
 };
 
 use crate::{
-    call::{Call, hash_bytes},
-    dialect::Block,
-    gossip_event::GossipEvent,
-    host_state::HostState,
-    server::AttemptTarget,
+    call::Call, crash_records::crash_of, dialect::Block, gossip_event::GossipEvent,
+    host_state::HostState, server::AttemptTarget,
 };
 
-/// Returns a crash of the target of an attempt, as all hosts name it.
-pub(crate) fn crash_of(target: AttemptTarget<'_>, at: Millis) -> Crash {
-    let incarnation = target.incarnation.to_le_bytes();
-    let server = hash_bytes(&[target.name.as_bytes(), &incarnation].concat()) as u32;
-    Crash { server, at }
-}
-
-/// Formats ids of prompt parts as in requests: in hexadecimal and separated by commas.
-pub(crate) fn format_parts(parts: &[u64]) -> String {
-    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    ids.join(",")
-}
-
 impl Call {
     /// Ids of the prompt parts that other requests may share.
     pub(crate) fn shared_parts(&self) -> Vec<u64> {
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -11,7 +11,6 @@
 use clementinearch_policy::{
     connections::max_idle_connections,
     crash_evidence::CrashEvidence,
-    crash_suspects::ContentStatus,
     names::{FastMap, Name},
     part_evidence::PartEvidence,
     prefill_time::PrefillTime,
@@ -27,21 +26,19 @@
 use crate::{
     call::{Call, hash_bytes},
     clock::Clock,
-    crash_check::record_content_crash,
-    crashing_parts::{crash_of, format_parts},
     decision_log::{Decision, DecisionLog, Severity},
-    dialect::{Block, Dialect, StoreItem, StoreSchema},
+    dialect::{Dialect, StoreItem, StoreSchema},
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
     moving_averages::MovingAverages,
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
-    server::{ANSWERING_SPAN, AttemptTarget, MAX_IDLE_CONNECTIONS, Server},
+    server::{MAX_IDLE_CONNECTIONS, Server},
     servers::{EntryChange, Servers},
     settings::Settings,
     stored_blocks::StoredBlocks,
-    unfinished_attempts::{UnfinishedAttempt, UnfinishedAttempts},
+    unfinished_attempts::UnfinishedAttempts,
     view::{Update, View},
 };
 
@@ -339,84 +336,6 @@
             .count_response(&call.service, route, version, outcome, now);
     }
 
-    /// Records that a server crashed at `at` while it had a request with this content.
-    pub(crate) fn record_crash(&self, content: u64, server: AttemptTarget<'_>, at: Millis) {
-        let now = self.now();
-        let mut evidence = self.crash_evidence.lock();
-        let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
-        let status = evidence.record_crash(content, crash_of(server, at).server, at, now);
-        drop(evidence);
-        if !was_blocked && matches!(status, ContentStatus::Blocked(_)) {
-            let block = Block::Content(content);
-            self.log_block("content_blocked", block, "own");
-            self.stored_blocks.record_own(block);
-        }
-    }
-
-    /// Records that the store holds a block.
-    fn record_stored_block(&self, block: Block) {
-        self.stored_blocks.record_stored(block);
-        match block {
-            Block::Content(content) => self.record_stored_content_block(content),
-            Block::Part(part) => self.record_stored_part_block(part),
-        }
-    }
-
-    /// Records that the store does not hold a block any more. The crashes that this host knows of
-    /// still count.
-    fn record_removed_block(&self, block: Block) {
-        self.stored_blocks.record_removed(block);
-        match block {
-            Block::Content(content) => self.crash_evidence.lock().retract_block(content),
-            Block::Part(part) => self.part_evidence.lock().retract_block(part, self.now()),
-        }
-    }
-
-    fn record_stored_content_block(&self, content: u64) {
-        let now = self.now();
-        let mut evidence = self.crash_evidence.lock();
-        let was_blocked = matches!(evidence.status(content, now), ContentStatus::Blocked(_));
-        evidence.record_block(content, now);
-        drop(evidence);
-        if !was_blocked {
-            self.log_block("content_blocked", Block::Content(content), "store");
-        }
-    }
-
-    /// Records that servers crashed under these attempts, as the list of servers shows.
-    pub(crate) fn record_crashes(&self, attempts: Vec<UnfinishedAttempt>) {
-        for attempt in attempts {
-            let target = attempt.server.attempt_target(attempt.is_trial);
-            let UnfinishedAttempt {
-                call,
-                is_answering,
-                ended_at,
-                ..
-            } = &attempt;
-            // A server that went on sending has survived the begin of this answer as well.
-            let survived_at = attempt.server.last_contact();
-            let has_survived = *is_answering || survived_at.since(*ended_at) >= ANSWERING_SPAN;
-            record_content_crash(self, call, target, has_survived, *ended_at);
-        }
-    }
-
-    /// Logs a change of what the host believes of a request content or a prompt part.
-    pub(crate) fn log_block(&self, event: &str, block: Block, why: &str) {
-        let (content, parts) = match block {
-            Block::Content(content) => (format!("{content:016x}"), String::new()),
-            Block::Part(part) => (String::new(), format_parts(&[part])),
-        };
-        let decision = Decision {
-            ms: self.now().0,
-            event,
-            why,
-            content: &content,
-            parts: &parts,
-            ..Decision::default()
-        };
-        self.log.write(Severity::Important, &decision);
-    }
-
     /// Waits up to `wait` for a change after `revision` that is relevant to peers.
     pub(crate) async fn wait_for_change(&self, revision: u64, wait: Duration) {
         let changed = self.view_changed.notified();
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -24,8 +24,8 @@
     dialect::{EventReader, ResponseHead},
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
+    in_flight::InFlight,
     refusal::Refusal,
-    server::InFlight,
 };
 
 /// How often a waiting stream checks its time limits and the server.
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -1,6 +1,6 @@
 //! The record of a backend server on one host: its published entry and what the host observed.
 
-use std::{any::Any, collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{any::Any, collections::VecDeque, net::SocketAddr, time::Duration};
 
 use clementinearch_policy::{
     names::{FastMap, Name},
@@ -13,10 +13,8 @@
 use parking_lot::Mutex;
 
 use crate::{
-    call::{Call, Prompt, hash_bytes},
+    call::{Prompt, hash_bytes},
     connections::Connection,
-    host_state::HostState,
-    unfinished_attempts::UnfinishedAttempt,
 };
 
 /// Maximum number of idle connections from one host to one server.
@@ -28,10 +26,6 @@
 /// Maximum number of prompt parts remembered for one server; the oldest are forgotten first.
 const MAX_PARTS: usize = 2_000;
 
-/// Time for which events arrive on a response before its begin counts as survived. A server that
-/// crashes as it begins to write sends nothing for so long.
-pub(crate) const ANSWERING_SPAN: Duration = Duration::from_millis(250);
-
 /// The lifecycle state that a server publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -258,6 +252,27 @@
         }
     }
 
+    /// Counts a request of this host, whose prompt takes `prefill_ms` to prefill.
+    pub(crate) fn begin_request(&self, prefill_ms: f64, now: Millis) {
+        let mut observed = self.observed.lock();
+        observed.local_running += 1;
+        observed.local_prefill_ms += prefill_ms;
+        if observed.health.is_trial_due(now) {
+            observed.health.begin_trial(now);
+        }
+    }
+
+    /// Stops counting `prefill_ms` of prefill time of this host's requests.
+    pub(crate) fn end_prefill(&self, prefill_ms: f64) {
+        let mut observed = self.observed.lock();
+        observed.local_prefill_ms = (observed.local_prefill_ms - prefill_ms).max(0.0);
+    }
+
+    /// Stops counting a request of this host.
+    pub(crate) fn end_request(&self) {
+        self.observed.lock().local_running -= 1;
+    }
+
     /// Number of requests of this host that run on the server.
     pub fn local_running(&self) -> u32 {
         self.observed.lock().local_running
@@ -435,131 +450,3 @@
     /// Whether the attempt is the trial of a suspect request.
     pub is_trial: bool,
 }
-
-/// A request in flight, counted on its server until it is dropped.
-pub(crate) struct InFlight {
-    server: Arc<Server>,
-    /// Set while the request is on trial as a suspect.
-    trial: Option<Permit>,
-    /// The request, once it has been sent and until its response is complete, and the host's state.
-    unfinished: Option<(Arc<HostState>, Arc<Call>)>,
-    /// Prompt tokens that are not expected in the server's prefix cache.
-    uncached_tokens: f64,
-    /// Expected prefill time that is still counted on the server, milliseconds.
-    prefill_ms: f64,
-    /// When the first event of the response arrived.
-    first_event_at: Option<Millis>,
-    /// Whether events have arrived for [`ANSWERING_SPAN`].
-    is_answering: bool,
-}
-
-impl InFlight {
-    /// Counts a request with `uncached_tokens` to prefill, each of which takes `ms_per_token`.
-    pub(crate) fn new(
-        server: Arc<Server>,
-        uncached_tokens: f64,
-        ms_per_token: f64,
-        now: Millis,
-    ) -> Self {
-        let prefill_ms = uncached_tokens * ms_per_token;
-        let mut observed = server.observed.lock();
-        observed.local_running += 1;
-        observed.local_prefill_ms += prefill_ms;
-        if observed.health.is_trial_due(now) {
-            observed.health.begin_trial(now);
-        }
-        drop(observed);
-        Self {
-            server,
-            trial: None,
-            unfinished: None,
-            uncached_tokens,
-            prefill_ms,
-            first_event_at: None,
-            is_answering: false,
-        }
-    }
-
-    /// Makes the attempt the trial of a suspect request if `trial` is set.
-    pub(crate) fn with_trial(mut self, trial: Option<Permit>) -> Self {
-        self.trial = trial;
-        self
-    }
-
-    /// Whether the attempt is the trial of a suspect request.
-    pub(crate) fn is_trial(&self) -> bool {
-        self.trial.is_some()
-    }
-
-    /// Counts the attempt as unfinished from now on: the request is about to be sent.
-    pub(crate) fn track(&mut self, state: Arc<HostState>, call: Arc<Call>) {
-        self.unfinished = Some((state, call));
-    }
-
-    /// Counts the attempt as finished: its response is complete, or the server has not run it.
-    pub(crate) fn finish(&mut self) {
-        self.unfinished = None;
-    }
-
-    /// Describes the server as the target of this attempt.
-    pub(crate) fn attempt_target(&self) -> AttemptTarget<'_> {
-        self.server.attempt_target(self.is_trial())
-    }
-
-    /// The server that the request is counted on.
-    pub(crate) fn server(&self) -> &Arc<Server> {
-        &self.server
-    }
-
-    /// Prompt tokens that were not expected in the server's prefix cache.
-    pub(crate) fn uncached_tokens(&self) -> f64 {
-        self.uncached_tokens
-    }
-
-    /// Remaining expected prefill time.
-    pub(crate) fn expected_prefill(&self) -> Duration {
-        Duration::from_secs_f64(self.prefill_ms / 1_000.0)
-    }
-
-    /// Records that events of the response arrived. Returns when the first one did, once the server
-    /// has shown that it survives the begin of this response.
-    pub(crate) fn record_events(&mut self, now: Millis) -> Option<Millis> {
-        let first = *self.first_event_at.get_or_insert(now);
-        let is_news = !self.is_answering && now.since(first) >= ANSWERING_SPAN;
-        self.is_answering |= is_news;
-        is_news.then_some(first)
-    }
-
-    /// When the first event of the response arrived.
-    pub(crate) fn first_event_at(&self) -> Option<Millis> {
-        self.first_event_at
-    }
-
-    /// Whether the server has survived the begin of the response.
-    pub(crate) fn is_answering(&self) -> bool {
-        self.is_answering
-    }
-
-    /// Stops counting the request's prefill time, as its first event has arrived or it has ended.
-    pub(crate) fn finish_prefill(&mut self) {
-        let prefill_ms = std::mem::take(&mut self.prefill_ms);
-        let mut observed = self.server.observed.lock();
-        observed.local_prefill_ms = (observed.local_prefill_ms - prefill_ms).max(0.0);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.finish_prefill();
-        self.server.observed.lock().local_running -= 1;
-        if let Some((state, call)) = self.unfinished.take() {
-            state.unfinished_attempts.add(UnfinishedAttempt {
-                server: self.server.clone(),
-                call,
-                is_trial: self.is_trial(),
-                is_answering: self.is_answering,
-                ended_at: state.now(),
-            });
-        }
-    }
-}
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -11,8 +11,9 @@
     call::Call,
     gossip_event::{GossipEvent, Prefill},
     host_state::HostState,
+    in_flight::InFlight,
     rollouts::VersionRule,
-    server::{InFlight, Permit, Server},
+    server::{Permit, Server},
 };
 
 /// Probability that the server of the first rank has a prompt's shared prefix in its cache because
