--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -22,6 +22,7 @@
 };
 
 use clementinearch_standins::{
+    link::{Link, LinkState},
     platform_store::{PlatformStore, StoreEndpoint},
     scripted_server::{ReceivedRequest, ScriptedServer, Step, signed_response},
 };
@@ -40,10 +41,14 @@
 const STORE_PORT: u16 = 2380;
 const BACKEND_PORT: u16 = 8000;
 
-/// Last octet of the first store endpoint, entry host and backend server in a network.
+/// Port of the first of the links from a host to the backend servers.
+const FIRST_LINK_PORT: u16 = 9000;
+
+/// Last octet of the first store endpoint, entry host, backend server and link in a network.
 const FIRST_ENDPOINT_IP: u8 = 1;
 const FIRST_HOST_IP: u8 = 60;
 const FIRST_BACKEND_IP: u8 = 120;
+const FIRST_LINK_IP: u8 = 190;
 
 /// An entry host process.
 pub struct Host {
@@ -314,7 +319,10 @@
     pub store: Arc<PlatformStore>,
     runtime: tokio::runtime::Runtime,
     pub hosts: Vec<Host>,
-    backends: u8,
+    /// Addresses of the backend servers.
+    backends: Vec<SocketAddr>,
+    /// Links of each host to the backend servers, for hosts that have some.
+    links: Vec<Vec<Arc<Link>>>,
 }
 
 impl Platform {
@@ -329,7 +337,8 @@
             store: Arc::default(),
             runtime: runtime.unwrap(),
             hosts: Vec::new(),
-            backends: 0,
+            backends: Vec::new(),
+            links: Vec::new(),
         };
         platform.configure(1, &json!([]));
         platform
@@ -364,10 +373,10 @@
         version: &str,
         script: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> (String, Arc<ScriptedServer>) {
-        let ip = self.ip(FIRST_BACKEND_IP + self.backends);
-        self.backends += 1;
-        let name = format!("i-{}", self.backends);
+        let ip = self.ip(FIRST_BACKEND_IP + self.backends.len() as u8);
         let address = SocketAddr::new(ip, BACKEND_PORT);
+        self.backends.push(address);
+        let name = format!("i-{}", self.backends.len());
         let server = ScriptedServer::start(address, script).unwrap();
         self.write_entry(&name, service, version, address, "ready");
         (name, server)
@@ -406,8 +415,12 @@
 
     /// Starts a host in zone `a` without waiting for it.
     pub fn launch_host(&mut self) {
-        let number = self.hosts.len() as u8;
         let store_endpoint = StoreEndpoint::new(self.store.clone());
+        self.launch_host_in("a", store_endpoint);
+    }
+
+    fn launch_host_in(&mut self, zone: &str, store_endpoint: Arc<StoreEndpoint>) {
+        let number = self.hosts.len() as u8;
         let store_address = SocketAddr::new(self.ip(FIRST_ENDPOINT_IP + number), STORE_PORT);
         let bound = self
             .runtime
@@ -416,7 +429,7 @@
             .spawn(store_endpoint.clone().serve(bound.unwrap()));
         let ip = self.ip(FIRST_HOST_IP + number);
         let settings = format!(
-            "name = \"host-{number}\"\nzone = \"a\"\n[listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\n[store]\naddress = \"{store_address}\"\n[limits]\nview_period_ms = 50\ngossip_period_ms = 50\n[bounds]\nrepeat_ratio = \"2.0\"\nrepeat_slack = 1000\nsession_s = \"5\"\n"
+            "name = \"host-{number}\"\nzone = \"{zone}\"\n[listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\n[store]\naddress = \"{store_address}\"\n[limits]\nview_period_ms = 50\ngossip_period_ms = 50\n[bounds]\nrepeat_ratio = \"2.0\"\nrepeat_slack = 1000\nsession_s = \"5\"\n"
         );
         let dir = std::env::temp_dir();
         let path = dir.join(format!(
@@ -434,6 +447,48 @@
         });
     }
 
+    /// Starts hosts that reach each backend server over a link, and waits until they are ready and
+    /// know each other. Each is in a zone of its own, so that none reads the store for others, to
+    /// which its links mean nothing.
+    pub fn start_linked_hosts(&mut self, count: usize) {
+        for number in 0..count {
+            let store_endpoint = StoreEndpoint::new(self.store.clone());
+            let links = self.start_links(number as u8, &store_endpoint);
+            self.links.push(links);
+            self.launch_host_in(&format!("zone-{number}"), store_endpoint);
+        }
+        for host in &self.hosts {
+            wait_until("the host is ready", || host.is_ready());
+            wait_until("the hosts know each other", || {
+                host.status()["hosts"] == count
+            });
+        }
+    }
+
+    fn start_links(&self, host: u8, store_endpoint: &StoreEndpoint) -> Vec<Arc<Link>> {
+        let ip = self.ip(FIRST_LINK_IP + host);
+        let start = |(number, server): (usize, &SocketAddr)| {
+            let address = SocketAddr::new(ip, FIRST_LINK_PORT + number as u16);
+            store_endpoint.replace_address(*server, address);
+            let link = self.runtime.block_on(Link::start(address, *server));
+            link.unwrap()
+        };
+        self.backends.iter().enumerate().map(start).collect()
+    }
+
+    /// Changes the state of all links of a host.
+    pub fn set_links(&self, host: usize, state: LinkState) {
+        for link in &self.links[host] {
+            link.set_state(state);
+        }
+    }
+
+    /// Changes the state of the link from a host to a backend server, by the order in which both
+    /// were added.
+    pub fn set_link(&self, host: usize, server: usize, state: LinkState) {
+        self.links[host][server].set_state(state);
+    }
+
     /// Starts `count` hosts and waits until they are ready.
     pub fn start_hosts(&mut self, count: usize) {
         for _ in 0..count {
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -1,6 +1,6 @@
 //! In-memory stand-in for the platform's store with prefix reads, watches and transactions.
 
-use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use http_body_util::BodyExt;
@@ -63,6 +63,8 @@
 pub struct StoreEndpoint {
     store: Arc<PlatformStore>,
     mode: Mutex<EndpointMode>,
+    /// Addresses in values that this endpoint replaces, and by what.
+    addresses: Mutex<Vec<(SocketAddr, SocketAddr)>>,
 }
 
 impl PlatformStore {
@@ -251,9 +253,36 @@
         Arc::new(Self {
             store,
             mode: Mutex::default(),
+            addresses: Mutex::default(),
         })
     }
 
+    /// Shows `link` instead of `address` in values from now on, so that the host of this endpoint
+    /// reaches a server over a path of its own.
+    pub fn replace_address(&self, address: SocketAddr, link: SocketAddr) {
+        self.addresses.lock().push((address, link));
+    }
+
+    /// Replaces addresses in the value of an item.
+    fn localise(&self, item: &mut Value) {
+        let Some(value) = item["value"].as_str() else {
+            return;
+        };
+        let decoded = STANDARD.decode(value).unwrap_or_default();
+        let Ok(mut text) = String::from_utf8(decoded) else {
+            return;
+        };
+        for (address, link) in self.addresses.lock().iter() {
+            text = text.replace(&format!("\"{address}\""), &format!("\"{link}\""));
+        }
+        item["value"] = STANDARD.encode(text).into();
+    }
+
+    fn localise_all(&self, items: &mut Value) {
+        let items = items.as_array_mut().into_iter().flatten();
+        items.for_each(|item| self.localise(item));
+    }
+
     /// Changes the behaviour of later calls.
     pub fn set_mode(&self, mode: EndpointMode) {
         *self.mode.lock() = mode;
@@ -299,7 +328,10 @@
                 let is_stale = field("serializable") == "1";
                 let after = field("after");
                 Ok(match self.store.range(&prefix, &after, is_stale) {
-                    Some(page) => text(StatusCode::OK, page.to_string()),
+                    Some(mut page) => {
+                        self.localise_all(&mut page["items"]);
+                        text(StatusCode::OK, page.to_string())
+                    }
                     None => text(StatusCode::TOO_MANY_REQUESTS, ""),
                 })
             }
@@ -330,7 +362,8 @@
                 return text(StatusCode::GONE, "");
             };
             if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                let body = json!({"events": events, "storeRevision": revision});
+                let mut body = json!({"events": events, "storeRevision": revision});
+                self.localise_all(&mut body["events"]);
                 return text(StatusCode::OK, body.to_string());
             }
             tokio::select! {
