--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod config_head;
 pub mod connections;
+pub mod connectivity;
 pub mod crash_evidence;
 pub mod crash_set;
 pub mod crash_suspects;
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -1,9 +1,10 @@
 //! The state of one request from admission to its end: attempts, retry limits, log lines and
 //! metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
+    connectivity::CHECK_PERIOD,
     crash_suspects::ContentStatus,
     sizing::{SizingQuery, first_size},
     time::Millis,
@@ -17,6 +18,7 @@
     connections::Connection,
     decision_log::{Decision, Severity},
     dialect::ResponseHead,
+    forwarding::{ForwardedState, Forwarding, PeerResponse, forward},
     hooks::{AttemptEnd, CallEnd, RequestContext, ServerQuery},
     host_state::HostState,
     refusal::Refusal,
@@ -43,6 +45,20 @@
 /// Reason of a refusal while all servers of the service name limits.
 const SERVERS_LIMITED: &str = "servers at their limits";
 
+/// Reason of a refusal by a host that reaches no server and found no peer to serve the request.
+const NO_SERVER_REACHED: &str = "no server in reach";
+
+/// Most peers that are asked in turn to serve a request. Those that cannot decline at once.
+pub(crate) const MAX_PEERS_ASKED: usize = 8;
+
+/// A response to the request whose head has arrived.
+pub(crate) enum Reply {
+    /// The response of a backend server.
+    Server(AttemptResponse),
+    /// The response of another entry host, to which the request was forwarded.
+    Peer(PeerResponse),
+}
+
 /// A request in progress. Dropping it before [`end`](Self::end) counts as a disconnect of the
 /// caller.
 pub(crate) struct ActiveRequest {
@@ -54,6 +70,10 @@
     executions: u32,
     /// Number of attempts.
     sends: u32,
+    /// Whether an attempt arrived at a server, so that the next one is a retry.
+    has_arrived: bool,
+    /// Whether the request is counted in the retry budget of this or the forwarding host.
+    is_counted: bool,
     may_have_run: bool,
     /// Current model size, as an index into the route's sizes.
     pub(crate) size: usize,
@@ -85,14 +105,17 @@
             is_resumed: call.head.resume_after.is_some(),
             accepted_confidence: 0,
         };
+        let forwarded = call.forwarded.as_ref();
         Self {
-            size: first_size(&sizing),
+            size: forwarded.map_or_else(|| first_size(&sizing), |earlier| earlier.size),
+            executions: forwarded.map_or(0, |earlier| earlier.executions),
+            has_arrived: forwarded.is_some_and(|earlier| earlier.has_arrived),
+            is_counted: forwarded.is_some_and(|earlier| earlier.is_counted),
+            may_have_run: forwarded.is_some_and(|earlier| earlier.may_have_run),
             state,
             call: Arc::new(call),
             tried: Vec::new(),
-            executions: 0,
             sends: 0,
-            may_have_run: false,
             has_ended: false,
             permit: None,
             first_sent_at: None,
@@ -294,22 +317,23 @@
                 })
     }
 
-    fn count_first_attempt(&self, now: Millis) {
+    fn count_first_attempt(&mut self, now: Millis) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
         self.state
             .with_retry_budget(&self.call.service, now, |budget, limit, _| {
                 budget.record_first_attempt(limit, now);
             });
     }
 
-    /// Returns the last attempt to the retry budget, unless it was the first one: it did not reach
-    /// its server and so did not add to its load.
+    /// Returns an attempt to the retry budget: it did not reach its server and so did not add to its
+    /// load.
     fn return_retry(&self, now: Millis) {
-        if self.sends > 1 {
-            self.state
-                .with_retry_budget(&self.call.service, now, |budget, limit, _| {
-                    budget.refund(limit, now);
-                });
-        }
+        self.state
+            .with_retry_budget(&self.call.service, now, |budget, limit, _| {
+                budget.refund(limit, now);
+            });
     }
 
     /// Builds the refusal for when no further attempt is possible.
@@ -386,7 +410,7 @@
     pub(crate) async fn next_response(
         &mut self,
         resume_after: Option<u64>,
-    ) -> Result<AttemptResponse, Refusal> {
+    ) -> Result<Reply, Refusal> {
         loop {
             let now = self.state.now();
             if now >= self.call.deadline {
@@ -395,7 +419,15 @@
             self.check_crash_suspicion(now)?;
             let may_run = self.state.hooks.check_before_attempt(&self.call);
             may_run.map_err(|refusal| self.with_execution(refusal))?;
-            if self.sends == 0 {
+            if self.may_have_run && !self.call.head.route.kind.may_retry() {
+                return Err(self.refusal_after_attempts("answer broke off"));
+            }
+            if self.state.has_lost_servers() {
+                let response = self.forward_to_peer(resume_after).await?;
+                return Ok(Reply::Peer(response));
+            }
+            let is_retry = self.sends > 0 || self.has_arrived;
+            if !is_retry {
                 self.count_first_attempt(now);
             } else if !self.take_retry(now) {
                 return Err(self.refusal_after_attempts("no attempt left"));
@@ -433,12 +465,15 @@
                 AttemptResult::Response(response) => {
                     request_metrics::count_attempt("answered");
                     self.executions += 1;
+                    self.has_arrived = true;
                     self.may_have_run = true;
-                    return Ok(*response);
+                    return Ok(Reply::Server(*response));
                 }
                 AttemptResult::NotRun { why } => {
                     request_metrics::count_attempt(why);
-                    if matches!(why, NOT_REACHED | SERVER_LEAVES) {
+                    if !matches!(why, NOT_REACHED | SERVER_LEAVES) {
+                        self.has_arrived = true;
+                    } else if is_retry {
                         self.return_retry(now);
                     }
                     self.record_attempt(target, AttemptEnd::NotRun);
@@ -447,6 +482,7 @@
                 AttemptResult::Lost { why } => {
                     request_metrics::count_attempt(why);
                     self.executions += 1;
+                    self.has_arrived = true;
                     self.may_have_run = true;
                     self.record_attempt(target, AttemptEnd::Broken);
                     self.log_step("attempt_lost", &server.entry.name, why, &[]);
@@ -467,6 +503,96 @@
         }
     }
 
+    /// Forwards the request to peers in turn until one serves it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no peer does, or the request must not be sent again.
+    async fn forward_to_peer(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<PeerResponse, Refusal> {
+        let now = self.state.now();
+        let mut peers = Vec::new();
+        // A request that a peer forwarded goes back to that peer, which knows who else is left.
+        if self.call.forwarded.is_none() {
+            peers = self.state.fleet.lock().forwarding_peers(now);
+        }
+        peers.truncate(MAX_PEERS_ASKED);
+        let has_peers = !peers.is_empty();
+        for peer in peers {
+            let now = self.state.now();
+            if !self.has_attempt_left(now) {
+                return Err(self.refusal_after_attempts("no attempt left"));
+            }
+            let forwarded = self.forwarded_state(resume_after, now);
+            let outcome = forward(&self.state, &self.call, &forwarded, peer).await;
+            let now = self.state.now();
+            request_metrics::count_forwarding(&outcome);
+            self.log_forwarding(peer, &outcome);
+            match outcome {
+                Forwarding::Answered(response) => {
+                    self.state.record_forwarding(true, now);
+                    self.executions += 1;
+                    self.has_arrived = true;
+                    self.may_have_run = true;
+                    return Ok(*response);
+                }
+                Forwarding::Declined => {
+                    self.state.fleet.lock().record_forwarding_refused(peer);
+                }
+                Forwarding::Unanswered { why } => {
+                    self.executions += 1;
+                    self.has_arrived = true;
+                    self.may_have_run = true;
+                    if !self.call.head.route.kind.may_retry() {
+                        return Err(Refusal::MayHaveRun { reason: why });
+                    }
+                }
+                Forwarding::DeadlinePassed => {
+                    self.may_have_run = true;
+                    return Err(Refusal::DeadlinePassed);
+                }
+            }
+        }
+        if has_peers {
+            self.state.record_forwarding(false, self.state.now());
+        }
+        if self.may_have_run {
+            return Err(Refusal::MayHaveRun {
+                reason: NO_SERVER_REACHED,
+            });
+        }
+        Err(Refusal::not_run(NO_SERVER_REACHED, CHECK_PERIOD))
+    }
+
+    fn forwarded_state(&self, resume_after: Option<u64>, now: Millis) -> ForwardedState {
+        ForwardedState {
+            age_ms: now.since(self.call.arrived).as_millis() as u64,
+            remaining_ms: self.call.remaining(now).as_millis() as u64,
+            executions: self.executions,
+            may_have_run: self.may_have_run,
+            is_counted: self.is_counted,
+            has_arrived: self.has_arrived,
+            size: self.size,
+            resume_after,
+        }
+    }
+
+    fn log_forwarding(&self, peer: SocketAddr, outcome: &Forwarding) {
+        let severity = match outcome {
+            Forwarding::Answered(_) => Severity::Detail,
+            _ => Severity::Important,
+        };
+        self.log(
+            severity,
+            "forwarded",
+            &peer.to_string(),
+            outcome.label(),
+            &[],
+        );
+    }
+
     /// Time from sending to the first event that was expected of the last attempt.
     pub(crate) fn expected_latency(&self) -> Duration {
         Duration::from_secs_f64((self.pending_ms + self.prefill_ms) / 1_000.0)
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -3,7 +3,10 @@
 use std::{future::ready, sync::Arc, time::Duration};
 
 use clementinearch_policy::time::Millis;
-use hyper::{StatusCode, body::Bytes};
+use hyper::{
+    Request, StatusCode,
+    body::{Bytes, Incoming},
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -28,6 +31,8 @@
     /// Time since the store last answered, milliseconds.
     store_age_ms: u64,
     servers: usize,
+    /// Whether the host reaches backend servers.
+    reaches_servers: bool,
     /// Live entry hosts, this one included.
     hosts: usize,
     /// Contents of requests that ran on a crashed server.
@@ -59,7 +64,8 @@
     state: Arc<HostState>,
     metrics: PrometheusHandle,
 ) {
-    let respond = move |path: String| ready(operator_response(&state, &metrics, &path));
+    let respond =
+        move |req: Request<Incoming>| ready(operator_response(&state, &metrics, req.uri().path()));
     internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
 }
 
@@ -93,6 +99,7 @@
         store_revision: state.view.lock().store_revision(),
         store_age_ms: now.since(state.last_store_contact()).as_millis() as u64,
         servers: state.servers.names().len(),
+        reaches_servers: !state.has_lost_servers(),
         hosts: state.fleet.lock().live_hosts(now),
         suspect_contents,
         blocked_contents,
@@ -109,6 +116,8 @@
     metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
+    metrics::gauge!("clementinearch_reaches_servers")
+        .set(f64::from(u8::from(!state.has_lost_servers())));
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
     let (suspects, blocked) = state.crash_evidence.lock().counts(now);
     metrics::gauge!("clementinearch_contents_suspect").set(suspects as f64);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::{
     call::Call,
     connections::{Connection, SendOutcome, connect},
+    connectivity::check_after_failure,
     crash_check::{check_crash, record_crash},
     dialect::{AttemptContext, EventReader, ResponseHead, Verdict},
     health_tracking::record_server_outcome,
@@ -146,13 +147,18 @@
     if state.now().since(silent_since) < SILENCE_BEFORE_CHECK {
         return None;
     }
-    match connect(server.entry.address).await {
-        Ok(_) => {
-            server.record_connected(state.now());
-            None
-        }
-        Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Some(SERVER_REFUSES),
-        Err(_) => Some(SERVER_SILENT),
+    let began_at = state.now();
+    let connected = connect(server.entry.address).await;
+    let Err(e) = connected else {
+        server.record_connected(state.now());
+        state.record_server_connected(state.now());
+        return None;
+    };
+    check_after_failure(state, began_at).await;
+    if e.kind() == std::io::ErrorKind::ConnectionRefused {
+        Some(SERVER_REFUSES)
+    } else {
+        Some(SERVER_SILENT)
     }
 }
 
@@ -274,10 +280,12 @@
                 self.state
                     .request_metrics
                     .record(route, Phase::Connect, span);
+                self.state.record_server_connected(now);
                 Some(connection)
             }
             Err(_) => {
                 record_server_outcome(self.state, server, AttemptOutcome::Unreachable, now);
+                check_after_failure(self.state, started).await;
                 None
             }
         }
@@ -406,7 +414,10 @@
 ) {
     let server = in_flight.server();
     match why {
-        SERVER_REFUSES => record_crash(state, call, in_flight, now),
+        SERVER_REFUSES => {
+            check_after_failure(state, now).await;
+            record_crash(state, call, in_flight, now);
+        }
         SERVER_SILENT => record_server_outcome(state, server, AttemptOutcome::Unreachable, now),
         CRASHES_SERVERS => {}
         // A server that crashed without a reset looks slow at first.
--- a/router/src/call.rs
+++ b/router/src/call.rs
@@ -10,9 +10,14 @@
 use hyper::{
     HeaderMap, Method,
     body::Bytes,
-    http::uri::{PathAndQuery, Uri},
+    http::{
+        request,
+        uri::{PathAndQuery, Uri},
+    },
 };
 
+use crate::forwarding::ForwardedState;
+
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -121,9 +126,23 @@
     pub deadline: Millis,
     /// Hash of account and content: equal for the same content under different request ids.
     pub content_hash: u64,
+    /// Head of the request as it came, to forward it to another entry host.
+    pub(crate) received: Arc<request::Parts>,
+    /// What another entry host did about the request before it forwarded it to this one.
+    pub(crate) forwarded: Option<ForwardedState>,
 }
 
 impl Call {
+    /// Takes over what another entry host has done about the request.
+    pub(crate) fn with_forwarded(mut self, forwarded: ForwardedState) -> Self {
+        let remaining = Duration::from_millis(forwarded.remaining_ms);
+        self.deadline = self.deadline.min(self.arrived.after(remaining));
+        self.arrived = Millis(self.arrived.0.saturating_sub(forwarded.age_ms));
+        self.head.resume_after = forwarded.resume_after;
+        self.forwarded = Some(forwarded);
+        self
+    }
+
     /// Returns the priority of the account, or else of the route; zero is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.head.account.as_ref();
--- /dev/null
+++ b/router/src/connectivity.rs
@@ -0,0 +1,140 @@
+//! This host's path to the backend servers: checks by connections to a few of them, and what a loss
+//! of the path means for requests, peers and the load balancer.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use clementinearch_policy::{
+    connectivity::{CHECK_PERIOD, Connectivity, sample},
+    names::Name,
+    time::Millis,
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use parking_lot::Mutex;
+
+use crate::{connections::connect, gossip_event::GossipEvent, host_state::HostState};
+
+/// Time for which a peer's refusal of a forwarded request makes this host not ready.
+const FORWARDING_FAILURE_WINDOW: Duration = Duration::from_secs(1);
+
+/// What this host knows of its path to the backend servers.
+#[derive(Debug, Default)]
+pub(crate) struct ServerPath {
+    connectivity: Mutex<Connectivity>,
+    /// End of the last check; held during one, so that checks do not overlap.
+    last_check: tokio::sync::Mutex<Option<Millis>>,
+    /// When no peer took a request that this host could not send.
+    forwarding_failed_at: Mutex<Option<Millis>>,
+}
+
+impl HostState {
+    /// Whether this host reaches no backend server.
+    pub(crate) fn has_lost_servers(&self) -> bool {
+        self.server_path.connectivity.lock().is_lost()
+    }
+
+    /// Whether this host reaches no backend server, but a peer does.
+    pub(crate) fn is_cut_off(&self, now: Millis) -> bool {
+        self.has_lost_servers() && self.fleet.lock().has_forwarding_peer(now)
+    }
+
+    /// Whether callers should come to another host: this one reaches no backend server, and no
+    /// peer that does took its last request.
+    pub(crate) fn should_be_avoided(&self, now: Millis) -> bool {
+        let failed_at = *self.server_path.forwarding_failed_at.lock();
+        failed_at.is_some_and(|at| now.since(at) <= FORWARDING_FAILURE_WINDOW)
+            && self.is_cut_off(now)
+    }
+
+    /// Records whether a peer took a request that this host could not send.
+    pub(crate) fn record_forwarding(&self, is_taken: bool, now: Millis) {
+        *self.server_path.forwarding_failed_at.lock() = (!is_taken).then_some(now);
+    }
+
+    /// Records that a backend server accepted a connection.
+    pub(crate) fn record_server_connected(&self, now: Millis) {
+        let lost_since = self.server_path.connectivity.lock().record_connected(now);
+        let Some(since) = lost_since else {
+            return;
+        };
+        // They were marked because of the path. One that is down is soon marked again.
+        for server in self.servers.all() {
+            server.forget_unreachable();
+        }
+        *self.server_path.forwarding_failed_at.lock() = None;
+        let away_ms = now.since(since).as_millis() as f64;
+        self.log_event("servers_regained", "", "", &[("away_ms", away_ms)]);
+        self.enqueue_gossip(GossipEvent::Report);
+    }
+}
+
+/// Checks the path after a connection that was begun at `began_at` failed, unless another one has
+/// been accepted since. Returns whether the path is lost.
+pub(crate) async fn check_after_failure(state: &HostState, began_at: Millis) -> bool {
+    if state.server_path.connectivity.lock().needs_check(began_at) {
+        check(state).await;
+    }
+    state.has_lost_servers()
+}
+
+/// Connects to a sample of the servers. A check that another task has begun meanwhile serves as
+/// well.
+async fn check(state: &HostState) {
+    let wanted_at = state.now();
+    let mut last_check = state.server_path.last_check.lock().await;
+    if last_check.is_some_and(|at| at > wanted_at) {
+        return;
+    }
+    let began_at = state.now();
+    let tried = connect_to_sample(state).await;
+    let now = state.now();
+    *last_check = Some(now);
+    drop(last_check);
+    let Some(tried) = tried else {
+        return;
+    };
+    let mut connectivity = state.server_path.connectivity.lock();
+    let is_news = connectivity.record_failed_check(began_at, now);
+    drop(connectivity);
+    if is_news {
+        let inputs = [("tried", tried as f64)];
+        state.log_event("servers_lost", "", "no server is reached", &inputs);
+        state.enqueue_gossip(GossipEvent::Report);
+    }
+}
+
+/// Connects to a sample of the servers until one accepts. Returns how many were tried if none did.
+async fn connect_to_sample(state: &HostState) -> Option<usize> {
+    let now = state.now();
+    let mut servers = state.servers.all();
+    servers.retain(|server| server.accepts_requests());
+    let kinds: Vec<(Name, Name)> = servers
+        .iter()
+        .map(|server| (server.entry.service.clone(), server.entry.zone.clone()))
+        .collect();
+    let offset = state.placements.load(Ordering::Relaxed) + now.0 as usize;
+    let sampled = sample(&kinds, offset);
+    let connecting = sampled
+        .iter()
+        .map(|index| connect(servers[*index].entry.address));
+    let mut connecting: FuturesUnordered<_> = connecting.collect();
+    while let Some(connected) = connecting.next().await {
+        if connected.is_ok() {
+            state.record_server_connected(state.now());
+            return None;
+        }
+    }
+    (!sampled.is_empty()).then_some(sampled.len())
+}
+
+/// Looks for the path while it is lost, until the process ends.
+pub(crate) async fn watch(state: Arc<HostState>) {
+    loop {
+        tokio::time::sleep(CHECK_PERIOD).await;
+        if state.has_lost_servers() {
+            check(&state).await;
+        }
+    }
+}
--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -8,6 +8,7 @@
 use crate::{
     call::Call,
     connections::connect,
+    connectivity::check_after_failure,
     crash_records::format_parts,
     decision_log::{Decision, Severity},
     health_tracking::record_server_outcome,
@@ -70,7 +71,7 @@
 }
 
 /// Checks whether the server of a request that broke off has ended, and if so records that. Returns
-/// whether it has.
+/// whether it has, or is out of reach like all others.
 pub(crate) async fn check_crash(
     state: &HostState,
     call: &Call,
@@ -78,12 +79,23 @@
     now: Millis,
 ) -> bool {
     let server = in_flight.server();
+    let began_at = state.now();
     let check = look_at_server(state, server).await;
+    let is_path_lost = if check == CrashCheck::Accepted {
+        state.record_server_connected(state.now());
+        false
+    } else {
+        check_after_failure(state, began_at).await
+    };
     metrics::counter!("clementinearch_crash_checks_total", "result" => check.label()).increment(1);
     if check == CrashCheck::Refused {
         record_crash(state, call, in_flight, now);
         return true;
     }
+    if is_path_lost {
+        // Neither the server nor its version nor the content is to blame.
+        record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
+    }
     let context = RequestContext { state, call, now };
     log_crash(
         context,
@@ -92,26 +104,33 @@
         check.label(),
         in_flight.is_answering(),
     );
-    false
+    is_path_lost
 }
 
 /// Records that the server of a request has ended: a crash under the request's content, unless the
-/// server had announced its end.
+/// server had announced its end, or this host alone reaches none.
 pub(crate) fn record_crash(state: &HostState, call: &Call, in_flight: &InFlight, now: Millis) {
     let server = in_flight.server();
     record_server_outcome(state, server, AttemptOutcome::Unreachable, now);
-    if !server.accepts_requests() {
+    let is_answering = in_flight.is_answering();
+    let ruled_out = if !server.accepts_requests() {
+        Some("announced")
+    } else if state.is_cut_off(now) {
+        Some("host cut off")
+    } else {
+        None
+    };
+    if let Some(why) = ruled_out {
         let context = RequestContext { state, call, now };
         log_crash(
             context,
             &server.entry.name,
             "crash_ruled_out",
-            "announced",
-            in_flight.is_answering(),
+            why,
+            is_answering,
         );
         return;
     }
-    let is_answering = in_flight.is_answering();
     record_content_crash(state, call, in_flight.attempt_target(), is_answering, now);
 }
 
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -24,6 +24,9 @@
 /// Silence after which a peer is not used as the relay of its zone.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Number of peers in the own zone that are asked to serve a request before those of all zones.
+const NEAR_PEERS_ASKED_FIRST: usize = 2;
+
 /// A silent peer is sent to in one of this many periods on average.
 const SILENT_PEER_PERIODS: usize = 8;
 
@@ -34,6 +37,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) zone: Name,
     pub(crate) store_revision: u64,
+    /// Whether it reaches no backend server.
+    pub(crate) has_lost_servers: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -44,10 +49,11 @@
     /// Time of the last report; none before the first.
     last_report: Option<Millis>,
     store_revision: u64,
+    has_lost_servers: bool,
 }
 
 /// The entry hosts that this one knows.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Fleet {
     own_name: Name,
     zone: Name,
@@ -72,6 +78,7 @@
                 zone: None,
                 last_report: None,
                 store_revision: 0,
+                has_lost_servers: false,
             });
             peer.address = address;
         }
@@ -85,6 +92,7 @@
             peer.last_report = Some(now);
             peer.zone = Some(info.zone);
             peer.store_revision = info.store_revision;
+            peer.has_lost_servers = info.has_lost_servers;
         }
     }
 
@@ -171,6 +179,46 @@
         (near, remote)
     }
 
+    /// Records that a peer refused a forwarded request. It is passed over until its next report.
+    pub(crate) fn record_forwarding_refused(&mut self, address: SocketAddr) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.address == address) {
+            peer.has_lost_servers = true;
+        }
+    }
+
+    /// Whether a live peer reaches backend servers.
+    pub(crate) fn has_forwarding_peer(&self, now: Millis) -> bool {
+        self.live_peers(now).any(|(_, peer)| !peer.has_lost_servers)
+    }
+
+    /// Addresses of live peers that reach backend servers, in the order in which they are asked to
+    /// serve a request: at random, beginning with a few of the own zone if as many of them reach
+    /// servers as do not.
+    pub(crate) fn forwarding_peers(&self, now: Millis) -> Vec<SocketAddr> {
+        let (mut near, mut remote) = (Vec::new(), Vec::new());
+        let mut near_lost = 1;
+        for (_, peer) in self.live_peers(now) {
+            match (self.is_near(peer), peer.has_lost_servers) {
+                (true, false) => near.push(peer.address),
+                (false, false) => remote.push(peer.address),
+                (true, true) => near_lost += 1,
+                (false, true) => {}
+            }
+        }
+        let asked_first = if near.len() >= near_lost {
+            NEAR_PEERS_ASKED_FIRST
+        } else {
+            0
+        };
+        fastrand::shuffle(&mut near);
+        // Hosts of a zone are often cut off together, before they know it of each other.
+        remote.extend(near.drain(asked_first.min(near.len())..));
+        fastrand::shuffle(&mut remote);
+        near.extend(remote);
+        near
+    }
+
     /// A random live peer whose view is newer than `revision`.
     pub(crate) fn peer_ahead_of(&self, revision: u64, now: Millis) -> Option<SocketAddr> {
         let ahead = self
--- /dev/null
+++ b/router/src/forwarding.rs
@@ -0,0 +1,260 @@
+//! Requests that a host without a path to any backend server forwards to another entry host, which
+//! serves them like those of its own callers.
+//!
+//! A request is forwarded once: a host never forwards what a peer forwarded to it. What earlier
+//! attempts did goes with the request, so that its limits on time, attempts and retries and the
+//! truth of a refusal hold for the whole of it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use clementinearch_policy::time::Millis;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, StatusCode,
+    body::{Bytes, Incoming},
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+    http::response,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    call::Call,
+    connections::{Connection, SendOutcome, connect},
+    host_state::HostState,
+    ingress,
+    internal_http::{InternalResponse, with_status},
+    response_body::ResponseBody,
+};
+
+/// Header of a forwarded request with its [`ForwardedState`] as JSON.
+const FORWARDED: HeaderName = HeaderName::from_static("clementinearch-forwarded");
+
+/// Header of the response of a peer that cannot serve a forwarded request: nothing ran.
+const DECLINED: HeaderName = HeaderName::from_static("clementinearch-declined");
+
+/// Headers that concern only the caller's connection.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HeaderName::from_static("keep-alive"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Most forwarded requests that a host serves at a time, which bounds their memory.
+const MAX_FORWARDED: usize = 256;
+
+/// How often a wait for a peer's response checks its time limits and the peer.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time without bytes from a peer after which a test connection shows whether it is reachable.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
+
+/// What became of a request before it was forwarded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ForwardedState {
+    /// Time since the request arrived, milliseconds.
+    pub(crate) age_ms: u64,
+    /// Time to the deadline, milliseconds.
+    pub(crate) remaining_ms: u64,
+    /// Number of attempts that ran or may have run on their server.
+    pub(crate) executions: u32,
+    /// Whether an attempt may have run.
+    pub(crate) may_have_run: bool,
+    /// Whether the request is counted in the forwarding host's retry budget.
+    pub(crate) is_counted: bool,
+    /// Whether an attempt arrived at a server, so that the next one is a retry.
+    pub(crate) has_arrived: bool,
+    /// Model size of the next attempt.
+    pub(crate) size: usize,
+    /// Id of the last event that the caller has.
+    pub(crate) resume_after: Option<u64>,
+}
+
+/// A peer's response whose head has arrived.
+pub(crate) struct PeerResponse {
+    pub(crate) parts: response::Parts,
+    pub(crate) body: Incoming,
+    /// Connection on which the body arrives; dropping it cancels the request at the peer.
+    pub(crate) connection: Connection,
+    pub(crate) peer: SocketAddr,
+}
+
+/// The result of forwarding a request to a peer.
+pub(crate) enum Forwarding {
+    /// The peer served or refused the request.
+    Answered(Box<PeerResponse>),
+    /// The peer did not get the request or cannot serve it: nothing ran.
+    Declined,
+    /// The peer got the request and did not answer: it may have run.
+    Unanswered {
+        /// Reason for logs and metrics.
+        why: &'static str,
+    },
+    /// The deadline passed while the peer had the request.
+    DeadlinePassed,
+}
+
+impl Forwarding {
+    /// Text for logs and metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Declined => "declined",
+            Self::Unanswered { why } => why,
+            Self::DeadlinePassed => "time limit passed",
+        }
+    }
+}
+
+/// Forwards a request to a peer and waits for the head of its response.
+pub(crate) async fn forward(
+    state: &HostState,
+    call: &Call,
+    forwarded: &ForwardedState,
+    peer: SocketAddr,
+) -> Forwarding {
+    let Some(req) = request(call, forwarded) else {
+        return Forwarding::Declined;
+    };
+    let Ok(mut connection) = connect(peer).await else {
+        return Forwarding::Declined;
+    };
+    let sent_at = state.now();
+    let sent = {
+        let mut sending = std::pin::pin!(connection.send(req));
+        loop {
+            let wait = POLL_PERIOD.min(call.remaining(state.now()));
+            if let Ok(sent) = tokio::time::timeout(wait, &mut sending).await {
+                break sent;
+            }
+            let now = state.now();
+            if now >= call.deadline {
+                return Forwarding::DeadlinePassed;
+            }
+            if call.head.route.kind.may_retry() && is_unreachable(peer, sent_at, now).await {
+                return Forwarding::Unanswered { why: "peer silent" };
+            }
+        }
+    };
+    match sent {
+        SendOutcome::Response(response) => {
+            let (parts, body) = response.into_parts();
+            if parts.headers.contains_key(DECLINED) {
+                return Forwarding::Declined;
+            }
+            Forwarding::Answered(Box::new(PeerResponse {
+                parts,
+                body,
+                connection,
+                peer,
+            }))
+        }
+        SendOutcome::NotSent => Forwarding::Declined,
+        SendOutcome::Unknown => Forwarding::Unanswered {
+            why: "peer broke off",
+        },
+    }
+}
+
+/// Whether a peer that has been silent for a while accepts no test connection either.
+pub(crate) async fn is_unreachable(peer: SocketAddr, silent_since: Millis, now: Millis) -> bool {
+    now.since(silent_since) >= SILENCE_BEFORE_CHECK && connect(peer).await.is_err()
+}
+
+/// Builds the request to a peer from the caller's.
+fn request(call: &Call, forwarded: &ForwardedState) -> Option<Request<Full<Bytes>>> {
+    let state = serde_json::to_string(forwarded).ok()?;
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.target.clone();
+    let mut headers = call.received.headers.clone();
+    for name in &CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    if let Some(authority) = call.received.uri.authority()
+        && !headers.contains_key(HOST)
+    {
+        headers.insert(HOST, HeaderValue::from_str(authority.as_str()).ok()?);
+    }
+    headers.insert(FORWARDED, HeaderValue::from_str(&state).ok()?);
+    *req.headers_mut() = headers;
+    Some(req)
+}
+
+/// Whether a peer's request is one that it forwards.
+pub(crate) fn is_forwarded(req: &Request<Incoming>) -> bool {
+    req.headers().contains_key(FORWARDED)
+}
+
+/// A forwarded request that this host serves, counted until it is dropped.
+struct ServedRequest(Arc<HostState>);
+
+impl ServedRequest {
+    /// Counts a request, unless this host serves as many as it can.
+    fn begin(state: &Arc<HostState>) -> Option<Self> {
+        let served = state.forwarded_requests.fetch_add(1, Ordering::Relaxed);
+        let counted = Self(state.clone());
+        (served < MAX_FORWARDED).then_some(counted)
+    }
+}
+
+impl Drop for ServedRequest {
+    fn drop(&mut self) {
+        self.0.forwarded_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a request that a peer forwards.
+pub(crate) async fn serve(state: Arc<HostState>, req: Request<Incoming>) -> InternalResponse {
+    let served = try_serve(&state, req).await;
+    let outcome = if served.is_some() {
+        "served"
+    } else {
+        "declined"
+    };
+    metrics::counter!("clementinearch_forwarded_received_total", "outcome" => outcome).increment(1);
+    served.unwrap_or_else(|| {
+        let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        let headers = response.headers_mut();
+        headers.insert(DECLINED, HeaderValue::from_static("1"));
+        response
+    })
+}
+
+/// Serves a forwarded request. Returns `None` if this host cannot, and nothing ran.
+async fn try_serve(state: &Arc<HostState>, req: Request<Incoming>) -> Option<InternalResponse> {
+    let counted = ServedRequest::begin(state)?;
+    if state.has_lost_servers() {
+        return None;
+    }
+    let (mut parts, body) = req.into_parts();
+    let forwarded = parts.headers.remove(FORWARDED)?;
+    let forwarded: ForwardedState = serde_json::from_slice(forwarded.as_bytes()).ok()?;
+    // This host may still have another configuration than the one that accepted the request.
+    let call = ingress::read_call(state, &Arc::new(parts), body).await;
+    let call = call.ok()?.with_forwarded(forwarded);
+    let response = ingress::serve(state.clone(), call).await;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE && state.has_lost_servers() {
+        // The status states that nothing ran, and another peer may serve it.
+        return None;
+    }
+    // The request counts until its body has ended.
+    Some(response.map(|body| {
+        let body = body.map_frame(move |frame| {
+            let _ = &counted;
+            frame
+        });
+        ResponseBody::new(body)
+    }))
+}
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -66,6 +66,9 @@
     /// Prompt parts that may crash servers.
     #[serde(default)]
     part_evidence: Vec<PartRow>,
+    /// Whether the host reaches no backend server.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    has_lost_servers: bool,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -116,7 +119,10 @@
                         }
                     }
                 }
-                Some(event) = self.events.recv() => self.buffer(event),
+                Some(event) = self.events.recv() => match event {
+                    GossipEvent::Report => self.send_report().await,
+                    event => self.buffer(event),
+                },
                 () = sleep_until(next_events), if has_events => {
                     next_events = Instant::now() + self.send_events().await;
                 }
@@ -133,6 +139,8 @@
             GossipEvent::Prefill(prefill) => self.prefills.push(prefill),
             GossipEvent::Session(session) => self.sessions.push(session),
             GossipEvent::PartEvidence(parts) => self.parts.extend(parts),
+            // Sent without a batch.
+            GossipEvent::Report => {}
         }
     }
 
@@ -179,6 +187,7 @@
             }),
             crash_evidence: state.crash_evidence.lock().rows(now),
             part_evidence: state.part_evidence.lock().rows(now),
+            has_lost_servers: state.has_lost_servers(),
             server_limits: limit_rows(state, now),
         };
         let peers = state.fleet.lock().report_targets(now);
@@ -247,6 +256,7 @@
         address: report.address,
         zone: report.zone,
         store_revision: report.store_revision,
+        has_lost_servers: report.has_lost_servers,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/gossip_event.rs
+++ b/router/src/gossip_event.rs
@@ -11,6 +11,8 @@
     Prefill(Prefill),
     /// There is news of prompt parts that may crash servers.
     PartEvidence(Vec<u64>),
+    /// What the host reports about itself has changed, and peers need it at once.
+    Report,
     /// A request of a session was sent to a server.
     Session(SessionVersion),
 }
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -69,6 +69,10 @@
     loop {
         tokio::time::sleep(PROBE_SCAN_PERIOD).await;
         let now = state.now();
+        if state.has_lost_servers() {
+            // A few servers are tried instead of all, by `connectivity`.
+            continue;
+        }
         for server in state.servers.all() {
             if !server.begin_probe(now) {
                 continue;
@@ -77,6 +81,7 @@
             tokio::spawn(async move {
                 if connect(server.entry.address).await.is_ok() {
                     server.record_connected(state.now());
+                    state.record_server_connected(state.now());
                     state.log_event("server_in_reach", &server.entry.name, "", &[]);
                 }
             });
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    admin,
+    admin, connectivity,
     decision_log::DecisionLog,
     dialect::{Dialect, StoreSchema},
     gossip::Gossip,
@@ -156,6 +156,7 @@
     tokio::spawn(step_rollouts(state.clone(), store));
     tokio::spawn(sweep(state.clone(), metrics));
     tokio::spawn(health_tracking::probe_unreachable(state.clone()));
+    tokio::spawn(connectivity::watch(state.clone()));
     let (ingress, drain) = Ingress::new(state.clone());
     tokio::spawn(ingress.run(callers));
     while let Some(signal) = signals.recv().await {
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -26,6 +26,7 @@
 use crate::{
     call::{Call, hash_bytes},
     clock::Clock,
+    connectivity::ServerPath,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreItem, StoreSchema},
     fleet::Fleet,
@@ -64,6 +65,9 @@
     pub(crate) clock: Clock,
     pub(crate) log: DecisionLog,
     pub(crate) servers: Servers,
+    pub(crate) server_path: ServerPath,
+    /// Number of requests that peers forwarded to this host and that it serves.
+    pub(crate) forwarded_requests: AtomicUsize,
     pub(crate) rollouts: Rollouts,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) view: Mutex<View>,
@@ -122,6 +126,8 @@
             clock: Clock::new(),
             log,
             servers: Servers::default(),
+            server_path: ServerPath::default(),
+            forwarded_requests: AtomicUsize::new(0),
             fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone())),
             settings,
             view: Mutex::default(),
@@ -180,9 +186,13 @@
         found.cloned()
     }
 
-    /// Whether the host accepts requests: it has a routing table and servers, and is not stopping.
+    /// Whether callers should come to this host: it has a routing table and servers, is not
+    /// stopping, and serves what other hosts would serve.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table.read().is_some() && !self.servers.is_empty()
+        !self.is_stopping()
+            && self.table.read().is_some()
+            && !self.servers.is_empty()
+            && !self.should_be_avoided(self.now())
     }
 
     /// Number of this host's requests that run on versions of a service other than `target`.
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -145,6 +145,7 @@
 
 async fn respond(state: Arc<HostState>, req: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = req.into_parts();
+    let parts = Arc::new(parts);
     let mut response = match read_call(&state, &parts, body).await {
         Ok(call) => serve(state.clone(), call).await,
         Err((refusal, head)) => {
@@ -167,7 +168,7 @@
 }
 
 /// Serves a request whose body has arrived.
-async fn serve(state: Arc<HostState>, mut call: Call) -> Response<ResponseBody> {
+pub(crate) async fn serve(state: Arc<HostState>, mut call: Call) -> Response<ResponseBody> {
     let prepared = state.hooks.prepare(&mut call).await;
     match prepared {
         Ok(None) => pipeline::serve(state, call).await,
@@ -200,9 +201,9 @@
 /// # Errors
 ///
 /// Returns a refusal, with the request's head if that could be parsed.
-async fn read_call(
+pub(crate) async fn read_call(
     state: &HostState,
-    parts: &request::Parts,
+    parts: &Arc<request::Parts>,
     body: Incoming,
 ) -> Result<Call, (Refusal, Option<CallHead>)> {
     let arrived = state.now();
@@ -248,6 +249,8 @@
         body,
         arrived,
         head,
+        received: parts.clone(),
+        forwarded: None,
     })
 }
 
--- a/router/src/internal_http.rs
+++ b/router/src/internal_http.rs
@@ -1,8 +1,7 @@
-//! Minimal HTTP server for health checks, operators and peer hosts, which routes by path only.
+//! Minimal HTTP server for health checks, operators and peer hosts.
 
 use std::{convert::Infallible, future::Future, time::Duration};
 
-use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -12,14 +11,16 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-/// Response of the internal server, with a complete body.
-pub(crate) type InternalResponse = Response<Full<Bytes>>;
+use crate::response_body::{ResponseBody, full_body};
 
-/// Serves connections until the process ends, calling `respond` with each request's path. A
-/// connection is closed if its next request does not come within `idle`.
+/// Response of the internal server.
+pub(crate) type InternalResponse = Response<ResponseBody>;
+
+/// Serves connections until the process ends, calling `respond` with each request. A connection is
+/// closed if its next request does not come within `idle`.
 pub(crate) async fn serve<F, A>(listener: TcpListener, idle: Duration, respond: F)
 where
-    F: Fn(String) -> A + Clone + Send + 'static,
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = InternalResponse> + Send + 'static,
 {
     loop {
@@ -28,7 +29,7 @@
         };
         let respond = respond.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let response = respond(req.uri().path().to_owned());
+            let response = respond(req);
             async move { Ok::<_, Infallible>(response.await) }
         });
         let connection = http1::Builder::new()
@@ -42,7 +43,7 @@
 
 /// Builds a response with a status and a body.
 pub(crate) fn with_status(status: StatusCode, body: impl Into<Bytes>) -> InternalResponse {
-    let mut response = Response::new(Full::new(body.into()));
+    let mut response = Response::new(full_body(body));
     *response.status_mut() = status;
     response
 }
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -12,12 +12,16 @@
 
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Request, StatusCode, body::Bytes};
+use hyper::{
+    HeaderMap, Request, StatusCode,
+    body::{Bytes, Incoming},
+};
 use parking_lot::Mutex;
 use tokio::{net::TcpListener, time::timeout};
 
 use crate::{
     connections::{Connection, SendOutcome, connect},
+    forwarding,
     host_state::HostState,
     internal_http::{self, InternalResponse, with_status},
     view::{RevisionRange, ViewDelta},
@@ -102,12 +106,17 @@
     Ok(serde_json::from_slice(&json)?)
 }
 
-/// Serves this host's view to peers until the process ends.
+/// Serves peers until the process ends: this host's view, and requests that they forward.
 pub(crate) async fn serve(state: Arc<HostState>, listener: TcpListener) {
     let cache = Arc::new(ResponseCache::default());
-    let respond = move |path: String| {
+    let respond = move |req: Request<Incoming>| {
         let (state, cache) = (state.clone(), cache.clone());
-        async move { respond(&state, &cache, &path).await }
+        async move {
+            if forwarding::is_forwarded(&req) {
+                return forwarding::serve(state, req).await;
+            }
+            respond(&state, &cache, req.uri().path()).await
+        }
     };
     internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
 }
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -8,14 +8,16 @@
 use hyper::{Response, StatusCode, body::Bytes, http::response};
 
 use crate::{
-    active_request::ActiveRequest,
+    active_request::{ActiveRequest, Reply},
     attempt::{AttemptResponse, is_framed, record_break},
     call::Call,
+    forwarding::PeerResponse,
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     host_state::HostState,
+    peer_source::PeerSource,
     refusal::Refusal,
-    relay::{EventSource, Relay, StreamStep},
+    relay::{EventSource, Relay, Source, StreamStep},
     response_body::{ResponseBody, full_body},
 };
 
@@ -53,7 +55,15 @@
         let mut failure = None;
         loop {
             let response = match self.next_response(self.call.head.resume_after).await {
-                Ok(response) => response,
+                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Peer(response)) => match self.read_peer_response(response).await {
+                    Some(response) => return Ok(response),
+                    None if self.call.head.route.kind.may_retry() => continue,
+                    None => {
+                        let reason = "answer broke off";
+                        return Err(self.finish_refused(Refusal::MayHaveRun { reason }).await);
+                    }
+                },
                 Err(refusal) => return self.forward_failure(failure, refusal).await,
             };
             let sent_at = response.sent_at;
@@ -96,6 +106,33 @@
         }
     }
 
+    /// Reads the response of a peer to its end, for the caller to get as it is. Returns `None` if it
+    /// breaks off, exceeds [`MAX_RESPONSE_BYTES`] or is incomplete at the deadline.
+    async fn read_peer_response(
+        &mut self,
+        response: PeerResponse,
+    ) -> Option<Response<ResponseBody>> {
+        let body = Limited::new(response.body, MAX_RESPONSE_BYTES);
+        let remaining = self.call.remaining(self.state.now());
+        let read = tokio::time::timeout(remaining, body.collect()).await;
+        let Ok(Ok(body)) = read else {
+            let peer = response.peer.to_string();
+            self.log_step("answer_broken", &peer, "broke off", &[]);
+            return None;
+        };
+        let parts = response.parts;
+        let is_success = parts.status.is_success();
+        let body = body.to_bytes();
+        let forwarded = self.forward(CompleteResponse { parts, body }).await;
+        let why = if is_success {
+            "complete"
+        } else {
+            "failure of the peer passed on"
+        };
+        self.end(why, 0);
+        Some(forwarded)
+    }
+
     /// Ends the request with the last failure response of a server, or with `refusal` if there is
     /// none.
     async fn forward_failure(
@@ -175,7 +212,17 @@
         let resume_after = self.call.head.resume_after;
         loop {
             let response = match self.next_response(resume_after).await {
-                Ok(response) => response,
+                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    let parts = response.parts.clone();
+                    let source = PeerSource::new(response, resume_after);
+                    let source = Source::Peer(Box::new(source));
+                    return self.relay(parts, source, Bytes::new()).await;
+                }
+                Ok(Reply::Peer(response)) => match self.read_peer_response(response).await {
+                    Some(response) => return Ok(response),
+                    None => continue,
+                },
                 Err(refusal) => return self.forward_failure(failure, refusal).await,
             };
             let status = response.parts.status;
@@ -216,9 +263,13 @@
                         now.since(sent_at),
                     );
                     record_server_outcome(&self.state, &server, AttemptOutcome::Good, now);
+                    let source = Source::Server(Box::new(source));
                     return self.relay(parts, source, first).await;
                 }
-                StreamStep::End => return self.relay(parts, source, Bytes::new()).await,
+                StreamStep::End => {
+                    let source = Source::Server(Box::new(source));
+                    return self.relay(parts, source, Bytes::new()).await;
+                }
                 StreamStep::Broken(why) => self.record_broken_stream(&source, why).await,
                 StreamStep::DeadlinePassed => {
                     let refusal = Refusal::DeadlinePassed;
@@ -232,7 +283,7 @@
     async fn relay(
         self,
         parts: response::Parts,
-        source: EventSource,
+        source: Source,
         first: Bytes,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let (state, call) = (self.state.clone(), self.call.clone());
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    active_request::ActiveRequest,
+    active_request::{ActiveRequest, Reply},
     attempt::{
         AttemptResponse, CRASHES_SERVERS, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES,
         SERVER_SILENT, attempt_timeout, exceeds_idle_timeout, is_framed, record_abandoned,
@@ -25,6 +25,7 @@
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     in_flight::InFlight,
+    peer_source::PeerSource,
     refusal::Refusal,
 };
 
@@ -33,7 +34,7 @@
 
 /// Gap between two events, as a multiple of the gap objective, after which a stream is resumed on
 /// another server.
-const MAX_GAP_OBJECTIVES: f64 = 3.0;
+pub(crate) const MAX_GAP_OBJECTIVES: f64 = 3.0;
 
 /// Number of frames that are buffered for a slow caller.
 const FRAME_BUFFER: usize = 8;
@@ -230,6 +231,44 @@
     }
 }
 
+/// Where the events of a stream come from.
+pub(crate) enum Source {
+    /// A backend server.
+    Server(Box<EventSource>),
+    /// Another entry host, to which the request was forwarded.
+    Peer(Box<PeerSource>),
+}
+
+impl Source {
+    async fn next(&mut self, request: &ActiveRequest) -> StreamStep {
+        match self {
+            Self::Server(source) => source.next(request).await,
+            Self::Peer(source) => source.next(request).await,
+        }
+    }
+
+    fn last_id(&self) -> Option<u64> {
+        match self {
+            Self::Server(source) => source.last_id(),
+            Self::Peer(source) => source.last_id(),
+        }
+    }
+
+    fn event_count(&self) -> u64 {
+        match self {
+            Self::Server(source) => source.event_count(),
+            Self::Peer(source) => source.event_count(),
+        }
+    }
+
+    fn final_events(&mut self) -> Bytes {
+        match self {
+            Self::Server(source) => source.final_events(),
+            Self::Peer(_) => Bytes::new(),
+        }
+    }
+}
+
 /// The reason why a stream cannot be completed.
 struct StreamFailure {
     /// Cause, for logs and metrics.
@@ -241,7 +280,7 @@
 /// A stream that is being forwarded to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
-    source: EventSource,
+    source: Source,
     /// Events that arrived before the relay was created.
     first: Option<Bytes>,
     /// Whether the outcome of the request is recorded.
@@ -250,7 +289,7 @@
 
 impl Relay {
     /// Creates a relay of the `first` events, followed by the rest of `source`.
-    pub(crate) fn new(request: ActiveRequest, source: EventSource, first: Bytes) -> Self {
+    pub(crate) fn new(request: ActiveRequest, source: Source, first: Bytes) -> Self {
         Self {
             request,
             source,
@@ -354,9 +393,11 @@
         loop {
             let step = self.source.next(&self.request).await;
             let has_ended = matches!(step, StreamStep::End);
-            if has_ended || matches!(step, StreamStep::Events(_)) {
-                let server = self.source.in_flight().server();
-                let events = self.source.event_count();
+            if let Source::Server(source) = &self.source
+                && (has_ended || matches!(step, StreamStep::Events(_)))
+            {
+                let server = source.in_flight().server();
+                let events = source.event_count();
                 let now = self.request.state.now();
                 self.request.record_pace(server, events, has_ended, now);
             }
@@ -386,19 +427,31 @@
     async fn resume(&mut self, why: &'static str) -> Result<(), StreamFailure> {
         let after = self.source.last_id();
         self.request.is_pace_due = false;
-        self.request.record_broken_stream(&self.source, why).await;
+        match &self.source {
+            Source::Server(source) => self.request.record_broken_stream(source, why).await,
+            Source::Peer(source) => self.request.log_broken_relay(source, why),
+        }
         if self.request.call.head.route.kind != (RouteKind::Stream { resumable: true }) {
             let refusal = Refusal::MayHaveRun { reason: why };
             return Err(StreamFailure { why, refusal });
         }
         loop {
             let response = match self.request.next_response(after).await {
-                Ok(response) => response,
+                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    self.source = Source::Peer(Box::new(PeerSource::new(response, after)));
+                    return Ok(());
+                }
+                Ok(Reply::Peer(_)) => {
+                    let refusal = Refusal::MayHaveRun { reason: why };
+                    return Err(StreamFailure { why, refusal });
+                }
                 Err(refusal) => return Err(StreamFailure { why, refusal }),
             };
             if response.parts.status.is_success() && !response.head.is_encoded {
                 // Dropping the old source closes its connection and so cancels the old attempt.
-                (_, self.source) = EventSource::new(response, true);
+                let (_, source) = EventSource::new(response, true);
+                self.source = Source::Server(Box::new(source));
                 return Ok(());
             }
             let server = response.in_flight.server();
@@ -413,6 +466,12 @@
 }
 
 impl ActiveRequest {
+    /// Logs that a stream from a peer broke off.
+    fn log_broken_relay(&self, source: &PeerSource, why: &str) {
+        let events = [("events", source.event_count() as f64)];
+        self.log_step("stream_broken", &source.peer().to_string(), why, &events);
+    }
+
     /// Records that a stream broke off, and its cause against the server.
     pub(crate) async fn record_broken_stream(&mut self, source: &EventSource, why: &'static str) {
         let in_flight = source.in_flight();
--- a/router/src/request_metrics.rs
+++ b/router/src/request_metrics.rs
@@ -7,7 +7,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use parking_lot::Mutex;
 
-use crate::refusal::Refusal;
+use crate::{forwarding::Forwarding, refusal::Refusal};
 
 /// Upper bounds of the histogram buckets, seconds: from one hop within a zone to the longest time
 /// limit of a route.
@@ -109,3 +109,8 @@
 pub(crate) fn count_attempt(end: &'static str) {
     metrics::counter!("clementinearch_attempts_total", "end" => end).increment(1);
 }
+
+/// Counts a request that was forwarded to a peer.
+pub(crate) fn count_forwarding(outcome: &Forwarding) {
+    metrics::counter!("clementinearch_forwarded_total", "outcome" => outcome.label()).increment(1);
+}
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -232,6 +232,11 @@
         observed.last_contact = observed.last_contact.max(now);
     }
 
+    /// Stops taking the server for unreachable.
+    pub(crate) fn forget_unreachable(&self) {
+        self.observed.lock().health.record_reachable();
+    }
+
     /// Whether the next request decides if the server is used again.
     pub(crate) fn is_trial_due(&self, now: Millis) -> bool {
         self.observed.lock().health.is_trial_due(now)
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -6,7 +6,7 @@
     routes::{Route, RouteKind},
     time::Millis,
 };
-use hyper::{HeaderMap, Method, Uri, body::Bytes};
+use hyper::{HeaderMap, Method, Request, Uri, body::Bytes};
 
 use crate::{
     call::{Call, CallHead, ModelChoice},
@@ -66,6 +66,8 @@
         arrived: NOW,
         deadline: NOW,
         content_hash: 7,
+        received: Arc::new(Request::new(()).into_parts().0),
+        forwarded: None,
     })
 }
 
