--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -476,6 +476,11 @@
         self.backends.iter().enumerate().map(start).collect()
     }
 
+    /// Links of a host to the backend servers, in the order in which these were added.
+    pub fn links(&self, host: usize) -> Vec<Arc<Link>> {
+        self.links[host].clone()
+    }
+
     /// Changes the state of all links of a host.
     pub fn set_links(&self, host: usize, state: LinkState) {
         for link in &self.links[host] {
@@ -483,12 +488,6 @@
         }
     }
 
-    /// Changes the state of the link from a host to a backend server, by the order in which both
-    /// were added.
-    pub fn set_link(&self, host: usize, server: usize, state: LinkState) {
-        self.links[host][server].set_state(state);
-    }
-
     /// Starts `count` hosts and waits until they are ready.
     pub fn start_hosts(&mut self, count: usize) {
         for _ in 0..count {
