Leave servers alone for the time of rest that they ask for

Nothing read the header, and a server that turns everything away looks idle to the choice, so that it drew requests; retries came back to it once the list of servers tried was cleared.

A rest now belongs to the start of a server, like the word that it leaves: it holds over changed and returning entries, for every choice, between the choice and the write, and for probes. If all servers of a service rest or name limits, callers are refused at once, with the end of the first rest, spread at the rate that the servers then take.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quality;
 pub mod relative_latency;
 pub mod request_id;
+pub mod rest;
 pub mod retry_budget;
 pub mod rollout;
 pub mod rollout_evidence;
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -13,6 +13,7 @@
 use crate::{
     attempt::{
         Attempt, AttemptResponse, AttemptResult, CRASHES_SERVERS, NOT_REACHED, SERVER_LEAVES,
+        SERVER_RESTS,
     },
     call::{Call, ModelChoice},
     connections::Connection,
@@ -42,9 +43,15 @@
 /// Retry delay for the caller of a request whose content is blocked.
 const CRASHING_REQUEST_RETRY_AFTER: Duration = Duration::from_secs(60);
 
-/// Reason of a refusal while all servers of the service name limits.
+/// Reason of a refusal while all servers of the service name limits or rest.
 const SERVERS_LIMITED: &str = "servers at their limits";
 
+/// Time for which a stream is presumed to occupy a slot.
+const STREAM_SLOT_TIME: Duration = Duration::from_secs(1);
+
+/// Least time for which a call without a stream is presumed to occupy a slot.
+const MIN_SLOT_TIME: Duration = Duration::from_millis(5);
+
 /// Reason of a refusal by a host that reaches no server and found no peer to serve the request.
 const NO_SERVER_REACHED: &str = "no server in reach";
 
@@ -54,7 +61,7 @@
 /// A response to the request whose head has arrived.
 pub(crate) enum Reply {
     /// The response of a backend server.
-    Server(AttemptResponse),
+    Server(Box<AttemptResponse>),
     /// The response of another entry host, to which the request was forwarded.
     Peer(PeerResponse),
 }
@@ -349,7 +356,8 @@
         let return_delay = if self.may_have_run {
             None
         } else {
-            self.state.return_delay(&self.call.service, now)
+            self.state
+                .return_delay(&self.call.service, self.slot_time(), now)
         };
         match return_delay {
             Some(delay) => Refusal::not_run(SERVERS_LIMITED, delay),
@@ -357,6 +365,16 @@
         }
     }
 
+    /// Time for which a request of this route is presumed to occupy a slot of its server.
+    fn slot_time(&self) -> Duration {
+        let route = &self.call.head.route;
+        if route.kind.is_stream() {
+            return STREAM_SLOT_TIME;
+        }
+        let latency_ms = self.state.latencies_ms.largest(&route.name);
+        Duration::from_secs_f64(latency_ms / 1_000.0).max(MIN_SLOT_TIME)
+    }
+
     fn retry_after(&self) -> Duration {
         if self.call.head.route.kind.is_stream() {
             STREAM_RETRY_AFTER
@@ -467,11 +485,11 @@
                     self.executions += 1;
                     self.has_arrived = true;
                     self.may_have_run = true;
-                    return Ok(Reply::Server(*response));
+                    return Ok(Reply::Server(response));
                 }
                 AttemptResult::NotRun { why } => {
                     request_metrics::count_attempt(why);
-                    if !matches!(why, NOT_REACHED | SERVER_LEAVES) {
+                    if !matches!(why, NOT_REACHED | SERVER_LEAVES | SERVER_RESTS) {
                         self.has_arrived = true;
                     } else if is_retry {
                         self.return_retry(now);
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -33,6 +33,8 @@
     servers: usize,
     /// Whether the host reaches backend servers.
     reaches_servers: bool,
+    /// Servers that want nothing from this host now.
+    resting_servers: usize,
     /// Live entry hosts, this one included.
     hosts: usize,
     /// Contents of requests that ran on a crashed server.
@@ -100,6 +102,7 @@
         store_age_ms: now.since(state.last_store_contact()).as_millis() as u64,
         servers: state.servers.names().len(),
         reaches_servers: !state.has_lost_servers(),
+        resting_servers: state.resting_servers(now),
         hosts: state.fleet.lock().live_hosts(now),
         suspect_contents,
         blocked_contents,
@@ -116,6 +119,7 @@
     metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
+    metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
     metrics::gauge!("clementinearch_reaches_servers")
         .set(f64::from(u8::from(!state.has_lost_servers())));
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -52,6 +52,9 @@
 /// Reason of an attempt on a server that said that it leaves while the attempt connected.
 pub(crate) const SERVER_LEAVES: &str = "server leaves";
 
+/// Reason of an attempt on a server that asked for rest while the attempt connected.
+pub(crate) const SERVER_RESTS: &str = "server rests";
+
 /// Reason of an attempt on a server that sends nothing and cannot be reached.
 pub(crate) const SERVER_SILENT: &str = "server silent";
 
@@ -185,6 +188,9 @@
         if !server.accepts_requests() {
             return AttemptResult::NotRun { why: SERVER_LEAVES };
         }
+        if server.is_resting(state.now()) {
+            return AttemptResult::NotRun { why: SERVER_RESTS };
+        }
         // The block may have become known while the attempt connected.
         if state.has_blocked_part(self.call) {
             return AttemptResult::NotRun {
@@ -235,6 +241,7 @@
             && parts.status != StatusCode::MISDIRECTED_REQUEST
         {
             state.record_limit(&server, head.limit, now);
+            state.record_rest(&server, &head, now);
             if head.is_leaving && state.servers.mark_leaving(&server, now) {
                 state.log_event("server_leaving", &server.entry.name, "", &[]);
             }
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -72,6 +72,10 @@
     pub limit: Option<f64>,
     /// Whether the server says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the server wants nothing from this host, with the refusal of a request.
+    pub rest: Option<Duration>,
+    /// Whether the server names a time of rest that cannot be read.
+    pub is_rest_unreadable: bool,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Whether the server closes the connection after this response.
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -74,7 +74,7 @@
             continue;
         }
         for server in state.servers.all() {
-            if !server.begin_probe(now) {
+            if server.is_resting(now) || !server.begin_probe(now) {
                 continue;
             }
             let state = state.clone();
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -55,7 +55,7 @@
         let mut failure = None;
         loop {
             let response = match self.next_response(self.call.head.resume_after).await {
-                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) => match self.read_peer_response(response).await {
                     Some(response) => return Ok(response),
                     None if self.call.head.route.kind.may_retry() => continue,
@@ -212,7 +212,7 @@
         let resume_after = self.call.head.resume_after;
         loop {
             let response = match self.next_response(resume_after).await {
-                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
                     let parts = response.parts.clone();
                     let source = PeerSource::new(response, resume_after);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -437,7 +437,7 @@
         }
         loop {
             let response = match self.request.next_response(after).await {
-                Ok(Reply::Server(response)) => response,
+                Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
                     self.source = Source::Peer(Box::new(PeerSource::new(response, after)));
                     return Ok(());
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -88,6 +88,8 @@
     latency: RelativeLatency,
     /// Whether the server has said that it leaves.
     is_leaving: bool,
+    /// Until when the server wants nothing from this host.
+    resting_until: Millis,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
     /// The limit that the server named last, or that it names none any more.
@@ -170,6 +172,7 @@
             parts_in_order: std::mem::take(&mut observed.parts_in_order),
             latency: observed.latency,
             is_leaving: observed.is_leaving,
+            resting_until: observed.resting_until,
             limit: observed.limit,
             pacer: observed.pacer,
             ..Observations::default()
@@ -196,6 +199,22 @@
         !std::mem::replace(&mut self.observed.lock().is_leaving, true)
     }
 
+    /// Leaves the server alone until `until`. An earlier, longer rest holds.
+    pub(crate) fn rest_until(&self, until: Millis) {
+        let mut observed = self.observed.lock();
+        observed.resting_until = observed.resting_until.max(until);
+    }
+
+    /// Time for which the server still wants nothing from this host.
+    pub(crate) fn rest_left(&self, now: Millis) -> Duration {
+        self.observed.lock().resting_until.since(now)
+    }
+
+    /// Whether the server wants nothing from this host now.
+    pub(crate) fn is_resting(&self, now: Millis) -> bool {
+        !self.rest_left(now).is_zero()
+    }
+
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
     pub(crate) fn has_lapsed_entry(&self) -> bool {
         self.observed.lock().has_lapsed_entry
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -1,4 +1,5 @@
-//! Limits that servers name, as this host keeps them and tells its peers.
+//! Limits and times of rest that servers name, as this host keeps them, and limits as it tells them
+//! its peers.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,7 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{host_state::HostState, server::Server};
+use crate::{dialect::ResponseHead, host_state::HostState, server::Server};
 
 /// What a server said of its limit: hash of its name, requests per second or none, and the age of the
 /// answer in milliseconds.
@@ -77,23 +78,59 @@
         })
     }
 
-    /// If every ready server of a service names a limit, returns the time after which a refused
-    /// caller should return.
-    pub(crate) fn return_delay(&self, service: &Name, now: Millis) -> Option<Duration> {
+    /// Records the time of rest that a server asks for in a response at `now`.
+    pub(crate) fn record_rest(&self, server: &Server, head: &ResponseHead, now: Millis) {
+        if head.is_rest_unreadable {
+            self.log_event("server_rest_unreadable", &server.entry.name, "", &[]);
+            metrics::counter!("clementinearch_rests_total", "kind" => "unreadable").increment(1);
+        }
+        let Some(rest) = head.rest else {
+            return;
+        };
+        let is_news = !server.is_resting(now);
+        self.servers.record_rest(server, now.after(rest), now);
+        if is_news {
+            let inputs = [("rest_ms", rest.as_millis() as f64)];
+            self.log_event("server_rests", &server.entry.name, "", &inputs);
+            metrics::counter!("clementinearch_rests_total", "kind" => "kept").increment(1);
+        }
+    }
+
+    /// Number of servers that want nothing from this host now.
+    pub(crate) fn resting_servers(&self, now: Millis) -> usize {
+        let servers = self.servers.all();
+        servers.iter().filter(|it| it.is_resting(now)).count()
+    }
+
+    /// If every ready server of a service rests or names a limit, returns the time after which a
+    /// refused caller should return. A request occupies a slot for `slot_time`.
+    pub(crate) fn return_delay(
+        &self,
+        service: &Name,
+        slot_time: Duration,
+        now: Millis,
+    ) -> Option<Duration> {
         let pool = self.servers.pool(service);
-        let ready = pool.iter().filter(|server| server.accepts_requests());
-        let limits: Option<Vec<f64>> = ready.map(|server| server.limit()).collect();
-        let total: f64 = limits.filter(|limits| !limits.is_empty())?.iter().sum();
-        let own_rate = total / self.fleet.lock().known_hosts() as f64;
-        let own = pool.iter().filter(|server| {
-            let interval = server
-                .limit()
-                .map(|it| self.limited_interval(server, it, now));
-            server.accepts_requests() && interval.flatten().is_some()
+        let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| it.accepts_requests()).collect();
+        let is_held = |server: &&Arc<Server>| server.limit().is_some() || server.is_resting(now);
+        if ready.is_empty() || !ready.iter().all(is_held) {
+            return None;
+        }
+        let wait = |server: &Arc<Server>| server.limit_wait(now).max(server.rest_left(now));
+        let own = ready.iter().filter(|server| {
+            let limit = server.limit();
+            limit.is_none_or(|it| self.limited_interval(server, it, now).is_some())
         });
-        let earliest = own.map(|server| server.limit_wait(now)).min();
+        let earliest = own.map(|server| wait(server)).min().unwrap_or_default();
+        let rate = |server: &Arc<Server>| {
+            let slots = f64::from(server.entry.slots.max(1));
+            server.limit().unwrap_or(slots / slot_time.as_secs_f64())
+        };
+        let usable = ready.iter().filter(|it| it.rest_left(now) <= earliest);
+        let total: f64 = usable.map(|server| rate(server)).sum();
+        let own_rate = total / self.fleet.lock().known_hosts() as f64;
         let mut schedules = self.return_schedules.lock();
         let schedule = schedules.entry(service.clone()).or_default();
-        Some(schedule.delay(own_rate, earliest.unwrap_or_default(), now))
+        Some(schedule.delay(own_rate, earliest, now))
     }
 }
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -110,7 +110,8 @@
 ) -> Vec<Arc<Server>> {
     let ready: Vec<&Arc<Server>> = pool
         .iter()
-        .filter(|server| server.accepts_requests() && !tried.contains(&server.name_hash))
+        .filter(|server| server.accepts_requests() && !server.is_resting(now))
+        .filter(|server| !tried.contains(&server.name_hash))
         .collect();
     let mut allowed: Vec<&Arc<Server>> = ready
         .iter()
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -28,6 +28,8 @@
     index: RwLock<Index>,
     /// Incarnation of each server that has said that it leaves, and when.
     leaving: Mutex<FastMap<Name, (u64, Millis)>>,
+    /// Incarnation of each server that has asked this host for rest, and the end of the rest.
+    resting: Mutex<FastMap<Name, (u64, Millis)>>,
     /// Whether `by_name` has changed since the index was built.
     is_dirty: AtomicBool,
 }
@@ -113,6 +115,7 @@
         if self.has_left(&next.entry) {
             next.mark_leaving();
         }
+        next.rest_until(self.resting_until(&next.entry));
         by_name.insert(name, Arc::new(next));
         self.is_dirty.store(true, Ordering::Relaxed);
         change
@@ -135,6 +138,38 @@
         is_news
     }
 
+    /// Records that a server wants nothing from this host until `until`.
+    pub(crate) fn record_rest(&self, server: &Server, until: Millis, now: Millis) {
+        let entry = &server.entry;
+        let mut resting = self.resting.lock();
+        resting.retain(|_, (_, until)| *until > now);
+        let known = resting
+            .entry(entry.name.clone())
+            .or_insert((entry.incarnation, until));
+        if known.0 == entry.incarnation {
+            known.1 = known.1.max(until);
+        } else {
+            *known = (entry.incarnation, until);
+        }
+        drop(resting);
+        server.rest_until(until);
+        // The record may have been replaced since the request was sent.
+        if let Some(current) = self.get(&entry.name)
+            && current.entry.incarnation == entry.incarnation
+        {
+            current.rest_until(until);
+        }
+    }
+
+    /// End of the rest that this start of a server has asked for; zero if it has asked for none.
+    fn resting_until(&self, entry: &ServerEntry) -> Millis {
+        let resting = self.resting.lock();
+        match resting.get(&entry.name) {
+            Some((incarnation, until)) if *incarnation == entry.incarnation => *until,
+            _ => Millis::default(),
+        }
+    }
+
     fn has_left(&self, entry: &ServerEntry) -> bool {
         let leaving = self.leaving.lock();
         let known = leaving.get(&entry.name);
