Send brittle servers no more than they have slots for

A server that says Server-Brittle falls over if it has to turn away more than so many requests in a second (LIMIT). Nothing read that: hosts that choose by lagging reports filled the same servers, and tried the next one with each refusal. Four hosts and 100 callers made each of three servers turn away 710 to 718 requests in a second, where 8 are borne.

While a server says so, its slots are dealt out to the hosts in an order that all of them share: what a host sends there at a time is what its places hold, so that none is turned away for want of a slot, however reports lag. A request waits for a place for a quarter of its objective and is refused then. Hosts without a place, where there are more hosts than slots, take turns within half of the refusals borne. After a refusal a host leaves the server alone so long that all hosts together stay below its number. Hosts tell each other of it in their reports.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod orders;
 pub mod part_evidence;
 pub mod placement;
+pub mod places;
 pub mod plan;
 pub mod prefill_time;
 pub mod quality;
--- a/policy/src/server_limit.rs
+++ b/policy/src/server_limit.rs
@@ -16,7 +16,7 @@
 const MIN_RATE: f64 = 0.1;
 
 /// Highest rate that counts as a limit, requests per second.
-const MAX_LIMIT: f64 = 100_000.0;
+pub(crate) const MAX_LIMIT: f64 = 100_000.0;
 
 /// Longest time after which a refused caller is asked to return.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(60);
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -46,6 +46,12 @@
 /// Reason of a refusal while all servers of the service name limits or rest.
 const SERVERS_LIMITED: &str = "servers at their limits";
 
+/// Fraction of the latency objective for which a request waits for a place at brittle servers.
+const PLACE_WAIT: f64 = 0.25;
+
+/// How often a request that waits looks for a place.
+const PLACE_POLL_PERIOD: Duration = Duration::from_millis(5);
+
 /// Time for which a stream is presumed to occupy a slot.
 const STREAM_SLOT_TIME: Duration = Duration::from_secs(1);
 
@@ -393,6 +399,25 @@
         chosen.map_err(|refusal| self.with_execution(refusal))
     }
 
+    /// Waits a little for a place at servers that must hardly turn requests away. Returns `None` if
+    /// none gets free, or there are no such servers.
+    async fn wait_for_place(&self) -> Result<Option<ChosenServer>, Refusal> {
+        let objective = self.call.head.route.objective;
+        let limit = self.call.arrived.after(objective.mul_f64(PLACE_WAIT));
+        loop {
+            let now = self.state.now();
+            let is_over = now >= limit.min(self.call.deadline);
+            if is_over || !self.state.has_places(&self.call.service, now) {
+                return Ok(None);
+            }
+            tokio::time::sleep(PLACE_POLL_PERIOD).await;
+            let chosen = self.choose(self.state.now()).await?;
+            if chosen.is_some() {
+                return Ok(chosen);
+            }
+        }
+    }
+
     fn context(&self, now: Millis) -> RequestContext<'_> {
         RequestContext {
             state: &self.state,
@@ -456,9 +481,13 @@
                 self.tried.clear();
                 chosen = self.choose(now).await?;
             }
+            if chosen.is_none() {
+                chosen = self.wait_for_place().await?;
+            }
             let Some(chosen) = chosen else {
-                return Err(self.refusal_without_server(now));
+                return Err(self.refusal_without_server(self.state.now()));
             };
+            let now = self.state.now();
             self.pending_ms = chosen.pending_ms;
             self.prefill_ms = chosen.in_flight.expected_prefill().as_secs_f64() * 1_000.0;
             self.running = chosen.running;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -241,6 +241,10 @@
             && parts.status != StatusCode::MISDIRECTED_REQUEST
         {
             state.record_limit(&server, head.limit, now);
+            state.record_refusal_limit(&server, head.refusal_limit, now);
+            if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+                state.record_no_room(&server, now);
+            }
             state.record_rest(&server, &head, now);
             if head.is_leaving && state.servers.mark_leaving(&server, now) {
                 state.log_event("server_leaving", &server.entry.name, "", &[]);
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -70,6 +70,8 @@
     /// Rate of requests that the server takes from all hosts together, requests per second; none if
     /// it names none.
     pub limit: Option<f64>,
+    /// Refusals per second above which the server falls over; none if it names none.
+    pub refusal_limit: Option<f64>,
     /// Whether the server says that it leaves.
     pub is_leaving: bool,
     /// Time for which the server wants nothing from this host, with the refusal of a request.
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -111,6 +111,12 @@
         1 + self.peers.len()
     }
 
+    /// Number of known hosts whose name sorts before this one's.
+    pub(crate) fn rank_among_known(&self) -> usize {
+        let names = self.peers.keys();
+        names.filter(|name| **name < self.own_name).count()
+    }
+
     /// Number of live hosts, this one included.
     pub(crate) fn live_hosts(&self, now: Millis) -> usize {
         1 + self.live_peers(now).count()
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -25,7 +25,7 @@
     host_state::HostState,
     rollout::RolloutReport,
     rollouts::SessionVersion,
-    server_limits::{LimitRow, limit_rows, merge_limits},
+    server_limits::{LimitRow, limit_rows, merge_limits, merge_refusal_limits, refusal_limit_rows},
 };
 
 /// Largest datagram that is read, bytes. Reports with the evidence of a rollout on many routes are
@@ -72,6 +72,9 @@
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
+    /// Refusals per second that servers bear, by what any host heard last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    refusal_limits: Vec<LimitRow>,
 }
 
 /// Sends this host's gossip and receives that of its peers.
@@ -189,6 +192,7 @@
             part_evidence: state.part_evidence.lock().rows(now),
             has_lost_servers: state.has_lost_servers(),
             server_limits: limit_rows(state, now),
+            refusal_limits: refusal_limit_rows(state, now),
         };
         let peers = state.fleet.lock().report_targets(now);
         self.send(&Datagram::Report(Box::new(report)), &peers).await;
@@ -243,6 +247,7 @@
         .rollouts
         .merge_reports(&report.from, zone, report.rollouts, now);
     merge_limits(state, &report.server_limits, now);
+    merge_refusal_limits(state, &report.refusal_limits, now);
     let reply = state.merge_part_rows(&report.part_evidence, now);
     let newly_blocked = state
         .crash_evidence
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -94,6 +94,8 @@
     has_lapsed_entry: bool,
     /// The limit that the server named last, or that it names none any more.
     limit: Option<NamedLimit>,
+    /// The refusals per second that the server bears, as it said last.
+    refusal_limit: Option<NamedLimit>,
     /// Spaces this host's requests while the server names a limit.
     pacer: Pacer,
 }
@@ -101,7 +103,7 @@
 /// What a server said of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct NamedLimit {
-    /// Requests per second from all hosts together; none if the server is no longer in need.
+    /// Requests or refusals per second; none if the server is no longer in need.
     pub(crate) per_s: Option<f64>,
     /// When the server said so.
     pub(crate) named_at: Millis,
@@ -174,6 +176,7 @@
             is_leaving: observed.is_leaving,
             resting_until: observed.resting_until,
             limit: observed.limit,
+            refusal_limit: observed.refusal_limit,
             pacer: observed.pacer,
             ..Observations::default()
         };
@@ -321,14 +324,23 @@
     /// Records the limit that an answer at `named_at` named, or that it named none. Returns whether
     /// that is a change.
     pub(crate) fn record_limit(&self, per_s: Option<f64>, named_at: Millis) -> bool {
-        let mut observed = self.observed.lock();
-        let known = observed.limit;
-        let is_news = known.map_or(per_s.is_some(), |known| named_at >= known.named_at);
-        if !is_news {
-            return false;
-        }
-        observed.limit = Some(NamedLimit { per_s, named_at });
-        known.and_then(|known| known.per_s) != per_s
+        record_named(&mut self.observed.lock().limit, per_s, named_at)
+    }
+
+    /// Records the refusals per second that the server bears by an answer at `named_at`, or that it
+    /// named none. Returns whether that is a change.
+    pub(crate) fn record_refusal_limit(&self, per_s: Option<f64>, named_at: Millis) -> bool {
+        record_named(&mut self.observed.lock().refusal_limit, per_s, named_at)
+    }
+
+    /// What the server said last of the refusals that it bears; none if it has never named any.
+    pub(crate) fn named_refusal_limit(&self) -> Option<NamedLimit> {
+        self.observed.lock().refusal_limit
+    }
+
+    /// Refusals per second above which the server falls over, if it names them.
+    pub(crate) fn refusal_limit(&self) -> Option<f64> {
+        self.named_refusal_limit().and_then(|limit| limit.per_s)
     }
 
     /// What the server said last of its limit; none if it has never named one.
@@ -459,6 +471,17 @@
     }
 }
 
+/// Replaces what a server said if the new word is as late. Returns whether it says another number.
+fn record_named(known: &mut Option<NamedLimit>, per_s: Option<f64>, named_at: Millis) -> bool {
+    let earlier = *known;
+    let is_news = earlier.map_or(per_s.is_some(), |earlier| named_at >= earlier.named_at);
+    if !is_news {
+        return false;
+    }
+    *known = Some(NamedLimit { per_s, named_at });
+    earlier.and_then(|earlier| earlier.per_s) != per_s
+}
+
 /// A resource that a request holds while it runs; dropping it releases the resource.
 pub type Permit = Box<dyn Any + Send + Sync>;
 
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -5,12 +5,17 @@
 
 use clementinearch_policy::{
     names::Name,
+    places::{pause_until, places, unplaced_interval},
     server_limit::{send_interval, senders},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{dialect::ResponseHead, host_state::HostState, server::Server};
+use crate::{
+    dialect::ResponseHead,
+    host_state::HostState,
+    server::{NamedLimit, Server},
+};
 
 /// What a server said of its limit: hash of its name, requests per second or none, and the age of the
 /// answer in milliseconds.
@@ -22,9 +27,22 @@
 
 /// Returns what this host knows of the servers' limits, for peers.
 pub(crate) fn limit_rows(state: &HostState, now: Millis) -> Vec<LimitRow> {
+    rows(state, now, |server| server.named_limit())
+}
+
+/// Returns what this host knows of the refusals that servers bear, for peers.
+pub(crate) fn refusal_limit_rows(state: &HostState, now: Millis) -> Vec<LimitRow> {
+    rows(state, now, |server| server.named_refusal_limit())
+}
+
+fn rows(
+    state: &HostState,
+    now: Millis,
+    named: impl Fn(&Server) -> Option<NamedLimit>,
+) -> Vec<LimitRow> {
     let servers = state.servers.all();
     let row = |server: &Arc<Server>| {
-        let limit = server.named_limit()?;
+        let limit = named(server)?;
         let age = now.since(limit.named_at);
         let is_current = limit.per_s.is_some() || age <= ENDED_LIMIT_LIFETIME;
         is_current.then(|| LimitRow(server.name_hash, limit.per_s, age.as_millis() as u64))
@@ -34,14 +52,55 @@
 
 /// Records what a peer knows of the servers' limits.
 pub(crate) fn merge_limits(state: &HostState, rows: &[LimitRow], now: Millis) {
-    for LimitRow(name_hash, per_s, age_ms) in rows {
-        if let Some(server) = state.servers.by_hash(*name_hash) {
-            let named_at = Millis(now.0.saturating_sub(*age_ms));
-            state.record_limit(&server, *per_s, named_at);
-        }
+    for (server, per_s, named_at) in read_rows(state, rows, now) {
+        state.record_limit(&server, per_s, named_at);
     }
 }
 
+/// Records what a peer knows of the refusals that servers bear.
+pub(crate) fn merge_refusal_limits(state: &HostState, rows: &[LimitRow], now: Millis) {
+    for (server, per_s, named_at) in read_rows(state, rows, now) {
+        state.record_refusal_limit(&server, per_s, named_at);
+    }
+}
+
+fn read_rows(
+    state: &HostState,
+    rows: &[LimitRow],
+    now: Millis,
+) -> Vec<(Arc<Server>, Option<f64>, Millis)> {
+    let read = |LimitRow(name_hash, per_s, age_ms): &LimitRow| {
+        let server = state.servers.by_hash(*name_hash)?;
+        Some((server, *per_s, Millis(now.0.saturating_sub(*age_ms))))
+    };
+    rows.iter().filter_map(read).collect()
+}
+
+/// Leaves only the servers that may get a request as far as the refusals that they bear go: brittle
+/// ones must have a free place of this host. `pool` holds all servers of the service.
+pub(crate) fn retain_placed(
+    state: &HostState,
+    pool: &[Arc<Server>],
+    eligible: &mut Vec<Arc<Server>>,
+    now: Millis,
+) {
+    if eligible.iter().all(|it| it.refusal_limit().is_none()) {
+        return;
+    }
+    let own = state.places(pool);
+    let has_places = own.iter().any(|places| *places > 0);
+    eligible.retain(|server| {
+        if server.refusal_limit().is_none() {
+            return true;
+        }
+        if !has_places {
+            return server.limit_wait(now).is_zero();
+        }
+        let index = pool.iter().position(|it| it.name_hash == server.name_hash);
+        index.is_some_and(|index| server.local_running() < own[index])
+    });
+}
+
 impl HostState {
     /// Records the limit that a server names at `named_at`, or that it names none.
     pub(crate) fn record_limit(&self, server: &Server, per_s: Option<f64>, named_at: Millis) {
@@ -78,6 +137,59 @@
         })
     }
 
+    /// Places of this host at each server of a pool.
+    fn places(&self, pool: &[Arc<Server>]) -> Vec<u32> {
+        let slots: Vec<u32> = pool.iter().map(|server| server.entry.slots).collect();
+        let fleet = self.fleet.lock();
+        places(&slots, fleet.rank_among_known(), fleet.known_hosts())
+    }
+
+    /// Counts a request to a server that names the refusals that it bears.
+    pub(crate) fn take_place(&self, pool: &[Arc<Server>], server: &Server, now: Millis) {
+        let Some(limit) = server.refusal_limit() else {
+            return;
+        };
+        if self.places(pool).iter().all(|places| *places == 0) {
+            let hosts = self.fleet.lock().known_hosts();
+            server.take_paced(unplaced_interval(limit, hosts), now);
+        }
+    }
+
+    /// Whether a server of a service takes requests once a place of this host is free.
+    pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
+        let pool = self.servers.pool(service);
+        pool.iter().any(|server| {
+            server.accepts_requests() && !server.is_resting(now) && server.refusal_limit().is_some()
+        })
+    }
+
+    /// Records the refusals per second that a server bears, or that it names none.
+    pub(crate) fn record_refusal_limit(
+        &self,
+        server: &Server,
+        per_s: Option<f64>,
+        named_at: Millis,
+    ) {
+        if server.record_refusal_limit(per_s, named_at) {
+            let event = if per_s.is_some() {
+                "server_brittle"
+            } else {
+                "server_no_longer_brittle"
+            };
+            let inputs: Vec<(&str, f64)> =
+                per_s.map(|limit| ("per_s", limit)).into_iter().collect();
+            self.log_event(event, &server.entry.name, "", &inputs);
+        }
+    }
+
+    /// Leaves a brittle server alone for a while that had no room for a request at `now`.
+    pub(crate) fn record_no_room(&self, server: &Server, now: Millis) {
+        if let Some(limit) = server.refusal_limit() {
+            let hosts = self.fleet.lock().known_hosts();
+            server.rest_until(pause_until(limit, hosts, now));
+        }
+    }
+
     /// Records the time of rest that a server asks for in a response at `now`.
     pub(crate) fn record_rest(&self, server: &Server, head: &ResponseHead, now: Millis) {
         if head.is_rest_unreadable {
@@ -112,11 +224,20 @@
     ) -> Option<Duration> {
         let pool = self.servers.pool(service);
         let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| it.accepts_requests()).collect();
-        let is_held = |server: &&Arc<Server>| server.limit().is_some() || server.is_resting(now);
+        let is_held = |server: &&Arc<Server>| {
+            let names_limit = server.limit().is_some() || server.refusal_limit().is_some();
+            names_limit || server.is_resting(now)
+        };
         if ready.is_empty() || !ready.iter().all(is_held) {
             return None;
         }
-        let wait = |server: &Arc<Server>| server.limit_wait(now).max(server.rest_left(now));
+        let wait = |server: &Arc<Server>| {
+            let held = server.limit_wait(now).max(server.rest_left(now));
+            match server.refusal_limit() {
+                Some(_) => held.max(slot_time),
+                None => held,
+            }
+        };
         let own = ready.iter().filter(|server| {
             let limit = server.limit();
             limit.is_none_or(|it| self.limited_interval(server, it, now).is_some())
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -14,6 +14,7 @@
     in_flight::InFlight,
     rollouts::VersionRule,
     server::{Permit, Server},
+    server_limits::retain_placed,
 };
 
 /// Probability that the server of the first rank has a prompt's shared prefix in its cache because
@@ -60,6 +61,7 @@
         .version_rule(&call.service, call.rollout_hash(), has_session, now);
     let mut eligible = eligible_servers(&pool, call, &rule, tried, now);
     eligible.retain(|server| state.is_within_limit(server, now));
+    retain_placed(state, &pool, &mut eligible, now);
     let views = server_views(call, &eligible, size, now);
     let query = PlacementQuery {
         zone: &state.settings.zone,
@@ -78,6 +80,7 @@
     {
         server.take_paced(interval, now);
     }
+    state.take_place(&pool, &server, now);
     let uncached_tokens = (query.prompt_tokens - views[index].cached_tokens).max(0.0);
     if let Some(prompt) = &call.head.prompt {
         server.record_parts(prompt, size, now);
