--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -1,10 +1,9 @@
 //! The state of one request from admission to its end: attempts, retry limits, log lines and
 //! metrics.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    connectivity::CHECK_PERIOD,
     crash_suspects::ContentStatus,
     sizing::{SizingQuery, first_size},
     time::Millis,
@@ -19,7 +18,7 @@
     connections::Connection,
     decision_log::{Decision, Severity},
     dialect::ResponseHead,
-    forwarding::{ForwardedState, Forwarding, PeerResponse, forward},
+    forwarding::PeerResponse,
     hooks::{AttemptEnd, CallEnd, RequestContext, ServerQuery},
     host_state::HostState,
     refusal::Refusal,
@@ -28,12 +27,6 @@
     server_selection::ChosenServer,
 };
 
-/// Maximum number of attempts per request, including those that servers refused to run.
-const MAX_SENDS: u32 = 6;
-
-/// Minimum time before the deadline for which another attempt is worthwhile.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
-
 /// Retry delay for the caller after no server took a call without a stream.
 const PLAIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -58,12 +51,6 @@
 /// Least time for which a call without a stream is presumed to occupy a slot.
 const MIN_SLOT_TIME: Duration = Duration::from_millis(5);
 
-/// Reason of a refusal by a host that reaches no server and found no peer to serve the request.
-const NO_SERVER_REACHED: &str = "no server in reach";
-
-/// Most peers that are asked in turn to serve a request. Those that cannot decline at once.
-pub(crate) const MAX_PEERS_ASKED: usize = 8;
-
 /// A response to the request whose head has arrived.
 pub(crate) enum Reply {
     /// The response of a backend server.
@@ -80,14 +67,14 @@
     /// Hashes of the names of servers that were already tried.
     pub(crate) tried: Vec<u64>,
     /// Number of attempts that ran or may have run on their server.
-    executions: u32,
+    pub(crate) executions: u32,
     /// Number of attempts.
-    sends: u32,
+    pub(crate) sends: u32,
     /// Whether an attempt arrived at a server, so that the next one is a retry.
-    has_arrived: bool,
+    pub(crate) has_arrived: bool,
     /// Whether the request is counted in the retry budget of this or the forwarding host.
-    is_counted: bool,
-    may_have_run: bool,
+    pub(crate) is_counted: bool,
+    pub(crate) may_have_run: bool,
     /// Current model size, as an index into the route's sizes.
     pub(crate) size: usize,
     has_ended: bool,
@@ -293,64 +280,8 @@
         refusal
     }
 
-    /// Number of further attempts that may run the request.
-    pub(crate) fn attempts_left(&self) -> u32 {
-        self.call
-            .head
-            .route
-            .max_attempts
-            .saturating_sub(self.executions)
-    }
-
-    /// Whether the limits on time and number allow another attempt.
-    fn has_attempt_left(&self, now: Millis) -> bool {
-        self.attempts_left() > 0
-            && self.sends < MAX_SENDS
-            && self.call.remaining(now) >= MIN_ATTEMPT_TIME
-    }
-
-    /// Whether the current attempt may be abandoned for another one.
-    pub(crate) fn may_abandon_attempt(&self, now: Millis) -> bool {
-        self.attempts_left() > 0
-            && self.sends < MAX_SENDS
-            && self
-                .state
-                .with_retry_budget(&self.call.service, now, |budget, limit, hosts| {
-                    budget.has_room(limit, hosts, now)
-                })
-    }
-
-    /// Takes another attempt from the retry budget. Returns whether it is allowed.
-    fn take_retry(&mut self, now: Millis) -> bool {
-        self.has_attempt_left(now)
-            && self
-                .state
-                .with_retry_budget(&self.call.service, now, |budget, limit, hosts| {
-                    budget.try_take(limit, hosts, now)
-                })
-    }
-
-    fn count_first_attempt(&mut self, now: Millis) {
-        if std::mem::replace(&mut self.is_counted, true) {
-            return;
-        }
-        self.state
-            .with_retry_budget(&self.call.service, now, |budget, limit, _| {
-                budget.record_first_attempt(limit, now);
-            });
-    }
-
-    /// Returns an attempt to the retry budget: it did not reach its server and so did not add to its
-    /// load.
-    fn return_retry(&self, now: Millis) {
-        self.state
-            .with_retry_budget(&self.call.service, now, |budget, limit, _| {
-                budget.refund(limit, now);
-            });
-    }
-
     /// Builds the refusal for when no further attempt is possible.
-    fn refusal_after_attempts(&self, reason: &'static str) -> Refusal {
+    pub(crate) fn refusal_after_attempts(&self, reason: &'static str) -> Refusal {
         if self.may_have_run {
             return Refusal::MayHaveRun { reason };
         }
@@ -550,96 +481,6 @@
         }
     }
 
-    /// Forwards the request to peers in turn until one serves it.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no peer does, or the request must not be sent again.
-    async fn forward_to_peer(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<PeerResponse, Refusal> {
-        let now = self.state.now();
-        let mut peers = Vec::new();
-        // A request that a peer forwarded goes back to that peer, which knows who else is left.
-        if self.call.forwarded.is_none() {
-            peers = self.state.fleet.lock().forwarding_peers(now);
-        }
-        peers.truncate(MAX_PEERS_ASKED);
-        let has_peers = !peers.is_empty();
-        for peer in peers {
-            let now = self.state.now();
-            if !self.has_attempt_left(now) {
-                return Err(self.refusal_after_attempts("no attempt left"));
-            }
-            let forwarded = self.forwarded_state(resume_after, now);
-            let outcome = forward(&self.state, &self.call, &forwarded, peer).await;
-            let now = self.state.now();
-            request_metrics::count_forwarding(&outcome);
-            self.log_forwarding(peer, &outcome);
-            match outcome {
-                Forwarding::Answered(response) => {
-                    self.state.record_forwarding(true, now);
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
-                    return Ok(*response);
-                }
-                Forwarding::Declined => {
-                    self.state.fleet.lock().record_forwarding_refused(peer);
-                }
-                Forwarding::Unanswered { why } => {
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
-                    if !self.call.head.route.kind.may_retry() {
-                        return Err(Refusal::MayHaveRun { reason: why });
-                    }
-                }
-                Forwarding::DeadlinePassed => {
-                    self.may_have_run = true;
-                    return Err(Refusal::DeadlinePassed);
-                }
-            }
-        }
-        if has_peers {
-            self.state.record_forwarding(false, self.state.now());
-        }
-        if self.may_have_run {
-            return Err(Refusal::MayHaveRun {
-                reason: NO_SERVER_REACHED,
-            });
-        }
-        Err(Refusal::not_run(NO_SERVER_REACHED, CHECK_PERIOD))
-    }
-
-    fn forwarded_state(&self, resume_after: Option<u64>, now: Millis) -> ForwardedState {
-        ForwardedState {
-            age_ms: now.since(self.call.arrived).as_millis() as u64,
-            remaining_ms: self.call.remaining(now).as_millis() as u64,
-            executions: self.executions,
-            may_have_run: self.may_have_run,
-            is_counted: self.is_counted,
-            has_arrived: self.has_arrived,
-            size: self.size,
-            resume_after,
-        }
-    }
-
-    fn log_forwarding(&self, peer: SocketAddr, outcome: &Forwarding) {
-        let severity = match outcome {
-            Forwarding::Answered(_) => Severity::Detail,
-            _ => Severity::Important,
-        };
-        self.log(
-            severity,
-            "forwarded",
-            &peer.to_string(),
-            outcome.label(),
-            &[],
-        );
-    }
-
     /// Time from sending to the first event that was expected of the last attempt.
     pub(crate) fn expected_latency(&self) -> Duration {
         Duration::from_secs_f64((self.pending_ms + self.prefill_ms) / 1_000.0)
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -9,8 +9,8 @@
 use clementinearch_policy::{names::Name, retry_budget::USABLE_FRACTION, time::Millis};
 
 use crate::{
-    active_request::MAX_PEERS_ASKED,
     fleet::{Fleet, PEERS_PER_PERIOD, PeerInfo, REMOTE_PEERS_PER_PERIOD},
+    peer_attempts::MAX_PEERS_ASKED,
 };
 
 const PERIOD: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/router/src/peer_attempts.rs
@@ -0,0 +1,111 @@
+//! Attempts of a request at other entry hosts, while this one reaches no backend server.
+
+use std::net::SocketAddr;
+
+use clementinearch_policy::{connectivity::CHECK_PERIOD, time::Millis};
+
+use crate::{
+    active_request::ActiveRequest,
+    decision_log::Severity,
+    forwarding::{ForwardedState, Forwarding, PeerResponse, forward},
+    refusal::Refusal,
+    request_metrics,
+};
+
+/// Reason of a refusal by a host that reaches no server and found no peer to serve the request.
+const NO_SERVER_REACHED: &str = "no server in reach";
+
+/// Most peers that are asked in turn to serve a request. Those that cannot decline at once.
+pub(crate) const MAX_PEERS_ASKED: usize = 8;
+
+impl ActiveRequest {
+    /// Forwards the request to peers in turn until one serves it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no peer does, or the request must not be sent again.
+    pub(crate) async fn forward_to_peer(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<PeerResponse, Refusal> {
+        let now = self.state.now();
+        let mut peers = Vec::new();
+        // A request that a peer forwarded goes back to that peer, which knows who else is left.
+        if self.call.forwarded.is_none() {
+            peers = self.state.fleet.lock().forwarding_peers(now);
+        }
+        peers.truncate(MAX_PEERS_ASKED);
+        let has_peers = !peers.is_empty();
+        for peer in peers {
+            let now = self.state.now();
+            if !self.has_attempt_left(now) {
+                return Err(self.refusal_after_attempts("no attempt left"));
+            }
+            let forwarded = self.forwarded_state(resume_after, now);
+            let outcome = forward(&self.state, &self.call, &forwarded, peer).await;
+            let now = self.state.now();
+            request_metrics::count_forwarding(&outcome);
+            self.log_forwarding(peer, &outcome);
+            match outcome {
+                Forwarding::Answered(response) => {
+                    self.state.record_forwarding(true, now);
+                    self.executions += 1;
+                    self.has_arrived = true;
+                    self.may_have_run = true;
+                    return Ok(*response);
+                }
+                Forwarding::Declined => {
+                    self.state.fleet.lock().record_forwarding_refused(peer);
+                }
+                Forwarding::Unanswered { why } => {
+                    self.executions += 1;
+                    self.has_arrived = true;
+                    self.may_have_run = true;
+                    if !self.call.head.route.kind.may_retry() {
+                        return Err(Refusal::MayHaveRun { reason: why });
+                    }
+                }
+                Forwarding::DeadlinePassed => {
+                    self.may_have_run = true;
+                    return Err(Refusal::DeadlinePassed);
+                }
+            }
+        }
+        if has_peers {
+            self.state.record_forwarding(false, self.state.now());
+        }
+        if self.may_have_run {
+            return Err(Refusal::MayHaveRun {
+                reason: NO_SERVER_REACHED,
+            });
+        }
+        Err(Refusal::not_run(NO_SERVER_REACHED, CHECK_PERIOD))
+    }
+
+    fn forwarded_state(&self, resume_after: Option<u64>, now: Millis) -> ForwardedState {
+        ForwardedState {
+            age_ms: now.since(self.call.arrived).as_millis() as u64,
+            remaining_ms: self.call.remaining(now).as_millis() as u64,
+            executions: self.executions,
+            may_have_run: self.may_have_run,
+            is_counted: self.is_counted,
+            has_arrived: self.has_arrived,
+            size: self.size,
+            resume_after,
+        }
+    }
+
+    fn log_forwarding(&self, peer: SocketAddr, outcome: &Forwarding) {
+        let severity = match outcome {
+            Forwarding::Answered(_) => Severity::Detail,
+            _ => Severity::Important,
+        };
+        self.log(
+            severity,
+            "forwarded",
+            &peer.to_string(),
+            outcome.label(),
+            &[],
+        );
+    }
+}
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -5,7 +5,6 @@
 
 use clementinearch_policy::{
     names::Name,
-    places::{pause_until, places, unplaced_interval},
     server_limit::{send_interval, senders},
     time::Millis,
 };
@@ -76,31 +75,6 @@
     rows.iter().filter_map(read).collect()
 }
 
-/// Leaves only the servers that may get a request as far as the refusals that they bear go: brittle
-/// ones must have a free place of this host. `pool` holds all servers of the service.
-pub(crate) fn retain_placed(
-    state: &HostState,
-    pool: &[Arc<Server>],
-    eligible: &mut Vec<Arc<Server>>,
-    now: Millis,
-) {
-    if eligible.iter().all(|it| it.refusal_limit().is_none()) {
-        return;
-    }
-    let own = state.places(pool);
-    let has_places = own.iter().any(|places| *places > 0);
-    eligible.retain(|server| {
-        if server.refusal_limit().is_none() {
-            return true;
-        }
-        if !has_places {
-            return server.limit_wait(now).is_zero();
-        }
-        let index = pool.iter().position(|it| it.name_hash == server.name_hash);
-        index.is_some_and(|index| server.local_running() < own[index])
-    });
-}
-
 impl HostState {
     /// Records the limit that a server names at `named_at`, or that it names none.
     pub(crate) fn record_limit(&self, server: &Server, per_s: Option<f64>, named_at: Millis) {
@@ -137,32 +111,6 @@
         })
     }
 
-    /// Places of this host at each server of a pool.
-    fn places(&self, pool: &[Arc<Server>]) -> Vec<u32> {
-        let slots: Vec<u32> = pool.iter().map(|server| server.entry.slots).collect();
-        let fleet = self.fleet.lock();
-        places(&slots, fleet.rank_among_known(), fleet.known_hosts())
-    }
-
-    /// Counts a request to a server that names the refusals that it bears.
-    pub(crate) fn take_place(&self, pool: &[Arc<Server>], server: &Server, now: Millis) {
-        let Some(limit) = server.refusal_limit() else {
-            return;
-        };
-        if self.places(pool).iter().all(|places| *places == 0) {
-            let hosts = self.fleet.lock().known_hosts();
-            server.take_paced(unplaced_interval(limit, hosts), now);
-        }
-    }
-
-    /// Whether a server of a service takes requests once a place of this host is free.
-    pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
-        let pool = self.servers.pool(service);
-        pool.iter().any(|server| {
-            server.accepts_requests() && !server.is_resting(now) && server.refusal_limit().is_some()
-        })
-    }
-
     /// Records the refusals per second that a server bears, or that it names none.
     pub(crate) fn record_refusal_limit(
         &self,
@@ -182,14 +130,6 @@
         }
     }
 
-    /// Leaves a brittle server alone for a while that had no room for a request at `now`.
-    pub(crate) fn record_no_room(&self, server: &Server, now: Millis) {
-        if let Some(limit) = server.refusal_limit() {
-            let hosts = self.fleet.lock().known_hosts();
-            server.rest_until(pause_until(limit, hosts, now));
-        }
-    }
-
     /// Records the time of rest that a server asks for in a response at `now`.
     pub(crate) fn record_rest(&self, server: &Server, head: &ResponseHead, now: Millis) {
         if head.is_rest_unreadable {
--- /dev/null
+++ b/router/src/server_places.rs
@@ -0,0 +1,71 @@
+//! This host's places at servers that must hardly turn requests away.
+
+use std::sync::Arc;
+
+use clementinearch_policy::{
+    places::{pause_until, places, unplaced_interval},
+    time::Millis,
+};
+
+use crate::{host_state::HostState, server::Server};
+
+/// Leaves only the servers that may get a request as far as the refusals that they bear go: brittle
+/// ones must have a free place of this host. `pool` holds all servers of the service.
+pub(crate) fn retain_placed(
+    state: &HostState,
+    pool: &[Arc<Server>],
+    eligible: &mut Vec<Arc<Server>>,
+    now: Millis,
+) {
+    if eligible.iter().all(|it| it.refusal_limit().is_none()) {
+        return;
+    }
+    let own = state.places(pool);
+    let has_places = own.iter().any(|places| *places > 0);
+    eligible.retain(|server| {
+        if server.refusal_limit().is_none() {
+            return true;
+        }
+        if !has_places {
+            return server.limit_wait(now).is_zero();
+        }
+        let index = pool.iter().position(|it| it.name_hash == server.name_hash);
+        index.is_some_and(|index| server.local_running() < own[index])
+    });
+}
+
+impl HostState {
+    /// Places of this host at each server of a pool.
+    fn places(&self, pool: &[Arc<Server>]) -> Vec<u32> {
+        let slots: Vec<u32> = pool.iter().map(|server| server.entry.slots).collect();
+        let fleet = self.fleet.lock();
+        places(&slots, fleet.rank_among_known(), fleet.known_hosts())
+    }
+
+    /// Counts a request to a server that names the refusals that it bears.
+    pub(crate) fn take_place(&self, pool: &[Arc<Server>], server: &Server, now: Millis) {
+        let Some(limit) = server.refusal_limit() else {
+            return;
+        };
+        if self.places(pool).iter().all(|places| *places == 0) {
+            let hosts = self.fleet.lock().known_hosts();
+            server.take_paced(unplaced_interval(limit, hosts), now);
+        }
+    }
+
+    /// Whether a server of a service takes requests once a place of this host is free.
+    pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
+        let pool = self.servers.pool(service);
+        pool.iter().any(|server| {
+            server.accepts_requests() && !server.is_resting(now) && server.refusal_limit().is_some()
+        })
+    }
+
+    /// Leaves a brittle server alone for a while that had no room for a request at `now`.
+    pub(crate) fn record_no_room(&self, server: &Server, now: Millis) {
+        if let Some(limit) = server.refusal_limit() {
+            let hosts = self.fleet.lock().known_hosts();
+            server.rest_until(pause_until(limit, hosts, now));
+        }
+    }
+}
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -14,7 +14,7 @@
     in_flight::InFlight,
     rollouts::VersionRule,
     server::{Permit, Server},
-    server_limits::retain_placed,
+    server_places::retain_placed,
 };
 
 /// Probability that the server of the first rank has a prompt's shared prefix in its cache because
