--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -49,6 +49,7 @@
 mod server;
 mod server_limits;
 mod server_places;
+mod server_rests;
 mod server_selection;
 mod servers;
 mod settings;
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -1,5 +1,5 @@
-//! Limits and times of rest that servers name, as this host keeps them, and limits as it tells them
-//! its peers.
+//! Limits that servers name, as this host keeps them and tells its peers, and when callers return
+//! that no server may take now.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    dialect::ResponseHead,
     host_state::HostState,
     server::{NamedLimit, Server},
 };
@@ -130,30 +129,6 @@
         }
     }
 
-    /// Records the time of rest that a server asks for in a response at `now`.
-    pub(crate) fn record_rest(&self, server: &Server, head: &ResponseHead, now: Millis) {
-        if head.is_rest_unreadable {
-            self.log_event("server_rest_unreadable", &server.entry.name, "", &[]);
-            metrics::counter!("clementinearch_rests_total", "kind" => "unreadable").increment(1);
-        }
-        let Some(rest) = head.rest else {
-            return;
-        };
-        let is_news = !server.is_resting(now);
-        self.servers.record_rest(server, now.after(rest), now);
-        if is_news {
-            let inputs = [("rest_ms", rest.as_millis() as f64)];
-            self.log_event("server_rests", &server.entry.name, "", &inputs);
-            metrics::counter!("clementinearch_rests_total", "kind" => "kept").increment(1);
-        }
-    }
-
-    /// Number of servers that want nothing from this host now.
-    pub(crate) fn resting_servers(&self, now: Millis) -> usize {
-        let servers = self.servers.all();
-        servers.iter().filter(|it| it.is_resting(now)).count()
-    }
-
     /// If every ready server of a service rests or names a limit, returns the time after which a
     /// refused caller should return. A request occupies a slot for `slot_time`.
     pub(crate) fn return_delay(
