Ask no more than two peers that accept no connection

Peers that decline still cost a round trip each, so that up to eight are asked. Found by reading; no test cuts hosts off from each other.

--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -94,7 +94,9 @@
 pub(crate) enum Forwarding {
     /// The peer served or refused the request.
     Answered(Box<PeerResponse>),
-    /// The peer did not get the request or cannot serve it: nothing ran.
+    /// The peer accepted no connection: nothing ran.
+    Unreached,
+    /// The peer cannot serve the request: nothing ran.
     Declined,
     /// The peer got the request and did not answer: it may have run.
     Unanswered {
@@ -110,6 +112,7 @@
     pub(crate) fn label(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
+            Self::Unreached => "peer not reached",
             Self::Declined => "declined",
             Self::Unanswered { why } => why,
             Self::DeadlinePassed => "time limit passed",
@@ -128,7 +131,7 @@
         return Forwarding::Declined;
     };
     let Ok(mut connection) = connect(peer).await else {
-        return Forwarding::Declined;
+        return Forwarding::Unreached;
     };
     let sent_at = state.now();
     let sent = {
@@ -160,7 +163,7 @@
                 peer,
             }))
         }
-        SendOutcome::NotSent => Forwarding::Declined,
+        SendOutcome::NotSent => Forwarding::Unreached,
         SendOutcome::Unknown => Forwarding::Unanswered {
             why: "peer broke off",
         },
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -18,6 +18,10 @@
 /// Most peers that are asked in turn to serve a request. Those that cannot decline at once.
 pub(crate) const MAX_PEERS_ASKED: usize = 8;
 
+/// Peers that accept no connection after which no other is asked: each takes the time limit for
+/// connecting.
+const MAX_PEERS_UNREACHED: usize = 2;
+
 impl ActiveRequest {
     /// Forwards the request to peers in turn until one serves it.
     ///
@@ -36,6 +40,7 @@
         }
         peers.truncate(MAX_PEERS_ASKED);
         let has_peers = !peers.is_empty();
+        let mut unreached = 0;
         for peer in peers {
             let now = self.state.now();
             if !self.has_attempt_left(now) {
@@ -57,6 +62,13 @@
                 Forwarding::Declined => {
                     self.state.fleet.lock().record_forwarding_refused(peer);
                 }
+                Forwarding::Unreached => {
+                    self.state.fleet.lock().record_forwarding_refused(peer);
+                    unreached += 1;
+                    if unreached >= MAX_PEERS_UNREACHED {
+                        break;
+                    }
+                }
                 Forwarding::Unanswered { why } => {
                     self.executions += 1;
                     self.has_arrived = true;
