--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -19,12 +19,16 @@
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
+    time::Duration,
 };
 
 use clementinearch_standins::{
     link::{Link, LinkState},
     platform_store::{PlatformStore, StoreEndpoint},
-    scripted_server::{ReceivedRequest, ScriptedServer, Step, signed_response},
+    scripted_server::{
+        LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, signed_response, stream_head,
+        token_event,
+    },
 };
 pub use loopback::wait_until;
 use loopback::{HANG_TIMEOUT, reserve_network};
@@ -283,6 +287,19 @@
     vec![Step::Send(signed_response(received, "200 OK", "", "done"))]
 }
 
+/// Script for a resumable stream of `events` events, with `pause` before each, from the event after
+/// `Last-Event-Id`.
+pub fn paced_stream(received: &ReceivedRequest, events: u64, pause: Duration) -> Vec<Step> {
+    let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+    let mut steps = vec![Step::Send(stream_head(received, ""))];
+    for id in after + 1..=events {
+        steps.push(Step::Wait(pause));
+        steps.push(Step::Send(chunk(&token_event(id))));
+    }
+    steps.push(Step::Send(LAST_CHUNK.to_owned()));
+    steps
+}
+
 /// Sends non-idempotent calls, each with an id of its own, and checks that all get `status`.
 pub fn check_payments(host: &Host, calls: usize, status: u16) {
     for number in 0..calls {
--- a/host/tests/route_partition.rs
+++ b/host/tests/route_partition.rs
@@ -15,11 +15,9 @@
 use clementinearch_standins::{
     link::{Link, LinkState},
     platform_store::EndpointMode,
-    scripted_server::{
-        LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, stream_head, token_event,
-    },
+    scripted_server::{ReceivedRequest, ScriptedServer, Step, token_event},
 };
-use route::{Answer, Connection, Host, Platform, ok, request, send_request};
+use route::{Answer, Connection, Host, Platform, ok, paced_stream, request, send_request};
 use serde_json::json;
 
 const HOSTS: usize = 3;
@@ -145,17 +143,6 @@
     answer: Answer,
 }
 
-fn stream(received: &ReceivedRequest) -> Vec<Step> {
-    let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
-    let mut steps = vec![Step::Send(stream_head(received, ""))];
-    for id in after + 1..=EVENTS {
-        steps.push(Step::Wait(PAUSE));
-        steps.push(Step::Send(chunk(&token_event(id))));
-    }
-    steps.push(Step::Send(LAST_CHUNK.to_owned()));
-    steps
-}
-
 /// A fleet whose hosts reach the servers over links of their own.
 struct Fleet {
     platform: Platform,
@@ -176,7 +163,7 @@
                     if number == 0 && crashing.load(Ordering::Relaxed) {
                         vec![Step::Crash]
                     } else if service == "pool" {
-                        stream(received)
+                        paced_stream(received, EVENTS, PAUSE)
                     } else {
                         ok(received)
                     }
--- a/host/tests/route_silence.rs
+++ b/host/tests/route_silence.rs
@@ -6,12 +6,9 @@
 
 use clementinearch_standins::{
     link::LinkState,
-    scripted_server::{
-        LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, signed_response, stream_head,
-        token_event,
-    },
+    scripted_server::{ReceivedRequest, ScriptedServer, Step, signed_response, token_event},
 };
-use route::{Platform, send_request, wait_until};
+use route::{Platform, paced_stream, send_request, wait_until};
 
 /// How long servers are silent.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -31,23 +28,16 @@
     ]
 }
 
-fn stream(received: &ReceivedRequest) -> Vec<Step> {
-    let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
-    let mut steps = vec![Step::Send(stream_head(received, ""))];
-    for id in after + 1..=EVENTS {
-        steps.push(Step::Wait(EVENT_PAUSE));
-        steps.push(Step::Send(chunk(&token_event(id))));
-    }
-    steps.push(Step::Send(LAST_CHUNK.to_owned()));
-    steps
-}
-
 fn start() -> (Platform, Vec<Arc<ScriptedServer>>) {
     let mut platform = Platform::new();
     let mut servers = Vec::new();
     for _ in 0..2 {
         servers.push(platform.add_backend("orders", "v1", |_, it| work(it)).1);
-        servers.push(platform.add_backend("pool", "v1", |_, it| stream(it)).1);
+        servers.push(
+            platform
+                .add_backend("pool", "v1", |_, it| paced_stream(it, EVENTS, EVENT_PAUSE))
+                .1,
+        );
     }
     platform.start_linked_hosts(2);
     (platform, servers)
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -78,14 +78,30 @@
     /// Records the limit that a server names at `named_at`, or that it names none.
     pub(crate) fn record_limit(&self, server: &Server, per_s: Option<f64>, named_at: Millis) {
         if server.record_limit(per_s, named_at) {
-            let event = if per_s.is_some() {
-                "server_limit_named"
-            } else {
-                "server_limit_ended"
-            };
-            let inputs: Vec<(&str, f64)> =
-                per_s.map(|limit| ("per_s", limit)).into_iter().collect();
-            self.log_event(event, &server.entry.name, "", &inputs);
+            let events = ("server_limit_named", "server_limit_ended");
+            self.log_named(server, per_s, events);
+        }
+    }
+
+    /// Records the refusals per second that a server bears, or that it names none.
+    pub(crate) fn record_refusal_limit(
+        &self,
+        server: &Server,
+        per_s: Option<f64>,
+        named_at: Millis,
+    ) {
+        if server.record_refusal_limit(per_s, named_at) {
+            let events = ("server_brittle", "server_no_longer_brittle");
+            self.log_named(server, per_s, events);
+        }
+    }
+
+    /// Logs what a server says of itself, by the event for a number or for none.
+    fn log_named(&self, server: &Server, per_s: Option<f64>, (named, ended): (&str, &str)) {
+        let name = &server.entry.name;
+        match per_s {
+            Some(per_s) => self.log_event(named, name, "", &[("per_s", per_s)]),
+            None => self.log_event(ended, name, "", &[]),
         }
     }
 
@@ -110,25 +126,6 @@
         })
     }
 
-    /// Records the refusals per second that a server bears, or that it names none.
-    pub(crate) fn record_refusal_limit(
-        &self,
-        server: &Server,
-        per_s: Option<f64>,
-        named_at: Millis,
-    ) {
-        if server.record_refusal_limit(per_s, named_at) {
-            let event = if per_s.is_some() {
-                "server_brittle"
-            } else {
-                "server_no_longer_brittle"
-            };
-            let inputs: Vec<(&str, f64)> =
-                per_s.map(|limit| ("per_s", limit)).into_iter().collect();
-            self.log_event(event, &server.entry.name, "", &inputs);
-        }
-    }
-
     /// If every ready server of a service rests or names a limit, returns the time after which a
     /// refused caller should return. A request occupies a slot for `slot_time`.
     pub(crate) fn return_delay(
