Use one time of silence for servers and peers

forwarding.rs had its own copy of the time after which a test connection shows whether the other side is reachable. The value is the same; clippy on the router and route_forwarding, route_silence and route_partition (14 tests) passed.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -31,8 +31,9 @@
 /// How often a waiting attempt checks its time limits and the server.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time without bytes from a server after which a test connection shows whether it is reachable.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
+/// Time without bytes from a server or peer after which a test connection shows whether it is
+/// reachable.
+pub(crate) const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
 
 /// Factor by which a response may exceed the route's mean latency before another server is tried.
 const MAX_MEAN_LATENCIES: f64 = 6.0;
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -25,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    attempt::SILENCE_BEFORE_CHECK,
     call::Call,
     connections::{Connection, SendOutcome, connect},
     host_state::HostState,
@@ -57,9 +58,6 @@
 /// How often a wait for a peer's response checks its time limits and the peer.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time without bytes from a peer after which a test connection shows whether it is reachable.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
-
 /// What became of a request before it was forwarded.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ForwardedState {
