Add a failing test of a relay that fills its own link

Callers saw streams closed beside a large configuration. The host that reads the store for its zone answers all followers at the same moment; on a link of 10 Mbit/s everything else that it sends waits behind that for up to a second. The test asks six times for a configuration with 1,564 routes and wants no more bytes in a span than the link takes. The setting of the link's rate is read and does nothing yet.

--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -244,6 +244,7 @@
             log_lines_per_s: LOG_LINES_PER_S,
             view_period: settings.gossip_period,
             gossip_period: settings.gossip_period,
+            link_mbps: None,
         },
         bounds: Bounds {
             retries: RETRY_LIMIT,
--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -238,6 +238,12 @@
         answer
     }
 
+    /// Reads up to `length` bytes of a body and drops them. Returns how many came.
+    pub fn skip_body(&mut self, length: usize) -> usize {
+        let mut body = Read::take(&mut self.reader, length as u64);
+        std::io::copy(&mut body, &mut std::io::sink()).unwrap_or(0) as usize
+    }
+
     fn read_body(&mut self, answer: &mut Answer) {
         if answer.header("transfer-encoding") == "chunked" {
             while let Some(chunk) = self.read_chunk() {
@@ -436,7 +442,22 @@
         self.launch_host_in("a", store_endpoint);
     }
 
+    /// Starts a host in zone `a` with more lines among its limits, without waiting for it.
+    pub fn launch_host_with(&mut self, limits: &str) {
+        let store_endpoint = StoreEndpoint::new(self.store.clone());
+        self.launch_host_in_with("a", store_endpoint, limits);
+    }
+
     fn launch_host_in(&mut self, zone: &str, store_endpoint: Arc<StoreEndpoint>) {
+        self.launch_host_in_with(zone, store_endpoint, "");
+    }
+
+    fn launch_host_in_with(
+        &mut self,
+        zone: &str,
+        store_endpoint: Arc<StoreEndpoint>,
+        limits: &str,
+    ) {
         let number = self.hosts.len() as u8;
         let store_address = SocketAddr::new(self.ip(FIRST_ENDPOINT_IP + number), STORE_PORT);
         let bound = self
@@ -446,7 +467,7 @@
             .spawn(store_endpoint.clone().serve(bound.unwrap()));
         let ip = self.ip(FIRST_HOST_IP + number);
         let settings = format!(
-            "name = \"host-{number}\"\nzone = \"{zone}\"\n[listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\n[store]\naddress = \"{store_address}\"\n[limits]\nview_period_ms = 50\ngossip_period_ms = 50\n[bounds]\nrepeat_ratio = \"2.0\"\nrepeat_slack = 1000\nsession_s = \"5\"\n"
+            "name = \"host-{number}\"\nzone = \"{zone}\"\n[listen]\ncallers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"\nadmin = \"{ip}:{ADMIN_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\n[store]\naddress = \"{store_address}\"\n[limits]\nview_period_ms = 50\ngossip_period_ms = 50\n{limits}[bounds]\nrepeat_ratio = \"2.0\"\nrepeat_slack = 1000\nsession_s = \"5\"\n"
         );
         let dir = std::env::temp_dir();
         let path = dir.join(format!(
--- /dev/null
+++ b/host/tests/route_relay.rs
@@ -0,0 +1,84 @@
+//! A host that passes a large configuration on to its peers.
+
+mod route;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use route::{Connection, Platform, ok, wait_until};
+use serde_json::{Value, json};
+
+/// Rate of the relay's link, and the bytes that it takes in a second.
+const LINK: &str = "link_mbps = \"2\"\n";
+const LINK_BYTES_PER_S: f64 = 250_000.0;
+
+/// Largest part of an answer that is sent at once.
+const PIECE_BYTES: f64 = 8_192.0;
+
+/// Routes of the large configuration.
+const ROUTES: u64 = 1_564;
+
+/// Routes with names that hardly repeat, as operators' tools make them.
+fn large_configuration() -> Value {
+    let mut rng = fastrand::Rng::with_seed(30);
+    let mut word = |length: usize| {
+        std::iter::repeat_with(|| rng.alphanumeric().to_ascii_lowercase())
+            .take(length)
+            .collect::<String>()
+    };
+    let routes = (0..ROUTES).map(|_| {
+        json!({"name": format!("r-{}", word(7)), "host": format!("{}.example", word(6)), "pathPrefix": format!("/{}/", word(7)), "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 2, "service": "orders", "maxAttempts": 2})
+    });
+    routes.collect()
+}
+
+fn start() -> (Platform, u64) {
+    let mut platform = Platform::new();
+    platform.add_backend("orders", "v1", |_, received| ok(received));
+    platform.launch_host_with(LINK);
+    let host = &platform.hosts[0];
+    wait_until("the host is ready", || host.is_ready());
+    let known = host.status()["store_revision"].as_u64().unwrap();
+    platform.configure(2, &large_configuration());
+    wait_until("the configuration is in force", || {
+        host.status()["routing_version"] == 2
+    });
+    (platform, known)
+}
+
+/// The bytes of a response and the time from the request to its end.
+fn read_changes(platform: &Platform, known: u64) -> (u16, usize, Duration) {
+    let began_at = Instant::now();
+    let mut connection = Connection::open(platform.hosts[0].peers());
+    connection.send(&format!("GET /changes/{known} HTTP/1.1\r\nHost: x\r\n\r\n"));
+    let answer = connection.read_head();
+    let length = answer.header("content-length").parse().unwrap_or(0);
+    let read = connection.skip_body(length);
+    assert_eq!(read, length, "the response is whole");
+    (answer.status, length, began_at.elapsed())
+}
+
+#[test]
+fn a_relay_leaves_a_part_of_its_link_free() {
+    let (platform, known) = start();
+    let answers: Vec<_> = thread::scope(|scope| {
+        let asking: Vec<_> = (0..6)
+            .map(|_| scope.spawn(|| read_changes(&platform, known)))
+            .collect();
+        asking.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    let whole = answers.iter().filter(|(status, ..)| *status == 200);
+    let (mut bytes, mut longest) = (0, Duration::ZERO);
+    for (_, length, span) in whole {
+        bytes += length;
+        longest = longest.max(*span);
+    }
+    assert!(bytes as f64 > 2.0 * PIECE_BYTES, "{bytes} bytes");
+    let least = (bytes as f64 - PIECE_BYTES) / LINK_BYTES_PER_S;
+    assert!(
+        longest.as_secs_f64() >= least,
+        "{bytes} bytes in {longest:?}"
+    );
+}
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -33,6 +33,8 @@
     pub view_period: Duration,
     /// Time between two reports to peers.
     pub gossip_period: Duration,
+    /// Rate of the host's link, Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
 }
 
 /// Bounds that hold for the whole fleet.
@@ -101,6 +103,7 @@
         log_lines_per_s: table.number("log_lines_per_s", 1..=1_000_000, DEFAULT_LOG_LINES_PER_S),
         view_period: table.millis("view_period_ms", 10..=60_000, Duration::from_millis(700)),
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
+        link_mbps: table.parsed("link_mbps", parse_rate),
     }
 }
 
@@ -132,6 +135,13 @@
     }
 }
 
+fn parse_rate(text: &str) -> Result<f64, String> {
+    match parse_non_negative(text) {
+        Ok(rate) if rate > 0.0 => Ok(rate),
+        _ => Err(format!("`{text}` is not a rate above 0")),
+    }
+}
+
 fn parse_share(text: &str) -> Result<f64, String> {
     match parse_non_negative(text) {
         Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
