Pass large changes on at the pace of the relay's own link

A relay answered all followers of its zone at the same moment. On a link of 10 Mbit/s a configuration with 1,564 routes more filled the link for about a second; new connections to servers and peers, which have 100 ms, failed meanwhile, and the host took itself for cut off.

Large answers now take turns at four fifths of the link's rate, in pieces of 8 KB, so that at most one piece waits in front of other packets. Small ones do not wait. An answer that would wait for more than 0.8 s is declined; the follower reads the store, as it does when the relay is away. The answer names the time at which it is whole, so that a follower waits for a paced answer and no longer. Compression, and decompression of large answers, run on threads of their own.

--- a/host/tests/route_relay.rs
+++ b/host/tests/route_relay.rs
@@ -14,6 +14,9 @@
 const LINK: &str = "link_mbps = \"2\"\n";
 const LINK_BYTES_PER_S: f64 = 250_000.0;
 
+/// Rate of a link on which an answer takes longer than a second one would wait.
+const SLOW_LINK: &str = "link_mbps = \"0.3\"\n";
+
 /// Largest part of an answer that is sent at once.
 const PIECE_BYTES: f64 = 8_192.0;
 
@@ -82,3 +85,27 @@
         "{bytes} bytes in {longest:?}"
     );
 }
+
+#[test]
+fn followers_that_a_slow_relay_declines_read_the_store() {
+    let mut platform = Platform::new();
+    platform.add_backend("orders", "v1", |_, received| ok(received));
+    for _ in 0..5 {
+        platform.launch_host_with(SLOW_LINK);
+    }
+    for host in &platform.hosts {
+        wait_until("the host is ready", || host.is_ready());
+        wait_until("the hosts know each other", || host.status()["hosts"] == 5);
+    }
+    platform.configure(2, &large_configuration());
+    for host in &platform.hosts {
+        wait_until("the configuration is in force", || {
+            host.status()["routing_version"] == 2
+        });
+    }
+    let declined = |host: &route::Host| {
+        host.metrics()
+            .contains("clementinearch_views_declined_total")
+    };
+    assert!(platform.hosts.iter().any(declined));
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod eviction;
 pub mod findings;
 pub mod ledger;
+pub mod link_pacer;
 pub mod load_balancing;
 pub mod membership;
 pub mod model;
--- /dev/null
+++ b/policy/src/link_pacer.rs
@@ -0,0 +1,96 @@
+//! Turns of large answers on a host's own link.
+//!
+//! What a host sends faster than its link takes waits there, and everything that it sends afterwards
+//! waits behind it: new connections, callers' streams, reports. Large answers are therefore sent
+//! one after the other, in pieces, at a part of the link's rate. An answer that would wait too long
+//! for its turn is not begun.
+
+use std::time::Duration;
+
+use crate::time::Millis;
+
+/// Largest piece of an answer that is sent at once, bytes. On a link of 10 Mbit/s it takes 7 ms.
+/// Answers up to this size do not wait for a turn.
+pub const PIECE_BYTES: usize = 8 << 10;
+
+/// Part of the link's rate that large answers take.
+pub const LINK_SHARE: f64 = 0.8;
+
+/// Longest wait for a turn. An asker with a link of its own is served elsewhere sooner.
+pub const MAX_TURN_WAIT: Duration = Duration::from_millis(800);
+
+/// Gives out turns on a link.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkPacer {
+    /// Rate of large answers, bytes per millisecond; none if the rate of the link is not known.
+    bytes_per_ms: Option<f64>,
+    /// When the last turn ends, milliseconds.
+    free_at_ms: f64,
+}
+
+/// The turn of one answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    begin_ms: f64,
+    ms_per_piece: f64,
+    bytes: usize,
+}
+
+impl LinkPacer {
+    /// Creates the pacer of a link with this rate, Mbit/s. Without a rate nothing waits.
+    pub fn new(link_mbps: Option<f64>) -> Self {
+        const BYTES_PER_MS_AND_MBPS: f64 = 125.0;
+        let rate = link_mbps.map(|mbps| mbps * BYTES_PER_MS_AND_MBPS * LINK_SHARE);
+        Self {
+            bytes_per_ms: rate.filter(|rate| *rate > 0.0),
+            free_at_ms: 0.0,
+        }
+    }
+
+    /// Takes the next turn for an answer of `bytes`. Returns `None`, and takes none, if it would
+    /// begin later than [`MAX_TURN_WAIT`] from `now`.
+    pub fn take_turn(&mut self, bytes: usize, now: Millis) -> Option<Turn> {
+        let now_ms = now.0 as f64;
+        let Some(rate) = self.bytes_per_ms else {
+            return Some(Turn {
+                begin_ms: now_ms,
+                ms_per_piece: 0.0,
+                bytes,
+            });
+        };
+        let free_at_ms = self.free_at_ms.max(now_ms);
+        let begin_ms = if bytes <= PIECE_BYTES {
+            now_ms
+        } else {
+            free_at_ms
+        };
+        if begin_ms - now_ms > MAX_TURN_WAIT.as_secs_f64() * 1_000.0 {
+            return None;
+        }
+        self.free_at_ms = free_at_ms + bytes as f64 / rate;
+        Some(Turn {
+            begin_ms,
+            ms_per_piece: PIECE_BYTES as f64 / rate,
+            bytes,
+        })
+    }
+}
+
+impl Turn {
+    /// When the piece with this number, from zero, may be sent.
+    pub fn due(&self, piece: usize) -> Millis {
+        Millis((self.begin_ms + self.ms_per_piece * piece as f64).ceil() as u64)
+    }
+
+    /// Returns the turn with later times for the pieces after `piece`, which was sent at `now`.
+    pub fn delayed(mut self, piece: usize, now: Millis) -> Self {
+        let late_ms = now.0 as f64 - (self.begin_ms + self.ms_per_piece * piece as f64);
+        self.begin_ms += late_ms.max(0.0);
+        self
+    }
+
+    /// When the last piece may be sent.
+    pub fn end(&self) -> Millis {
+        self.due(self.bytes.saturating_sub(1) / PIECE_BYTES)
+    }
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -32,6 +32,7 @@
 mod ingress;
 mod internal_http;
 mod moving_averages;
+mod paced_body;
 mod peer_attempts;
 mod peer_source;
 mod peer_view;
@@ -58,6 +59,7 @@
 #[cfg(test)]
 mod unfinished_attempts_tests;
 mod view;
+mod view_codec;
 mod view_sync;
 
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -3,28 +3,29 @@
 //! One host of each zone, the relay, reads the store for the others; a host that is cut off from
 //! the store asks any peer with a newer view.
 
-use std::{
-    io::{self, Read, Write},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+use clementinearch_policy::link_pacer::LinkPacer;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Request, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
+    header::CONTENT_LENGTH,
 };
 use parking_lot::Mutex;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout},
+};
 
 use crate::{
     connections::{Connection, SendOutcome, connect},
     forwarding,
     host_state::HostState,
     internal_http::{self, InternalResponse, with_status},
+    paced_body::paced_body,
     view::{RevisionRange, ViewDelta},
+    view_codec::{MAX_RESPONSE_BYTES, compress, decompress},
 };
 
 /// Longest that a request waits for changes; hosts that read from a relay notice within it that the
@@ -34,15 +35,19 @@
 /// Time beyond `CHANGES_WAIT` that a peer's response may take.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest response that is read, bytes; applies both before and after decompression.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Header with the revision up to which the sender's view is complete.
 const STORE_REVISION_HEADER: &str = "store-revision";
 
 /// Header with the time since the store last answered the sender, milliseconds.
 const STORE_AGE_MS_HEADER: &str = "store-age-ms";
 
+/// Header with the time until the whole of a paced response is sent, milliseconds.
+const VIEW_DUE_MS_HEADER: &str = "view-due-ms";
+
+/// Longest time that a peer's response is waited for beyond the usual: a configuration of the
+/// largest size on a slow link.
+const MAX_VIEW_DUE: Duration = Duration::from_secs(2);
+
 /// Number of compressed responses that are cached: peers are at most a few changes behind.
 const MAX_CACHED_RESPONSES: usize = 4;
 
@@ -58,8 +63,10 @@
     pub(crate) delta: ViewDelta,
     /// Revision up to which the peer's view is complete.
     pub(crate) store_revision: u64,
-    /// Time since the store last answered the peer.
+    /// Time since the store last answered the peer, when it began to answer.
     pub(crate) age: Duration,
+    /// Time from the begin to the end of the answer.
+    pub(crate) transfer: Duration,
 }
 
 /// Cache of compressed responses, each shared by all peers that are equally far behind.
@@ -67,23 +74,25 @@
 #[derive(Default)]
 struct ResponseCache {
     /// Deltas by range, oldest first.
-    compressed: Mutex<Vec<(RevisionRange, Bytes)>>,
+    compressed: tokio::sync::Mutex<Vec<(RevisionRange, Bytes)>>,
 }
 
 impl ResponseCache {
     /// Returns the compressed changes after a revision, and the revision up to which the view is
     /// complete.
-    fn after(&self, state: &HostState, after: u64) -> io::Result<(Bytes, u64)> {
-        let mut compressed = self.compressed.lock();
-        let view = state.view.lock();
-        let range = view.range_after(after);
-        let store_revision = view.store_revision();
-        if let Some((_, body)) = compressed.iter().find(|(of, _)| *of == range) {
-            return Ok((body.clone(), store_revision));
-        }
-        let delta = view.delta(range);
-        drop(view);
-        let body = compress(&delta)?;
+    async fn after(&self, state: &HostState, after: u64) -> io::Result<(Bytes, u64)> {
+        // Peers that want the same changes wait for the first of them to be answered.
+        let mut compressed = self.compressed.lock().await;
+        let (range, store_revision, delta) = {
+            let view = state.view.lock();
+            let range = view.range_after(after);
+            let store_revision = view.store_revision();
+            if let Some((_, body)) = compressed.iter().find(|(of, _)| *of == range) {
+                return Ok((body.clone(), store_revision));
+            }
+            (range, store_revision, view.delta(range))
+        };
+        let body = compress(delta).await?;
         if compressed.len() >= MAX_CACHED_RESPONSES {
             compressed.remove(0);
         }
@@ -92,52 +101,70 @@
     }
 }
 
-fn compress(delta: &ViewDelta) -> io::Result<Bytes> {
-    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&serde_json::to_vec(delta)?)?;
-    Ok(encoder.finish()?.into())
-}
-
-fn decompress(body: &[u8]) -> io::Result<ViewDelta> {
-    let mut json = Vec::new();
-    ZlibDecoder::new(body)
-        .take(MAX_RESPONSE_BYTES as u64)
-        .read_to_end(&mut json)?;
-    Ok(serde_json::from_slice(&json)?)
+/// What is needed to answer peers that ask for this host's view.
+struct ViewServer {
+    state: Arc<HostState>,
+    cache: ResponseCache,
+    pacer: Mutex<LinkPacer>,
 }
 
 /// Serves peers until the process ends: this host's view, and requests that they forward.
 pub(crate) async fn serve(state: Arc<HostState>, listener: TcpListener) {
-    let cache = Arc::new(ResponseCache::default());
+    let server = Arc::new(ViewServer {
+        cache: ResponseCache::default(),
+        pacer: Mutex::new(LinkPacer::new(state.settings.limits.link_mbps)),
+        state,
+    });
     let respond = move |req: Request<Incoming>| {
-        let (state, cache) = (state.clone(), cache.clone());
+        let server = server.clone();
         async move {
             if forwarding::is_forwarded(&req) {
-                return forwarding::serve(state, req).await;
+                return forwarding::serve(server.state.clone(), req).await;
             }
-            respond(&state, &cache, req.uri().path()).await
+            server.respond(req.uri().path()).await
         }
     };
     internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
 }
 
-async fn respond(state: &HostState, cache: &ResponseCache, path: &str) -> InternalResponse {
-    let after = path
-        .strip_prefix(CHANGES_PATH)
-        .and_then(|revision| revision.parse().ok());
-    let Some(after) = after else {
-        return with_status(StatusCode::NOT_FOUND, Bytes::new());
-    };
-    state.wait_for_change(after, CHANGES_WAIT).await;
-    let Ok((body, store_revision)) = cache.after(state, after) else {
-        return with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
-    };
-    let age = state.now().since(state.last_store_contact());
-    let mut response = with_status(StatusCode::OK, body);
-    let headers = response.headers_mut();
-    headers.insert(STORE_REVISION_HEADER, store_revision.into());
-    headers.insert(STORE_AGE_MS_HEADER, (age.as_millis() as u64).into());
-    response
+impl ViewServer {
+    async fn respond(&self, path: &str) -> InternalResponse {
+        let after = path
+            .strip_prefix(CHANGES_PATH)
+            .and_then(|revision| revision.parse().ok());
+        let Some(after) = after else {
+            return with_status(StatusCode::NOT_FOUND, Bytes::new());
+        };
+        self.state.wait_for_change(after, CHANGES_WAIT).await;
+        match self.cache.after(&self.state, after).await {
+            Ok((body, store_revision)) => self.paced_response(body, store_revision),
+            Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        }
+    }
+
+    /// Builds the response with a view that is complete up to `store_revision`, unless too many
+    /// others wait for this host's link.
+    fn paced_response(&self, body: Bytes, store_revision: u64) -> InternalResponse {
+        let state = &self.state;
+        let now = state.now();
+        let length = body.len();
+        let Some(turn) = self.pacer.lock().take_turn(length, now) else {
+            metrics::counter!("clementinearch_views_declined_total").increment(1);
+            return with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        };
+        metrics::counter!("clementinearch_view_bytes_total").increment(length as u64);
+        metrics::histogram!("clementinearch_view_turn_wait_seconds")
+            .record(turn.due(0).since(now).as_secs_f64());
+        let age = now.since(state.last_store_contact());
+        let mut response = Response::new(paced_body(state.clone(), body, turn));
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_LENGTH, length.into());
+        headers.insert(STORE_REVISION_HEADER, store_revision.into());
+        headers.insert(STORE_AGE_MS_HEADER, (age.as_millis() as u64).into());
+        let due = turn.end().since(now);
+        headers.insert(VIEW_DUE_MS_HEADER, (due.as_millis() as u64).into());
+        response
+    }
 }
 
 /// Client for peers' views that keeps one connection open.
@@ -160,18 +187,21 @@
     ) -> io::Result<PeerView> {
         let kept = self.connection.take().filter(|kept| kept.0 == peer);
         let limit = CHANGES_WAIT + RESPONSE_TIMEOUT;
-        let read = timeout(limit, read(kept.map(|kept| kept.1), peer, revision)).await;
-        let (view, connection) = read.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        let asked = timeout(limit, ask(kept.map(|kept| kept.1), peer, revision)).await;
+        let (response, connection) =
+            asked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        let view = read(response).await?;
         self.connection = Some((peer, connection));
         Ok(view)
     }
 }
 
-async fn read(
+/// Sends the request for changes and waits for the head of the response.
+async fn ask(
     kept: Option<Connection>,
     peer: SocketAddr,
     revision: u64,
-) -> io::Result<(PeerView, Connection)> {
+) -> io::Result<(Response<Incoming>, Connection)> {
     let mut connection = match kept {
         Some(connection) if connection.is_open() => connection,
         _ => connect(peer).await?,
@@ -183,17 +213,32 @@
     let SendOutcome::Response(response) = connection.send(req).await else {
         return Err(io::ErrorKind::ConnectionReset.into());
     };
+    Ok((response, connection))
+}
+
+/// Reads a response to its end, which may take as long as the peer says.
+async fn read(response: Response<Incoming>) -> io::Result<PeerView> {
+    let began_at = Instant::now();
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .map_err(io::Error::other)?;
-    let view = PeerView {
-        delta: decompress(&body.to_bytes())?,
+    if parts.status != StatusCode::OK {
+        return Err(io::Error::other(format!(
+            "the peer answers {}",
+            parts.status
+        )));
+    }
+    // Peers of earlier versions send at once and name no time.
+    let due_ms = parse_header(&parts.headers, VIEW_DUE_MS_HEADER).unwrap_or(0);
+    let limit = Duration::from_millis(due_ms).min(MAX_VIEW_DUE) + RESPONSE_TIMEOUT;
+    let body = timeout(limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
+    let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    let body = body.map_err(io::Error::other)?.to_bytes();
+    let transfer = began_at.elapsed();
+    Ok(PeerView {
+        delta: decompress(body).await?,
         store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER)?,
         age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER)?),
-    };
-    Ok((view, connection))
+        transfer,
+    })
 }
 
 fn parse_header(headers: &HeaderMap, name: &str) -> io::Result<u64> {
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -95,10 +95,10 @@
         let Ok(view) = self.peer_client.changes(relay, revision).await else {
             return false;
         };
-        let age = view.age;
-        if age > MAX_RELAY_AGE {
+        if view.age > MAX_RELAY_AGE {
             return false;
         }
+        let age = view.age + view.transfer;
         let now = self.state.now();
         self.merge(view);
         self.state
