Let the host with the fastest link of a zone read the store for it

A configuration goes over the relay's link once for each follower, and was read over it before. The relay was chosen by a hash of names: in zones with two hosts of 200 Mbit/s and some twenty of 10 Mbit/s it was mostly a slow one. Hosts now tell the rate of their link in their reports, and the fastest of those heard of reads the store; equal ones are told apart as before. In a mixed fleet hosts of earlier builds tell none and choose as before; any host answers any other.

the_hosts_of_a_zone_read_from_the_one_with_the_fastest_link fails with the former order (host 0 of 7) and passes with this one at 7, 79 and 320 hosts.

--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -39,6 +39,8 @@
     pub(crate) store_revision: u64,
     /// Whether it reaches no backend server.
     pub(crate) has_lost_servers: bool,
+    /// Rate of its link, Mbit/s; zero if it is not known.
+    pub(crate) link_mbps: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     last_report: Option<Millis>,
     store_revision: u64,
     has_lost_servers: bool,
+    /// Rate of its link, Mbit/s; zero if it is not known.
+    link_mbps: u32,
 }
 
 /// The entry hosts that this one knows.
@@ -57,6 +61,8 @@
 pub(crate) struct Fleet {
     own_name: Name,
     zone: Name,
+    /// Rate of this host's link, Mbit/s; zero if it is not known.
+    link_mbps: u32,
     peers: FastMap<Name, Peer>,
 }
 
@@ -66,10 +72,22 @@
         Self {
             own_name,
             zone,
+            link_mbps: 0,
             peers: FastMap::default(),
         }
     }
 
+    /// Sets the rate of this host's link, Mbit/s.
+    pub(crate) fn with_link(mut self, mbps: u32) -> Self {
+        self.link_mbps = mbps;
+        self
+    }
+
+    /// Rate of this host's link, Mbit/s; zero if it is not known.
+    pub(crate) fn link_mbps(&self) -> u32 {
+        self.link_mbps
+    }
+
     /// Adds a host or updates its address. Returns the number of known hosts, this one included.
     pub(crate) fn add_host(&mut self, name: Name, address: SocketAddr) -> usize {
         if name != self.own_name {
@@ -79,6 +97,7 @@
                 last_report: None,
                 store_revision: 0,
                 has_lost_servers: false,
+                link_mbps: 0,
             });
             peer.address = address;
         }
@@ -93,6 +112,7 @@
             peer.zone = Some(info.zone);
             peer.store_revision = info.store_revision;
             peer.has_lost_servers = info.has_lost_servers;
+            peer.link_mbps = info.link_mbps;
         }
     }
 
@@ -235,13 +255,18 @@
     }
 
     /// Address of the host that reads the store for the others in this zone; none if this host
-    /// does.
+    /// does. It is one with the fastest link, since a configuration goes over it once for each of
+    /// the others.
     pub(crate) fn relay(&self, now: Millis) -> Option<SocketAddr> {
-        let rank = |name: &str| affinity_rank(hash_bytes(b"relay"), hash_bytes(name.as_bytes()));
+        let rank = |name: &str, link_mbps: u32| {
+            let rank = affinity_rank(hash_bytes(b"relay"), hash_bytes(name.as_bytes()));
+            (link_mbps, rank)
+        };
         let in_zone = self
             .reported_within(RELAY_TIMEOUT, now)
             .filter(|(_, peer)| self.is_near(peer));
-        let (best, peer) = in_zone.max_by_key(|(name, _)| rank(name))?;
-        (rank(best) > rank(&self.own_name)).then_some(peer.address)
+        let (best, peer) = in_zone.max_by_key(|(name, peer)| rank(name, peer.link_mbps))?;
+        let own = rank(&self.own_name, self.link_mbps);
+        (rank(best, peer.link_mbps) > own).then_some(peer.address)
     }
 }
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -53,6 +53,7 @@
                 zone: zone(host, zones),
                 store_revision: 1,
                 has_lost_servers: lost.contains(&host),
+                link_mbps: 0,
             };
             fleets[host_at(target)].record_peer(info, now);
         }
@@ -236,3 +237,32 @@
         }
     }
 }
+
+/// One of the hosts of each zone has a faster link than the others.
+#[test]
+fn the_hosts_of_a_zone_read_from_the_one_with_the_fastest_link() {
+    let now = Millis(1_000_000);
+    for (hosts, zones) in [(7, 3), (79, 3), (320, 7)] {
+        let mbps = |host: usize| if host < zones { 200 } else { 10 };
+        let mut fleets = start(hosts, zones);
+        for (host, fleet) in fleets.iter_mut().enumerate() {
+            *fleet = fleet.clone().with_link(mbps(host));
+            for peer in (0..hosts).filter(|peer| *peer != host) {
+                let info = PeerInfo {
+                    name: peer.to_string().into(),
+                    address: address(peer),
+                    zone: zone(peer, zones),
+                    store_revision: 1,
+                    has_lost_servers: false,
+                    link_mbps: mbps(peer),
+                };
+                fleet.record_peer(info, now);
+            }
+        }
+        for (host, fleet) in fleets.iter().enumerate() {
+            let fastest = host % zones;
+            let relay = (host != fastest).then(|| address(fastest));
+            assert_eq!(fleet.relay(now), relay, "host {host} of {hosts}");
+        }
+    }
+}
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -69,6 +69,9 @@
     /// Whether the host reaches no backend server.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     has_lost_servers: bool,
+    /// Rate of the host's link, Mbit/s; zero if it is not known.
+    #[serde(default)]
+    link_mbps: u32,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -191,6 +194,7 @@
             crash_evidence: state.crash_evidence.lock().rows(now),
             part_evidence: state.part_evidence.lock().rows(now),
             has_lost_servers: state.has_lost_servers(),
+            link_mbps: state.fleet.lock().link_mbps(),
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
@@ -262,6 +266,7 @@
         zone: report.zone,
         store_revision: report.store_revision,
         has_lost_servers: report.has_lost_servers,
+        link_mbps: report.link_mbps,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -112,6 +112,7 @@
         gossip: mpsc::UnboundedSender<GossipEvent>,
     ) -> Self {
         let own_name = settings.name.clone();
+        let link_mbps = settings.limits.link_mbps.unwrap_or_default() as u32;
         Self {
             prefill_times: Mutex::default(),
             gossip,
@@ -128,7 +129,7 @@
             servers: Servers::default(),
             server_path: ServerPath::default(),
             forwarded_requests: AtomicUsize::new(0),
-            fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone())),
+            fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone()).with_link(link_mbps)),
             settings,
             view: Mutex::default(),
             crash_evidence: Mutex::default(),
