Send reports to peers one after the other at a part of the link

A report with the evidence of a roll-out and of crashes has 10.6 KB; it went to 22 peers at the same moment, twice a second and with each piece of news. That is 190 ms of a link of 10 Mbit/s, and a new connection has 100 ms.

Reports now go to one peer at a time, at three tenths of the link's rate. News makes one more report due instead of sending one at once. Views take half of the link instead of four fifths, so that both fit.

--- a/policy/src/link_pacer.rs
+++ b/policy/src/link_pacer.rs
@@ -1,4 +1,4 @@
-//! Turns of large answers on a host's own link.
+//! What a host may send to its peers on its own link.
 //!
 //! What a host sends faster than its link takes waits there, and everything that it sends afterwards
 //! waits behind it: new connections, callers' streams, reports. Large answers are therefore sent
@@ -14,11 +14,27 @@
 pub const PIECE_BYTES: usize = 8 << 10;
 
 /// Part of the link's rate that large answers take.
-pub const LINK_SHARE: f64 = 0.8;
+pub const LINK_SHARE: f64 = 0.5;
+
+/// Part of the link's rate that reports to peers take.
+pub const GOSSIP_LINK_SHARE: f64 = 0.3;
+
+/// Bytes per millisecond in one Mbit/s.
+const BYTES_PER_MS_AND_MBPS: f64 = 125.0;
 
 /// Longest wait for a turn. An asker with a link of its own is served elsewhere sooner.
 pub const MAX_TURN_WAIT: Duration = Duration::from_millis(800);
 
+/// Returns the time that `bytes` take on the given part of a link with this rate, Mbit/s; zero if
+/// the rate is not known.
+pub fn send_time(bytes: usize, share: f64, link_mbps: Option<f64>) -> Duration {
+    let Some(mbps) = link_mbps.filter(|mbps| *mbps > 0.0) else {
+        return Duration::ZERO;
+    };
+    let ms = bytes as f64 / (mbps * BYTES_PER_MS_AND_MBPS * share);
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(MAX_TURN_WAIT)
+}
+
 /// Gives out turns on a link.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkPacer {
@@ -39,7 +55,6 @@
 impl LinkPacer {
     /// Creates the pacer of a link with this rate, Mbit/s. Without a rate nothing waits.
     pub fn new(link_mbps: Option<f64>) -> Self {
-        const BYTES_PER_MS_AND_MBPS: f64 = 125.0;
         let rate = link_mbps.map(|mbps| mbps * BYTES_PER_MS_AND_MBPS * LINK_SHARE);
         Self {
             bytes_per_ms: rate.filter(|rate| *rate > 0.0),
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -171,14 +171,15 @@
         near
     }
 
-    /// Addresses to send a report to. Reports cross zones in every period, however large the own
-    /// zone is.
+    /// Addresses to send a report to, in random order. Reports cross zones in every period, however
+    /// large the own zone is.
     pub(crate) fn report_targets(&self, now: Millis) -> Vec<SocketAddr> {
         let (mut targets, remote) = self.targets_by_zone(now);
         targets.truncate(PEERS_PER_PERIOD);
         let free = PEERS_PER_PERIOD - targets.len();
         let remote = remote.into_iter();
         targets.extend(remote.take(free.max(REMOTE_PEERS_PER_PERIOD)));
+        fastrand::shuffle(&mut targets);
         targets
     }
 
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -7,6 +7,7 @@
 
 use clementinearch_policy::{
     crash_evidence::EvidenceRow,
+    link_pacer::{GOSSIP_LINK_SHARE, send_time},
     names::{FastSet, Name},
     part_evidence::PartRow,
     time::Millis,
@@ -89,6 +90,11 @@
     sessions: Vec<SessionVersion>,
     /// Prompt parts of which there is news.
     parts: FastSet<u64>,
+    /// Whether a new report is to be built and sent.
+    is_report_due: bool,
+    /// The last report, and the peers that it is still to be sent to.
+    report: Vec<u8>,
+    report_targets: Vec<SocketAddr>,
 }
 
 impl Gossip {
@@ -105,6 +111,9 @@
             prefills: Vec::new(),
             sessions: Vec::new(),
             parts: FastSet::default(),
+            is_report_due: true,
+            report: Vec::new(),
+            report_targets: Vec::new(),
         }
     }
 
@@ -113,6 +122,7 @@
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_report = Instant::now();
         let mut next_events = next_report;
+        let mut next_send = next_report;
         loop {
             let has_events =
                 !self.prefills.is_empty() || !self.sessions.is_empty() || !self.parts.is_empty();
@@ -126,7 +136,7 @@
                     }
                 }
                 Some(event) = self.events.recv() => match event {
-                    GossipEvent::Report => self.send_report().await,
+                    GossipEvent::Report => self.is_report_due = true,
                     event => self.buffer(event),
                 },
                 () = sleep_until(next_events), if has_events => {
@@ -134,7 +144,10 @@
                 }
                 () = sleep_until(next_report) => {
                     next_report = Instant::now() + self.state.settings.limits.gossip_period;
-                    self.send_report().await;
+                    self.is_report_due = true;
+                }
+                () = sleep_until(next_send), if self.has_report_to_send() => {
+                    next_send = Instant::now() + self.send_report().await;
                 }
             }
         }
@@ -180,7 +193,13 @@
         }
     }
 
-    async fn send_report(&self) {
+    fn has_report_to_send(&self) -> bool {
+        self.is_report_due || !self.report_targets.is_empty()
+    }
+
+    /// Builds a report for some of the peers. It replaces the one before, of which all that is
+    /// worth sending is in it.
+    fn build_report(&mut self) {
         let state = &self.state;
         let now = state.now();
         let report = HostReport {
@@ -198,8 +217,34 @@
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
-        let peers = state.fleet.lock().report_targets(now);
-        self.send(&Datagram::Report(Box::new(report)), &peers).await;
+        let targets = state.fleet.lock().report_targets(now);
+        match serde_json::to_vec(&Datagram::Report(Box::new(report))) {
+            Ok(bytes) => {
+                self.report = bytes;
+                self.report_targets = targets;
+            }
+            Err(e) => state.log_event("word_not_written", "", &e.to_string(), &[]),
+        }
+    }
+
+    /// Sends the report to the next peer. Returns the time until another may be sent: a large one
+    /// to all peers at once would fill the link of a small host.
+    async fn send_report(&mut self) -> Duration {
+        if std::mem::take(&mut self.is_report_due) {
+            self.build_report();
+        }
+        let Some(peer) = self.report_targets.pop() else {
+            return Duration::ZERO;
+        };
+        // An unreachable peer is tried again with a later report.
+        let _ = self.socket.send_to(&self.report, peer).await;
+        let length = self.report.len();
+        metrics::counter!("clementinearch_report_bytes_total").increment(length as u64);
+        send_time(
+            length,
+            GOSSIP_LINK_SHARE,
+            self.state.settings.limits.link_mbps,
+        )
     }
 
     async fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) {
