--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -113,6 +113,15 @@
         let _ = self.process.wait();
     }
 
+    /// Replaces a text in the settings and starts the process again with them.
+    pub fn change_settings(&mut self, from: &str, to: &str) {
+        let settings = fs::read_to_string(&self.settings).unwrap();
+        assert!(settings.contains(from), "no such setting: {from}");
+        fs::write(&self.settings, settings.replace(from, to)).unwrap();
+        self.kill();
+        self.restart();
+    }
+
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
         self.process = spawn_host(&self.settings, &self.log);
