--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -10,15 +10,13 @@
 };
 
 use crate::{
-    attempt::{
-        Attempt, AttemptResponse, AttemptResult, CRASHES_SERVERS, NOT_REACHED, SERVER_LEAVES,
-        SERVER_RESTS,
-    },
+    attempt::{AttemptResponse, CRASHES_SERVERS},
     call::{Call, ModelChoice},
     connections::Connection,
-    decision_log::{Decision, Severity},
+    decision_log::Severity,
     dialect::ResponseHead,
     forwarding::PeerResponse,
+    handover::{HolderId, SentClock},
     hooks::{AttemptEnd, CallEnd, RequestContext, ServerQuery},
     host_state::HostState,
     refusal::Refusal,
@@ -80,20 +78,33 @@
     has_ended: bool,
     /// Admission permit, held until the end of the request.
     permit: Option<Permit>,
-    first_sent_at: Option<Millis>,
+    pub(crate) first_sent_at: Option<Millis>,
     /// When the first event of the response arrived.
     pub(crate) first_event_at: Option<Millis>,
     /// Whether the current stream still has to be counted for its version.
     pub(crate) is_pace_due: bool,
-    /// Expected wait of the last attempt before its prefill, milliseconds.
-    pending_ms: f64,
-    /// Expected prefill time of the last attempt, milliseconds.
-    prefill_ms: f64,
-    /// Estimated requests on the last attempt's server.
-    running: f64,
-    last_sent_at: Millis,
-    /// The last attempt's server.
-    last_server: Option<Arc<Server>>,
+    pub(crate) last: LastAttempt,
+    /// Servers and peers that have the request while others are looked for.
+    pub(crate) holders: Vec<HolderId>,
+    /// When the request left for the server of the current attempt.
+    pub(crate) sent: SentClock,
+    /// Whether a retry was taken from the budget for an attempt that has not been sent.
+    pub(crate) has_unsent_retry: bool,
+    /// Time before which the current server keeps the request, as none other could be had.
+    pub(crate) no_handover_before: Millis,
+}
+
+/// The last attempt, for logs and metrics.
+#[derive(Clone, Default)]
+pub(crate) struct LastAttempt {
+    /// Expected wait before the prefill, milliseconds.
+    pub(crate) pending_ms: f64,
+    /// Expected prefill time, milliseconds.
+    pub(crate) prefill_ms: f64,
+    /// Estimated requests on the server.
+    pub(crate) running: f64,
+    pub(crate) sent_at: Millis,
+    pub(crate) server: Option<Arc<Server>>,
 }
 
 impl ActiveRequest {
@@ -121,11 +132,11 @@
             first_sent_at: None,
             first_event_at: None,
             is_pace_due: false,
-            pending_ms: 0.0,
-            prefill_ms: 0.0,
-            running: 0.0,
-            last_sent_at: Millis::default(),
-            last_server: None,
+            last: LastAttempt::default(),
+            holders: Vec::new(),
+            sent: SentClock::default(),
+            has_unsent_retry: false,
+            no_handover_before: Millis::default(),
         }
     }
 
@@ -143,17 +154,8 @@
         why: &str,
         inputs: &[(&str, f64)],
     ) {
-        let decision = Decision {
-            ms: self.state.now().0,
-            event,
-            id: &self.call.head.id,
-            route: &self.call.head.route.name,
-            server,
-            why,
-            inputs,
-            ..Decision::default()
-        };
-        self.state.log.write(severity, &decision);
+        self.call
+            .log(&self.state, severity, event, server, why, inputs);
     }
 
     /// Logs and counts the end of the request; later calls have no effect.
@@ -178,12 +180,12 @@
             ("sends", f64::from(self.sends)),
             ("runs", f64::from(self.executions)),
             ("events", events as f64),
-            ("pending_ms", self.pending_ms.round()),
-            ("reading_ms", self.prefill_ms.round()),
-            ("running", self.running),
+            ("pending_ms", self.last.pending_ms.round()),
+            ("reading_ms", self.last.prefill_ms.round()),
+            ("running", self.last.running),
             (
                 "attempt_ms",
-                first.since(self.last_sent_at).as_millis() as f64,
+                first.since(self.last.sent_at).as_millis() as f64,
             ),
             ("size", self.size as f64),
             (
@@ -191,7 +193,7 @@
                 f64::from(prompt.map_or(0, |prompt| prompt.tokens)),
             ),
         ];
-        let server = self.last_server.as_deref();
+        let server = self.last.server.as_deref();
         let server_name = server.map_or("", |server| &server.entry.name);
         self.log(severity, "ended", server_name, why, &inputs);
         if let Some(server) = server {
@@ -212,7 +214,7 @@
         if let Some(sent) = self.first_sent_at {
             record(Phase::Wait, sent.since(arrived));
             let responded = self.first_event_at.unwrap_or(now);
-            record(Phase::Answer, responded.since(self.last_sent_at));
+            record(Phase::Answer, responded.since(self.last.sent_at));
         }
         if let Some(first) = self.first_event_at {
             record(Phase::FirstEvent, first.since(arrived));
@@ -289,7 +291,7 @@
     }
 
     /// Builds the refusal for when no server is eligible.
-    fn refusal_without_server(&self, now: Millis) -> Refusal {
+    pub(crate) fn refusal_without_server(&self, now: Millis) -> Refusal {
         let return_delay = if self.may_have_run {
             None
         } else {
@@ -320,7 +322,7 @@
         }
     }
 
-    async fn choose(&self, now: Millis) -> Result<Option<ChosenServer>, Refusal> {
+    pub(crate) async fn choose(&self, now: Millis) -> Result<Option<ChosenServer>, Refusal> {
         let query = ServerQuery {
             context: self.context(now),
             size: self.size,
@@ -332,7 +334,7 @@
 
     /// Waits a little for a place at servers that must hardly turn requests away. Returns `None` if
     /// none gets free, or there are no such servers.
-    async fn wait_for_place(&self) -> Result<Option<ChosenServer>, Refusal> {
+    pub(crate) async fn wait_for_place(&self) -> Result<Option<ChosenServer>, Refusal> {
         let objective = self.call.head.route.objective;
         let limit = self.call.arrived.after(objective.mul_f64(PLACE_WAIT));
         loop {
@@ -357,7 +359,7 @@
         }
     }
 
-    fn deadline_refusal(&self) -> Refusal {
+    pub(crate) fn deadline_refusal(&self) -> Refusal {
         if self.executions > 0 || self.may_have_run {
             Refusal::DeadlinePassed
         } else {
@@ -368,7 +370,7 @@
     }
 
     /// Corrects a refusal that claims "not run" if an earlier attempt may have run.
-    fn with_execution(&self, refusal: Refusal) -> Refusal {
+    pub(crate) fn with_execution(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
             refusal.into_may_have_run()
         } else {
@@ -376,117 +378,12 @@
         }
     }
 
-    /// Makes attempts until one gets a response to this request.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no further attempt is possible or the request must not be sent again.
-    pub(crate) async fn next_response(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<Reply, Refusal> {
-        loop {
-            let now = self.state.now();
-            if now >= self.call.deadline {
-                return Err(self.deadline_refusal());
-            }
-            self.check_crash_suspicion(now)?;
-            let may_run = self.state.hooks.check_before_attempt(&self.call);
-            may_run.map_err(|refusal| self.with_execution(refusal))?;
-            if self.may_have_run && !self.call.head.route.kind.may_retry() {
-                return Err(self.refusal_after_attempts("answer broke off"));
-            }
-            if self.state.has_lost_servers() {
-                let response = self.forward_to_peer(resume_after).await?;
-                return Ok(Reply::Peer(response));
-            }
-            let is_retry = self.sends > 0 || self.has_arrived;
-            if !is_retry {
-                self.count_first_attempt(now);
-            } else if !self.take_retry(now) {
-                return Err(self.refusal_after_attempts("no attempt left"));
-            }
-            let mut chosen = self.choose(now).await?;
-            if chosen.is_none() && self.may_have_run {
-                // All servers were tried, and at least one lost its response: try them again.
-                self.tried.clear();
-                chosen = self.choose(now).await?;
-            }
-            if chosen.is_none() {
-                chosen = self.wait_for_place().await?;
-            }
-            let Some(chosen) = chosen else {
-                return Err(self.refusal_without_server(self.state.now()));
-            };
-            let now = self.state.now();
-            self.pending_ms = chosen.pending_ms;
-            self.prefill_ms = chosen.in_flight.expected_prefill().as_secs_f64() * 1_000.0;
-            self.running = chosen.running;
-            let in_flight = chosen.in_flight;
-            let server = in_flight.server().clone();
-            let target = server.attempt_target(in_flight.is_trial());
-            self.sends += 1;
-            self.first_sent_at.get_or_insert(now);
-            self.last_sent_at = now;
-            self.tried.push(server.name_hash);
-            self.last_server = Some(server.clone());
-            let attempt = Attempt {
-                state: &self.state,
-                call: &self.call,
-                model: self.model(),
-                resume_after,
-                number: self.sends - 1,
-                pending: Duration::from_secs_f64(self.pending_ms / 1_000.0),
-                may_abandon: &|now| self.attempts_left() > 1 && self.may_abandon_attempt(now),
-            };
-            match attempt.run(in_flight).await {
-                AttemptResult::Response(response) => {
-                    request_metrics::count_attempt("answered");
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
-                    return Ok(Reply::Server(response));
-                }
-                AttemptResult::NotRun { why } => {
-                    request_metrics::count_attempt(why);
-                    if !matches!(why, NOT_REACHED | SERVER_LEAVES | SERVER_RESTS) {
-                        self.has_arrived = true;
-                    } else if is_retry {
-                        self.return_retry(now);
-                    }
-                    self.record_attempt(target, AttemptEnd::NotRun);
-                    self.log_step("attempt_not_run", &server.entry.name, why, &[]);
-                }
-                AttemptResult::Lost { why } => {
-                    request_metrics::count_attempt(why);
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
-                    self.record_attempt(target, AttemptEnd::Broken);
-                    self.log_step("attempt_lost", &server.entry.name, why, &[]);
-                    if !self.call.head.route.kind.may_retry() {
-                        return Err(Refusal::MayHaveRun { reason: why });
-                    }
-                }
-                AttemptResult::Rejected(refusal) => {
-                    request_metrics::count_attempt("rejected");
-                    return Err(self.with_execution(refusal));
-                }
-                AttemptResult::DeadlinePassed => {
-                    request_metrics::count_attempt("time limit passed");
-                    self.may_have_run = true;
-                    return Err(Refusal::DeadlinePassed);
-                }
-            }
-        }
-    }
-
     /// Time from sending to the first event that was expected of the last attempt.
     pub(crate) fn expected_latency(&self) -> Duration {
-        Duration::from_secs_f64((self.pending_ms + self.prefill_ms) / 1_000.0)
+        Duration::from_secs_f64((self.last.pending_ms + self.last.prefill_ms) / 1_000.0)
     }
 
-    fn model(&self) -> Option<&str> {
+    pub(crate) fn model(&self) -> Option<&str> {
         if self.call.head.model == ModelChoice::Caller {
             return None;
         }
@@ -495,7 +392,7 @@
     }
 
     /// Refuses a request whose content or part of its prompt is blocked because it crashed servers.
-    fn check_crash_suspicion(&self, now: Millis) -> Result<(), Refusal> {
+    pub(crate) fn check_crash_suspicion(&self, now: Millis) -> Result<(), Refusal> {
         let status = self.state.hooks.suspect_status(self.context(now));
         let is_blocked =
             matches!(status, ContentStatus::Blocked(_)) || self.state.has_blocked_part(&self.call);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    event_stream::EventSplitter, rollout_evidence::Outcome, server_health::AttemptOutcome,
-    time::Millis,
+    event_stream::EventSplitter, names::Name, rollout_evidence::Outcome,
+    server_health::AttemptOutcome, time::Millis,
 };
 use http_body_util::Full;
 use hyper::{
@@ -25,12 +25,10 @@
     in_flight::InFlight,
     refusal::Refusal,
     request_metrics::Phase,
+    sent_attempt::SentAttempt,
     server::Server,
 };
 
-/// How often a waiting attempt checks its time limits and the server.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
-
 /// Time without bytes from a server or peer after which a test connection shows whether it is
 /// reachable.
 pub(crate) const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
@@ -44,9 +42,6 @@
 /// Prefill time allowed per prompt token: that of a busy engine with its largest model.
 const PREFILL_TIME_PER_TOKEN: Duration = Duration::from_micros(60);
 
-/// Factor by which the work queued before a request may exceed its expected time.
-const PENDING_MARGIN: u32 = 2;
-
 /// Reason of an attempt that could not connect.
 pub(crate) const NOT_REACHED: &str = "server not reached";
 
@@ -66,7 +61,7 @@
 pub(crate) const CRASHES_SERVERS: &str = "the request crashes servers";
 
 /// Reason of an attempt whose response takes too long.
-const ANSWER_OVERDUE: &str = "answer overdue";
+pub(crate) const ANSWER_OVERDUE: &str = "answer overdue";
 
 /// Reason of a stream whose first event takes too long.
 pub(crate) const FIRST_EVENT_OVERDUE: &str = "first event overdue";
@@ -111,20 +106,19 @@
 }
 
 /// The parameters of one attempt.
-pub(crate) struct Attempt<'a> {
-    pub(crate) state: &'a Arc<HostState>,
-    pub(crate) call: &'a Arc<Call>,
+pub(crate) struct Attempt {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) call: Arc<Call>,
     /// Name of the model, if the router chose it.
-    pub(crate) model: Option<&'a str>,
+    pub(crate) model: Option<Name>,
     /// Id of the last event that the caller has.
     pub(crate) resume_after: Option<u64>,
     /// Number of the attempt, from zero.
     pub(crate) number: u32,
     /// Expected time until the server has done the work that it got earlier.
     pub(crate) pending: Duration,
-    /// Whether another attempt could follow at this time. If not, only the request's idle time-out
-    /// ends this one before the deadline.
-    pub(crate) may_abandon: &'a (dyn Fn(Millis) -> bool + Sync),
+    /// Whether the server must accept a new connection, which shows that it is in reach.
+    pub(crate) needs_new_connection: bool,
 }
 
 /// Returns the time after which an attempt without a response is abandoned for another one, or
@@ -166,75 +160,82 @@
     }
 }
 
-impl Attempt<'_> {
-    /// Sends the request to the server of `in_flight` and waits for the head of the response.
-    pub(crate) async fn run(&self, mut in_flight: InFlight) -> AttemptResult {
+impl Attempt {
+    /// Sends the request to the server of `in_flight`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason, for logs and metrics, if nothing was sent.
+    pub(crate) async fn send(self, mut in_flight: InFlight) -> Result<SentAttempt, &'static str> {
         let server = in_flight.server().clone();
-        let state = self.state;
+        let state = &self.state;
         // A call that must not be retried gets a new connection, since an idle one may be closed by
         // the server just as the request is sent.
-        let idle = if self.call.head.route.kind.may_retry() {
+        let idle = if self.call.head.route.kind.may_retry() && !self.needs_new_connection {
             server.take_idle_connection(state.now())
         } else {
             None
         };
         let was_idle = idle.is_some();
-        let mut connection = match idle {
+        let connection = match idle {
             Some(connection) => connection,
-            None => match self.connect(&server).await {
-                Some(connection) => connection,
-                None => return AttemptResult::NotRun { why: NOT_REACHED },
-            },
+            None => self.connect(&server).await.ok_or(NOT_REACHED)?,
         };
         if !server.accepts_requests() {
-            return AttemptResult::NotRun { why: SERVER_LEAVES };
+            return Err(SERVER_LEAVES);
         }
         if server.is_resting(state.now()) {
-            return AttemptResult::NotRun { why: SERVER_RESTS };
+            return Err(SERVER_RESTS);
         }
         // The block may have become known while the attempt connected.
-        if state.has_blocked_part(self.call) {
-            return AttemptResult::NotRun {
-                why: CRASHES_SERVERS,
-            };
+        if state.has_blocked_part(&self.call) {
+            return Err(CRASHES_SERVERS);
         }
         let sent_at = state.now();
-        let Some(req) = self.request(&server, sent_at) else {
-            return AttemptResult::NotRun {
-                why: "no time left to send",
-            };
-        };
+        let req = self.request(&server, sent_at);
+        let req = req.ok_or("no time left to send")?;
         in_flight.track(state.clone(), self.call.clone());
-        let sent = self.wait(&mut connection, req, &server, sent_at).await;
+        let sending = connection.send_owned(req);
+        Ok(SentAttempt::new(
+            self, in_flight, sending, sent_at, was_idle,
+        ))
+    }
+
+    /// Reads what became of the request that was sent at `sent_at`.
+    pub(crate) async fn read(
+        &self,
+        sent: (SendOutcome, Connection),
+        mut in_flight: InFlight,
+        sent_at: Millis,
+        was_idle: bool,
+    ) -> AttemptResult {
+        let server = in_flight.server().clone();
+        let state = &self.state;
         let now = state.now();
-        let response = match sent {
-            WaitResult::Sent(SendOutcome::Response(response)) => response,
-            WaitResult::Sent(SendOutcome::NotSent) => {
+        let (outcome, connection) = sent;
+        let response = match outcome {
+            SendOutcome::Response(response) => response,
+            SendOutcome::NotSent => {
                 in_flight.finish();
                 return AttemptResult::NotRun {
                     why: "connection closed before the request left",
                 };
             }
-            WaitResult::Sent(SendOutcome::Unknown) => {
+            SendOutcome::Unknown => {
                 if was_idle {
                     // The server may just have closed an idle connection, which is no failure.
-                    check_crash(state, self.call, &in_flight, now).await;
+                    check_crash(state, &self.call, &in_flight, now).await;
                 } else {
-                    record_break(state, self.call, &in_flight, now).await;
+                    record_break(state, &self.call, &in_flight, now).await;
                 }
                 return AttemptResult::Lost {
                     why: "connection broke before an answer",
                 };
             }
-            WaitResult::Abandoned(why) => {
-                record_abandoned(state, self.call, &in_flight, why, now).await;
-                return AttemptResult::Lost { why };
-            }
-            WaitResult::DeadlinePassed => return AttemptResult::DeadlinePassed,
         };
         server.record_contact(now);
         let (parts, body) = response.into_parts();
-        let head = state.dialect.read_response(&parts, self.call);
+        let head = state.dialect.read_response(&parts, &self.call);
         if let Some(load) = head.load {
             server.record_load(load, now);
         }
@@ -271,12 +272,12 @@
 
     fn context<'a>(&'a self, server: &'a Server, now: Millis) -> AttemptContext<'a> {
         AttemptContext {
-            call: self.call,
+            call: &self.call,
             number: self.number,
             server: &server.entry.name,
             address: server.entry.address,
             remaining: self.call.remaining(now),
-            model: self.model,
+            model: self.model.as_deref(),
             resume_after: self.resume_after,
         }
     }
@@ -296,8 +297,8 @@
                 Some(connection)
             }
             Err(_) => {
-                record_server_outcome(self.state, server, AttemptOutcome::Unreachable, now);
-                check_after_failure(self.state, started).await;
+                record_server_outcome(&self.state, server, AttemptOutcome::Unreachable, now);
+                check_after_failure(&self.state, started).await;
                 None
             }
         }
@@ -315,45 +316,6 @@
         Some(req)
     }
 
-    async fn wait(
-        &self,
-        connection: &mut Connection,
-        req: Request<Full<hyper::body::Bytes>>,
-        server: &Server,
-        sent_at: Millis,
-    ) -> WaitResult {
-        let limit = attempt_timeout(self.state, self.call);
-        let limit = limit.map(|limit| limit + self.pending * PENDING_MARGIN);
-        let mut sending = std::pin::pin!(connection.send(req));
-        loop {
-            let now = self.state.now();
-            let wait = POLL_PERIOD.min(self.call.remaining(now));
-            if let Ok(sent) = tokio::time::timeout(wait, &mut sending).await {
-                return WaitResult::Sent(sent);
-            }
-            let now = self.state.now();
-            if now >= self.call.deadline {
-                return WaitResult::DeadlinePassed;
-            }
-            if self.state.has_blocked_part(self.call) {
-                return WaitResult::Abandoned(CRASHES_SERVERS);
-            }
-            if exceeds_idle_timeout(self.call, sent_at, now) {
-                return WaitResult::Abandoned(SERVER_SILENT);
-            }
-            let Some(limit) = limit.filter(|_| (self.may_abandon)(now)) else {
-                continue;
-            };
-            if now.since(sent_at) >= limit {
-                return WaitResult::Abandoned(ANSWER_OVERDUE);
-            }
-            let silent_since = server.last_contact().max(sent_at);
-            if let Some(why) = unreachable_reason(self.state, server, silent_since).await {
-                return WaitResult::Abandoned(why);
-            }
-        }
-    }
-
     /// Returns the result of the attempt if the response does not answer the request.
     fn read_verdict(
         &self,
@@ -370,14 +332,14 @@
             Verdict::NotRun => {
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     // Another server has the address now, so the addressed one is gone.
-                    record_server_outcome(self.state, server, AttemptOutcome::Unreachable, now);
+                    record_server_outcome(&self.state, server, AttemptOutcome::Unreachable, now);
                 }
                 Some(AttemptResult::NotRun {
                     why: "server refused",
                 })
             }
             Verdict::Failed => {
-                record_server_outcome(self.state, server, AttemptOutcome::Failed, now);
+                record_server_outcome(&self.state, server, AttemptOutcome::Failed, now);
                 Some(AttemptResult::Lost {
                     why: "server failed",
                 })
@@ -443,11 +405,3 @@
         }
     }
 }
-
-/// The result of waiting for the head of a response.
-enum WaitResult {
-    Sent(SendOutcome),
-    /// The attempt was abandoned for this reason.
-    Abandoned(&'static str),
-    DeadlinePassed,
-}
--- a/router/src/call.rs
+++ b/router/src/call.rs
@@ -16,7 +16,11 @@
     },
 };
 
-use crate::forwarding::ForwardedState;
+use crate::{
+    decision_log::{Decision, Severity},
+    forwarding::ForwardedState,
+    host_state::HostState,
+};
 
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,6 +147,41 @@
         self
     }
 
+    /// Logs a decision about the request.
+    pub(crate) fn log(
+        &self,
+        state: &HostState,
+        severity: Severity,
+        event: &str,
+        server: &str,
+        why: &str,
+        inputs: &[(&str, f64)],
+    ) {
+        let decision = Decision {
+            ms: state.now().0,
+            event,
+            id: &self.head.id,
+            route: &self.head.route.name,
+            server,
+            why,
+            inputs,
+            ..Decision::default()
+        };
+        state.log.write(severity, &decision);
+    }
+
+    /// Logs a step of the request that deserves attention.
+    pub(crate) fn log_step(
+        &self,
+        state: &HostState,
+        event: &str,
+        server: &str,
+        why: &str,
+        inputs: &[(&str, f64)],
+    ) {
+        self.log(state, Severity::Important, event, server, why, inputs);
+    }
+
     /// Returns the priority of the account, or else of the route; zero is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.head.account.as_ref();
--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use clementinearch_policy::time::Millis;
+use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::{
     Request, Response,
@@ -120,6 +121,15 @@
         self.reusable_until = now.after(keep);
     }
 
+    /// Sends a request and waits for the head of the response. Dropping the future closes the
+    /// connection.
+    pub(crate) fn send_owned(
+        mut self,
+        req: Request<Full<Bytes>>,
+    ) -> BoxFuture<'static, (SendOutcome, Self)> {
+        Box::pin(async move { (self.send(req).await, self) })
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendOutcome {
         if self.sender.ready().await.is_err() {
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -12,6 +12,7 @@
 };
 
 use clementinearch_policy::time::Millis;
+use futures::future::{BoxFuture, FutureExt, pending};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, StatusCode,
@@ -28,10 +29,12 @@
     attempt::SILENCE_BEFORE_CHECK,
     call::Call,
     connections::{Connection, SendOutcome, connect},
+    handover::{Holder, HolderId, Sign, record_peer_left},
     host_state::HostState,
     ingress,
     internal_http::{InternalResponse, with_status},
     response_body::ResponseBody,
+    sent_attempt::Waited,
 };
 
 /// Header of a forwarded request with its [`ForwardedState`] as JSON.
@@ -55,6 +58,9 @@
 /// Most forwarded requests that a host serves at a time, which bounds their memory.
 const MAX_FORWARDED: usize = 256;
 
+/// Reason of a request at a peer that sends nothing and cannot be reached.
+pub(crate) const PEER_SILENT: &str = "peer silent";
+
 /// How often a wait for a peer's response checks its time limits and the peer.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
@@ -118,53 +124,138 @@
     }
 }
 
-/// Forwards a request to a peer and waits for the head of its response.
+/// Forwards a request to a peer.
+///
+/// # Errors
+///
+/// Returns why nothing was sent.
 pub(crate) async fn forward(
     state: &HostState,
     call: &Call,
     forwarded: &ForwardedState,
     peer: SocketAddr,
-) -> Forwarding {
-    let Some(req) = request(call, forwarded) else {
-        return Forwarding::Declined;
-    };
-    let Ok(mut connection) = connect(peer).await else {
-        return Forwarding::Unreached;
-    };
-    let sent_at = state.now();
-    let sent = {
-        let mut sending = std::pin::pin!(connection.send(req));
-        loop {
+) -> Result<SentForward, Forwarding> {
+    let req = request(call, forwarded).ok_or(Forwarding::Declined)?;
+    let connected = connect(peer).await;
+    let connection = connected.map_err(|_| Forwarding::Unreached)?;
+    Ok(SentForward {
+        peer,
+        sending: connection.send_owned(req),
+        arrived: None,
+        sent_at: state.now(),
+    })
+}
+
+/// A request that was forwarded and waits for the head of the peer's response.
+pub(crate) struct SentForward {
+    peer: SocketAddr,
+    sending: BoxFuture<'static, (SendOutcome, Connection)>,
+    /// The outcome, until it is read.
+    arrived: Option<(SendOutcome, Connection)>,
+    sent_at: Millis,
+}
+
+impl SentForward {
+    /// When the request was sent.
+    pub(crate) fn sent_at(&self) -> Millis {
+        self.sent_at
+    }
+
+    /// Waits until there is an outcome, or the peer's silence asks for another one. `may_leave` is
+    /// whether one could be asked at this time.
+    pub(crate) async fn wait(
+        &mut self,
+        state: &HostState,
+        call: &Call,
+        may_leave: &(dyn Fn(Millis) -> bool + Sync),
+    ) -> Waited {
+        while self.arrived.is_none() {
             let wait = POLL_PERIOD.min(call.remaining(state.now()));
-            if let Ok(sent) = tokio::time::timeout(wait, &mut sending).await {
-                break sent;
+            if let Ok(sent) = tokio::time::timeout(wait, &mut self.sending).await {
+                self.arrived = Some(sent);
+                break;
             }
             let now = state.now();
             if now >= call.deadline {
-                return Forwarding::DeadlinePassed;
+                return Waited::DeadlinePassed;
+            }
+            if !may_leave(now) {
+                continue;
             }
-            if call.head.route.kind.may_retry() && is_unreachable(peer, sent_at, now).await {
-                return Forwarding::Unanswered { why: "peer silent" };
+            tokio::select! {
+                biased;
+                sent = &mut self.sending => self.arrived = Some(sent),
+                is_unreachable = is_unreachable(self.peer, self.sent_at, now) => {
+                    if is_unreachable {
+                        return Waited::Stalled(PEER_SILENT);
+                    }
+                }
             }
         }
-    };
-    match sent {
-        SendOutcome::Response(response) => {
-            let (parts, body) = response.into_parts();
-            if parts.headers.contains_key(DECLINED) {
-                return Forwarding::Declined;
+        Waited::Arrived
+    }
+
+    /// Reads the outcome, once there is one.
+    pub(crate) async fn read(self) -> Forwarding {
+        let (outcome, connection) = match self.arrived {
+            Some(sent) => sent,
+            None => self.sending.await,
+        };
+        match outcome {
+            SendOutcome::Response(response) => {
+                let (parts, body) = response.into_parts();
+                if parts.headers.contains_key(DECLINED) {
+                    return Forwarding::Declined;
+                }
+                Forwarding::Answered(Box::new(PeerResponse {
+                    parts,
+                    body,
+                    connection,
+                    peer: self.peer,
+                }))
             }
-            Forwarding::Answered(Box::new(PeerResponse {
-                parts,
-                body,
-                connection,
-                peer,
-            }))
+            SendOutcome::NotSent => Forwarding::Unreached,
+            SendOutcome::Unknown => Forwarding::Unanswered {
+                why: "peer broke off",
+            },
         }
-        SendOutcome::NotSent => Forwarding::Unreached,
-        SendOutcome::Unknown => Forwarding::Unanswered {
-            why: "peer broke off",
-        },
+    }
+}
+
+impl Holder for SentForward {
+    fn id(&self) -> HolderId {
+        HolderId::Peer(self.peer)
+    }
+
+    fn name(&self) -> String {
+        self.peer.to_string()
+    }
+
+    fn events(&self) -> u64 {
+        0
+    }
+
+    fn sign(&mut self) -> BoxFuture<'_, Sign> {
+        async {
+            if self.arrived.is_none() {
+                self.arrived = Some((&mut self.sending).await);
+            }
+            match &self.arrived {
+                Some((SendOutcome::Response(response), _))
+                    if !response.status().is_server_error() =>
+                {
+                    Sign::GoesOn
+                }
+                _ => Sign::Gone,
+            }
+        }
+        .boxed()
+    }
+
+    fn leave(&mut self, state: &HostState, call: &Call, why: &'static str) {
+        self.sending = pending().boxed();
+        self.arrived = None;
+        record_peer_left(state, call, self.peer, why);
     }
 }
 
--- a/router/src/in_flight.rs
+++ b/router/src/in_flight.rs
@@ -30,6 +30,8 @@
     first_event_at: Option<Millis>,
     /// Whether events have arrived for [`ANSWERING_SPAN`].
     is_answering: bool,
+    /// Whether the request is no longer counted.
+    has_ended: bool,
 }
 
 impl InFlight {
@@ -50,6 +52,7 @@
             prefill_ms,
             first_event_at: None,
             is_answering: false,
+            has_ended: false,
         }
     }
 
@@ -113,15 +116,11 @@
         self.is_answering
     }
 
-    /// Stops counting the request's prefill time, as its first event has arrived or it has ended.
-    pub(crate) fn finish_prefill(&mut self) {
-        let prefill_ms = std::mem::take(&mut self.prefill_ms);
-        self.server.end_prefill(prefill_ms);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
+    /// Stops counting the request, whose connection is closed. Later calls have no effect.
+    pub(crate) fn leave(&mut self) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
         self.finish_prefill();
         self.server.end_request();
         if let Some((state, call)) = self.unfinished.take() {
@@ -134,4 +133,16 @@
             });
         }
     }
+
+    /// Stops counting the request's prefill time, as its first event has arrived or it has ended.
+    pub(crate) fn finish_prefill(&mut self) {
+        let prefill_ms = std::mem::take(&mut self.prefill_ms);
+        self.server.end_prefill(prefill_ms);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.leave();
+    }
 }
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -5,11 +5,13 @@
 use clementinearch_policy::{connectivity::CHECK_PERIOD, time::Millis};
 
 use crate::{
-    active_request::ActiveRequest,
+    active_request::{ActiveRequest, Reply},
     decision_log::Severity,
-    forwarding::{ForwardedState, Forwarding, PeerResponse, forward},
+    forwarding::{ForwardedState, Forwarding, SentForward, forward},
+    handover::{Handover, HolderId},
     refusal::Refusal,
     request_metrics,
+    sent_attempt::Waited,
 };
 
 /// Reason of a refusal by a host that reaches no server and found no peer to serve the request.
@@ -22,6 +24,12 @@
 /// connecting.
 const MAX_PEERS_UNREACHED: usize = 2;
 
+/// What a request got from a peer, or while that peer was silent.
+enum PeerGot {
+    Outcome(Forwarding),
+    Reply(Reply),
+}
+
 impl ActiveRequest {
     /// Forwards the request to peers in turn until one serves it.
     ///
@@ -31,13 +39,14 @@
     pub(crate) async fn forward_to_peer(
         &mut self,
         resume_after: Option<u64>,
-    ) -> Result<PeerResponse, Refusal> {
+    ) -> Result<Reply, Refusal> {
         let now = self.state.now();
         let mut peers = Vec::new();
         // A request that a peer forwarded goes back to that peer, which knows who else is left.
         if self.call.forwarded.is_none() {
             peers = self.state.fleet.lock().forwarding_peers(now);
         }
+        peers.retain(|peer| !self.holders.contains(&HolderId::Peer(*peer)));
         peers.truncate(MAX_PEERS_ASKED);
         let has_peers = !peers.is_empty();
         let mut unreached = 0;
@@ -47,22 +56,27 @@
                 return Err(self.refusal_after_attempts("no attempt left"));
             }
             let forwarded = self.forwarded_state(resume_after, now);
-            let outcome = forward(&self.state, &self.call, &forwarded, peer).await;
+            let outcome = match forward(&self.state, &self.call, &forwarded, peer).await {
+                Ok(sent) => match self.wait_for_peer(sent, resume_after).await? {
+                    PeerGot::Outcome(outcome) => outcome,
+                    PeerGot::Reply(reply) => return Ok(reply),
+                },
+                Err(outcome) => outcome,
+            };
             let now = self.state.now();
             request_metrics::count_forwarding(&outcome);
             self.log_forwarding(peer, &outcome);
             match outcome {
                 Forwarding::Answered(response) => {
                     self.state.record_forwarding(true, now);
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
-                    return Ok(*response);
+                    return Ok(Reply::Peer(*response));
                 }
                 Forwarding::Declined => {
+                    self.sent.clear();
                     self.state.fleet.lock().record_forwarding_refused(peer);
                 }
                 Forwarding::Unreached => {
+                    self.sent.clear();
                     self.state.fleet.lock().record_forwarding_refused(peer);
                     unreached += 1;
                     if unreached >= MAX_PEERS_UNREACHED {
@@ -70,9 +84,7 @@
                     }
                 }
                 Forwarding::Unanswered { why } => {
-                    self.executions += 1;
-                    self.has_arrived = true;
-                    self.may_have_run = true;
+                    self.sent.clear();
                     if !self.call.head.route.kind.may_retry() {
                         return Err(Refusal::MayHaveRun { reason: why });
                     }
@@ -94,6 +106,47 @@
         Err(Refusal::not_run(NO_SERVER_REACHED, CHECK_PERIOD))
     }
 
+    /// Waits for the head of a peer's response. If the peer is silent, others are asked meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the peer was left and no other has answered.
+    async fn wait_for_peer(
+        &mut self,
+        mut sent: SentForward,
+        resume_after: Option<u64>,
+    ) -> Result<PeerGot, Refusal> {
+        self.sent.set(sent.sent_at());
+        let (state, call) = (self.state.clone(), self.call.clone());
+        let mut is_counted = false;
+        loop {
+            let may_leave = |now| self.may_hand_over(now);
+            let outcome = match sent.wait(&state, &call, &may_leave).await {
+                Waited::Arrived => sent.read().await,
+                Waited::GivenUp(why) => Forwarding::Unanswered { why },
+                Waited::DeadlinePassed => Forwarding::DeadlinePassed,
+                Waited::Stalled(why) => {
+                    if !std::mem::replace(&mut is_counted, true) {
+                        self.count_execution();
+                    }
+                    match self.hand_over(&mut sent, resume_after, why).await {
+                        Handover::Kept => continue,
+                        Handover::Taken { reply, .. } => return Ok(PeerGot::Reply(reply)),
+                        Handover::Failed { refusal, .. } => return Err(refusal),
+                    }
+                }
+            };
+            let has_run = matches!(
+                outcome,
+                Forwarding::Answered(_) | Forwarding::Unanswered { .. }
+            );
+            if has_run && !is_counted {
+                self.count_execution();
+            }
+            return Ok(PeerGot::Outcome(outcome));
+        }
+    }
+
     fn forwarded_state(&self, resume_after: Option<u64>, now: Millis) -> ForwardedState {
         ForwardedState {
             age_ms: now.since(self.call.arrived).as_millis() as u64,
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -3,15 +3,19 @@
 use std::{net::SocketAddr, time::Duration};
 
 use clementinearch_policy::{event_stream::EventSplitter, time::Millis};
+use futures::future::{BoxFuture, FutureExt};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Frame, Incoming};
 
 use crate::{
     active_request::ActiveRequest,
     attempt::NEXT_EVENT_OVERDUE,
+    call::Call,
     connections::Connection,
-    forwarding::{PeerResponse, is_unreachable},
-    relay::{MAX_GAP_OBJECTIVES, StreamStep},
+    event_source::{MAX_GAP_OBJECTIVES, StreamStep},
+    forwarding::{PEER_SILENT, PeerResponse, is_unreachable},
+    handover::{Holder, HolderId, Sign},
+    host_state::HostState,
 };
 
 /// How often a waiting stream checks its time limits and the peer.
@@ -22,8 +26,10 @@
     body: Incoming,
     reader: EventSplitter,
     /// Connection on which the body arrives; dropping it cancels the request at the peer.
-    _connection: Connection,
+    connection: Option<Connection>,
     peer: SocketAddr,
+    /// What came while another host or server was looked for.
+    arrived: Option<Option<hyper::Result<Frame<Bytes>>>>,
     /// When bytes last came.
     last_contact: Option<Millis>,
 }
@@ -34,8 +40,9 @@
         Self {
             body: response.body,
             reader: EventSplitter::new(resume_after),
-            _connection: response.connection,
+            connection: Some(response.connection),
             peer: response.peer,
+            arrived: None,
             last_contact: None,
         }
     }
@@ -65,7 +72,10 @@
             }
             let last_contact = *self.last_contact.get_or_insert(now);
             let wait = POLL_PERIOD.min(call.remaining(now));
-            let frame = tokio::time::timeout(wait, self.body.frame()).await;
+            let frame = match self.arrived.take() {
+                Some(frame) => Ok(frame),
+                None => tokio::time::timeout(wait, self.body.frame()).await,
+            };
             let now = state.now();
             match frame {
                 Ok(Some(Ok(frame))) => {
@@ -82,17 +92,57 @@
                 Ok(Some(Err(_))) => return StreamStep::Broken("peer broke off"),
                 Ok(None) if self.reader.is_at_boundary() => return StreamStep::End,
                 Ok(None) => return StreamStep::Broken("stream ended within an event"),
-                Err(_) if !call.head.route.kind.may_retry() => {}
+                Err(_) if !request.may_hand_over(now) => {}
                 Err(_) => {
                     let limit = call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES);
                     if self.event_count() > 0 && now.since(last_contact) >= limit {
-                        return StreamStep::Broken(NEXT_EVENT_OVERDUE);
+                        return StreamStep::Stalled(NEXT_EVENT_OVERDUE);
                     }
-                    if is_unreachable(self.peer, last_contact, now).await {
-                        return StreamStep::Broken("peer silent");
+                    tokio::select! {
+                        biased;
+                        frame = self.body.frame() => self.arrived = Some(frame),
+                        is_unreachable = is_unreachable(self.peer, last_contact, now) => {
+                            if is_unreachable {
+                                return StreamStep::Stalled(PEER_SILENT);
+                            }
+                        }
                     }
                 }
             }
         }
     }
 }
+
+impl Holder for PeerSource {
+    fn id(&self) -> HolderId {
+        HolderId::Peer(self.peer)
+    }
+
+    fn name(&self) -> String {
+        self.peer.to_string()
+    }
+
+    fn events(&self) -> u64 {
+        self.event_count()
+    }
+
+    fn sign(&mut self) -> BoxFuture<'_, Sign> {
+        async {
+            if self.arrived.is_none() {
+                self.arrived = Some(self.body.frame().await);
+            }
+            match &self.arrived {
+                Some(Some(Ok(_))) => Sign::GoesOn,
+                Some(None) if self.reader.is_at_boundary() => Sign::GoesOn,
+                _ => Sign::Gone,
+            }
+        }
+        .boxed()
+    }
+
+    fn leave(&mut self, state: &HostState, call: &Call, why: &'static str) {
+        self.connection = None;
+        let events = [("events", self.event_count() as f64)];
+        call.log_step(state, "stream_broken", &self.name(), why, &events);
+    }
+}
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use clementinearch_policy::server_health::AttemptOutcome;
+use clementinearch_policy::{server_health::AttemptOutcome, time::Millis};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::{Response, StatusCode, body::Bytes, http::response};
 
@@ -11,13 +11,15 @@
     active_request::{ActiveRequest, Reply},
     attempt::{AttemptResponse, is_framed, record_break},
     call::Call,
+    event_source::{EventSource, StreamStep},
     forwarding::PeerResponse,
+    handover::Handover,
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     host_state::HostState,
     peer_source::PeerSource,
     refusal::Refusal,
-    relay::{EventSource, Relay, Source, StreamStep},
+    relay::{Relay, Source},
     response_body::{ResponseBody, full_body},
 };
 
@@ -30,6 +32,16 @@
     body: Bytes,
 }
 
+/// The first step of a stream.
+enum FirstStep {
+    /// A step of the server that got the request.
+    Step(StreamStep),
+    /// Another server or peer has taken the request over.
+    Taken(Reply),
+    /// The server was left or broke off, and no other could be had.
+    Failed(Refusal),
+}
+
 /// Serves a request from admission to its response.
 pub(crate) async fn serve(state: Arc<HostState>, call: Call) -> Response<ResponseBody> {
     let dialect = state.dialect.clone();
@@ -210,8 +222,13 @@
     async fn serve_stream(mut self: ActiveRequest) -> Result<Response<ResponseBody>, Refusal> {
         let mut failure = None;
         let resume_after = self.call.head.resume_after;
+        let mut taken = None;
         loop {
-            let response = match self.next_response(resume_after).await {
+            let reply = match taken.take() {
+                Some(reply) => Ok(reply),
+                None => self.next_response(resume_after).await,
+            };
+            let response = match reply {
                 Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
                     let parts = response.parts.clone();
@@ -249,29 +266,22 @@
             }
             let sent_at = response.sent_at;
             let (parts, mut source) = EventSource::new(response, resume_after.is_some());
-            match source.next(&self).await {
-                StreamStep::Events(first) => {
-                    let now = self.state.now();
-                    self.first_event_at = Some(now);
-                    let server = source.in_flight().server().clone();
-                    self.record_first_event(&server, sent_at, now);
-                    self.state.record_prefill(
-                        &self.call.service,
-                        self.call.head.route.sizes.len(),
-                        self.size,
-                        source.in_flight().uncached_tokens(),
-                        now.since(sent_at),
-                    );
-                    record_server_outcome(&self.state, &server, AttemptOutcome::Good, now);
+            match self.first_step(&mut source, resume_after).await {
+                FirstStep::Taken(reply) => taken = Some(reply),
+                FirstStep::Failed(refusal) => return self.forward_failure(failure, refusal).await,
+                FirstStep::Step(StreamStep::Events(first)) => {
+                    self.record_start(&source, sent_at);
                     let source = Source::Server(Box::new(source));
                     return self.relay(parts, source, first).await;
                 }
-                StreamStep::End => {
+                FirstStep::Step(StreamStep::End) => {
                     let source = Source::Server(Box::new(source));
                     return self.relay(parts, source, Bytes::new()).await;
                 }
-                StreamStep::Broken(why) => self.record_broken_stream(&source, why).await,
-                StreamStep::DeadlinePassed => {
+                FirstStep::Step(StreamStep::Broken(why) | StreamStep::Stalled(why)) => {
+                    self.record_broken_stream(&source, why).await;
+                }
+                FirstStep::Step(StreamStep::DeadlinePassed) => {
                     let refusal = Refusal::DeadlinePassed;
                     return self.forward_failure(failure, refusal).await;
                 }
@@ -279,6 +289,47 @@
         }
     }
 
+    /// Waits for the first step of a stream. If its server is silent or late, others are tried
+    /// meanwhile.
+    async fn first_step(
+        &mut self,
+        source: &mut EventSource,
+        resume_after: Option<u64>,
+    ) -> FirstStep {
+        loop {
+            let step = source.next(self).await;
+            let StreamStep::Stalled(why) = step else {
+                return FirstStep::Step(step);
+            };
+            source.record_stall(self, why).await;
+            let handover = self.hand_over(source, resume_after, why).await;
+            if handover.is_gone() {
+                source.record_gone(&self.state, &self.call).await;
+            }
+            match handover {
+                Handover::Kept => {}
+                Handover::Taken { reply, .. } => return FirstStep::Taken(reply),
+                Handover::Failed { refusal, .. } => return FirstStep::Failed(refusal),
+            }
+        }
+    }
+
+    /// Records that the first event of a stream arrived, whose request was sent at `sent_at`.
+    fn record_start(&mut self, source: &EventSource, sent_at: Millis) {
+        let now = self.state.now();
+        self.first_event_at = Some(now);
+        let server = source.in_flight().server().clone();
+        self.record_first_event(&server, sent_at, now);
+        self.state.record_prefill(
+            &self.call.service,
+            self.call.head.route.sizes.len(),
+            self.size,
+            source.in_flight().uncached_tokens(),
+            now.since(sent_at),
+        );
+        record_server_outcome(&self.state, &server, AttemptOutcome::Good, now);
+    }
+
     /// Starts to forward a stream, or collects it for a caller that wants a single response.
     async fn relay(
         self,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -3,234 +3,24 @@
 
 use std::{io, time::Duration};
 
-use clementinearch_policy::{routes::RouteKind, server_health::AttemptOutcome, time::Millis};
+use clementinearch_policy::{routes::RouteKind, server_health::AttemptOutcome};
 use futures::{Stream, StreamExt};
-use http_body_util::BodyExt;
-use hyper::{
-    body::{Bytes, Frame, Incoming},
-    http::response,
-};
+use hyper::body::{Bytes, Frame};
 use tokio::sync::mpsc;
 
 use crate::{
     active_request::{ActiveRequest, Reply},
-    attempt::{
-        AttemptResponse, CRASHES_SERVERS, FIRST_EVENT_OVERDUE, NEXT_EVENT_OVERDUE, SERVER_REFUSES,
-        SERVER_SILENT, attempt_timeout, exceeds_idle_timeout, is_framed, record_abandoned,
-        record_break, unreachable_reason,
-    },
-    connections::Connection,
-    crash_check::has_ended,
-    dialect::{EventReader, ResponseHead},
+    event_source::{EventSource, StreamStep},
+    handover::{Handover, Holder},
     health_tracking::record_server_outcome,
-    hooks::{AttemptEnd, CallEnd},
-    in_flight::InFlight,
+    hooks::CallEnd,
     peer_source::PeerSource,
     refusal::Refusal,
 };
 
-/// How often a waiting stream checks its time limits and the server.
-const POLL_PERIOD: Duration = Duration::from_millis(150);
-
-/// Gap between two events, as a multiple of the gap objective, after which a stream is resumed on
-/// another server.
-pub(crate) const MAX_GAP_OBJECTIVES: f64 = 3.0;
-
 /// Number of frames that are buffered for a slow caller.
 const FRAME_BUFFER: usize = 8;
 
-/// The next step of a stream.
-pub(crate) enum StreamStep {
-    /// One or more complete events.
-    Events(Bytes),
-    /// The stream is complete.
-    End,
-    /// The stream broke off or its server stopped sending, for this reason.
-    Broken(&'static str),
-    /// The deadline passed.
-    DeadlinePassed,
-}
-
-/// The event stream of one attempt.
-pub(crate) struct EventSource {
-    body: Incoming,
-    reader: Box<dyn EventReader>,
-    connection: Option<Connection>,
-    in_flight: InFlight,
-    head: ResponseHead,
-    /// Whether the stream continues after events of an earlier attempt.
-    is_resumed: bool,
-    /// Whether the end of the body is told by its framing rather than by that of the connection.
-    is_framed: bool,
-    has_ended: bool,
-    /// When the last event arrived; before the first one, when the request was sent.
-    last_event: Millis,
-}
-
-impl EventSource {
-    /// Splits a response into its status and headers and its event stream.
-    pub(crate) fn new(response: AttemptResponse, is_resumed: bool) -> (response::Parts, Self) {
-        let source = Self {
-            body: response.body,
-            reader: response.reader,
-            connection: Some(response.connection),
-            in_flight: response.in_flight,
-            head: response.head,
-            is_resumed,
-            is_framed: is_framed(&response.parts),
-            has_ended: false,
-            last_event: response.sent_at,
-        };
-        (response.parts, source)
-    }
-
-    /// Id of the last complete event.
-    pub(crate) fn last_id(&self) -> Option<u64> {
-        self.reader.last_id()
-    }
-
-    /// Number of complete events so far.
-    pub(crate) fn event_count(&self) -> u64 {
-        self.reader.event_count()
-    }
-
-    /// Returns the events that were held back until the outcome is recorded.
-    pub(crate) fn final_events(&mut self) -> Bytes {
-        self.reader.final_events()
-    }
-
-    /// The attempt as it is counted on its server.
-    pub(crate) fn in_flight(&self) -> &InFlight {
-        &self.in_flight
-    }
-
-    /// Waits until events are complete, or the stream ends, breaks off or exceeds a time limit.
-    pub(crate) async fn next(&mut self, request: &ActiveRequest) -> StreamStep {
-        let (state, call) = (&request.state, &request.call);
-        loop {
-            if self.has_ended {
-                return StreamStep::End;
-            }
-            let now = state.now();
-            if now >= call.deadline {
-                return StreamStep::DeadlinePassed;
-            }
-            let wait = POLL_PERIOD.min(call.remaining(now));
-            let frame = tokio::time::timeout(wait, self.body.frame()).await;
-            let now = state.now();
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    self.in_flight.server().record_contact(now);
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = match self.reader.push(&data) {
-                        Ok(events) => events,
-                        Err(e) => return self.end_or_broken(request, e.reason()),
-                    };
-                    if self.reader.has_ended() {
-                        self.end(request);
-                    }
-                    if !events.is_empty() {
-                        self.last_event = now;
-                        if let Some(began_at) = self.in_flight.record_events(now) {
-                            state.record_part_answer(call, began_at);
-                        }
-                        self.in_flight.finish_prefill();
-                        return StreamStep::Events(events);
-                    }
-                }
-                Ok(Some(Err(_))) => return self.end_or_broken(request, "stream broke off"),
-                Ok(None) if !self.reader.is_complete(true) => {
-                    return StreamStep::Broken("stream ended within an event");
-                }
-                Ok(None) if self.is_without_events() => {
-                    return StreamStep::Broken("stream without events");
-                }
-                Ok(None) if self.has_server_ended().await => {
-                    return StreamStep::Broken(SERVER_REFUSES);
-                }
-                Ok(None) => {
-                    if let Some(connection) = self.connection.take() {
-                        request.keep_connection(
-                            self.in_flight.server(),
-                            connection,
-                            &self.head,
-                            now,
-                        );
-                    }
-                    self.end(request);
-                }
-                Err(_) if self.event_count() == 0 && state.has_blocked_part(call) => {
-                    return StreamStep::Broken(CRASHES_SERVERS);
-                }
-                Err(_) => {
-                    if let Some(why) = self.stall_reason(request, now).await {
-                        return self.end_or_broken(request, why);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Whether the body ended without any event, so that the caller would get an empty response.
-    fn is_without_events(&self) -> bool {
-        self.reader.event_count() == 0 && !self.is_resumed && !self.reader.is_complete(false)
-    }
-
-    /// Whether the body ended with its connection because the server has ended. Its kernel closes the
-    /// connection as if the response were complete.
-    async fn has_server_ended(&self) -> bool {
-        !self.is_framed && has_ended(self.in_flight.server()).await
-    }
-
-    /// Marks the stream as complete and records the attempt.
-    fn end(&mut self, request: &ActiveRequest) {
-        self.has_ended = true;
-        request.record_attempt(self.in_flight.attempt_target(), AttemptEnd::Whole);
-        // The end of a connection alone does not show that the server has survived the response.
-        if self.is_framed || self.in_flight.is_answering() {
-            let began_at = self.in_flight.first_event_at();
-            self.in_flight.finish();
-            request.record_success(began_at.unwrap_or_else(|| request.state.now()));
-        }
-    }
-
-    /// Handles a break of the stream, which counts as its end if the response is complete already.
-    fn end_or_broken(&mut self, request: &ActiveRequest, why: &'static str) -> StreamStep {
-        if !self.reader.is_complete(false) {
-            return StreamStep::Broken(why);
-        }
-        self.end(request);
-        StreamStep::End
-    }
-
-    /// Returns the reason to leave this server if the stream has stalled for too long.
-    async fn stall_reason(&self, request: &ActiveRequest, now: Millis) -> Option<&'static str> {
-        let (state, call) = (&request.state, &request.call);
-        if exceeds_idle_timeout(call, self.last_event, now) {
-            return Some(SERVER_SILENT);
-        }
-        if call.head.route.kind != (RouteKind::Stream { resumable: true })
-            || !request.may_abandon_attempt(now)
-        {
-            return None;
-        }
-        let waited = now.since(self.last_event);
-        if self.reader.event_count() == 0 {
-            let limit = attempt_timeout(state, call);
-            if limit.is_some_and(|limit| waited >= limit) {
-                return Some(FIRST_EVENT_OVERDUE);
-            }
-        } else if waited >= call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES) {
-            return Some(NEXT_EVENT_OVERDUE);
-        }
-        let server = self.in_flight.server();
-        let silent_since = server.last_contact().max(self.last_event);
-        unreachable_reason(state, server, silent_since).await
-    }
-}
-
 /// Where the events of a stream come from.
 pub(crate) enum Source {
     /// A backend server.
@@ -247,6 +37,14 @@
         }
     }
 
+    /// The stream as one that may be handed over.
+    fn holder(&mut self) -> &mut dyn Holder {
+        match self {
+            Self::Server(source) => &mut **source,
+            Self::Peer(source) => &mut **source,
+        }
+    }
+
     fn last_id(&self) -> Option<u64> {
         match self {
             Self::Server(source) => source.last_id(),
@@ -418,11 +216,54 @@
                         refusal: Refusal::DeadlinePassed,
                     });
                 }
+                StreamStep::Stalled(why) => self.hand_over(why).await?,
                 StreamStep::Broken(why) => self.resume(why).await?,
             }
         }
     }
 
+    /// Looks for another server to go on after the last complete event, while the one that stalled
+    /// keeps the stream.
+    async fn hand_over(&mut self, why: &'static str) -> Result<(), StreamFailure> {
+        let after = self.source.last_id();
+        if let Source::Server(source) = &mut self.source {
+            source.record_stall(&self.request, why).await;
+        }
+        let holder = self.source.holder();
+        match self.request.hand_over(holder, after, why).await {
+            Handover::Kept => Ok(()),
+            Handover::Taken { reply, is_gone } => {
+                self.request.is_pace_due = false;
+                let source = match reply {
+                    Reply::Server(response) => {
+                        let (_, source) = EventSource::new(*response, true);
+                        Source::Server(Box::new(source))
+                    }
+                    Reply::Peer(response) => {
+                        Source::Peer(Box::new(PeerSource::new(response, after)))
+                    }
+                };
+                let left = std::mem::replace(&mut self.source, source);
+                if let Source::Server(left) = left
+                    && is_gone
+                {
+                    let (state, call) = (self.request.state.clone(), self.request.call.clone());
+                    tokio::spawn(async move { left.record_gone(&state, &call).await });
+                }
+                Ok(())
+            }
+            Handover::Failed { refusal, is_gone } => {
+                if let Source::Server(left) = &self.source
+                    && is_gone
+                {
+                    left.record_gone(&self.request.state, &self.request.call)
+                        .await;
+                }
+                Err(StreamFailure { why, refusal })
+            }
+        }
+    }
+
     /// Resumes the stream after the last complete event, on another server.
     async fn resume(&mut self, why: &'static str) -> Result<(), StreamFailure> {
         let after = self.source.last_id();
@@ -471,25 +312,4 @@
         let events = [("events", source.event_count() as f64)];
         self.log_step("stream_broken", &source.peer().to_string(), why, &events);
     }
-
-    /// Records that a stream broke off, and its cause against the server.
-    pub(crate) async fn record_broken_stream(&mut self, source: &EventSource, why: &'static str) {
-        let in_flight = source.in_flight();
-        let server = in_flight.server();
-        let now = self.state.now();
-        self.record_attempt(in_flight.attempt_target(), AttemptEnd::Broken);
-        self.log_step(
-            "stream_broken",
-            &server.entry.name,
-            why,
-            &[("events", source.event_count() as f64)],
-        );
-        match why {
-            CRASHES_SERVERS | SERVER_SILENT | SERVER_REFUSES | FIRST_EVENT_OVERDUE
-            | NEXT_EVENT_OVERDUE => {
-                record_abandoned(&self.state, &self.call, in_flight, why, now).await;
-            }
-            _ => record_break(&self.state, &self.call, in_flight, now).await,
-        }
-    }
 }
--- a/router/src/request_retries.rs
+++ b/router/src/request_retries.rs
@@ -29,9 +29,17 @@
             && self.call.remaining(now) >= MIN_ATTEMPT_TIME
     }
 
+    /// Whether another host or server may be looked for while a peer has the request.
+    pub(crate) fn may_hand_over(&self, now: Millis) -> bool {
+        self.call.head.route.kind.may_retry()
+            && now >= self.no_handover_before
+            && self.has_attempt_left(now)
+    }
+
     /// Whether the current attempt may be abandoned for another one.
     pub(crate) fn may_abandon_attempt(&self, now: Millis) -> bool {
-        self.attempts_left() > 0
+        now >= self.no_handover_before
+            && self.attempts_left() > 0
             && self.sends < MAX_SENDS
             && self
                 .state
