Let callers be slow, and servers behind a full link be waited for

A caller that read nothing for 3 s, or could not be reached for so long, lost the answer of a server at work.

Cause: TCP_USER_TIMEOUT of 3 s on connections to callers, servers and peers. It ends a connection whose peer takes nothing in, it counts bytes that wait at this host's own full link, and it replaces the count of keep-alive probes.

Callers: 60 s. Not none, since a stream whose caller takes nothing in does not look at its own limits, and bytes to a caller that is gone would be sent again for a quarter of an hour. A close that reaches the host ends the work at once, as before. Servers and peers: none; keep-alive probes each second, 20 of them. Time limits and test connections decide on requests under way.

route_slow_caller, 4 s without reading, a resumable stream, one that is not, and a plain answer: 3 of 3 lost before, 0 of 3 after.

--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -18,12 +18,18 @@
 /// objective. Waiting longer would not help, since TCP sends a lost SYN again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// How long sent bytes may stay unacknowledged before the kernel closes the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a caller may acknowledge nothing, or take nothing in, before the kernel closes its
+/// connection. A stream does not look at its own time limits while its caller takes nothing in, so
+/// this bounds the work for callers that are gone.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Unanswered probes after which the kernel closes a connection without a user time-out. Requests
+/// have time limits of their own.
+const KEEPALIVE_PROBES: u32 = 20;
+
 /// How long an idle connection is kept if the server sends no `Keep-Alive` time-out.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
 
@@ -60,20 +66,31 @@
     Unknown,
 }
 
-/// Sets `TCP_NODELAY`, the user time-out and keep-alive, which limit the time for which a dead peer
-/// is taken for a slow one.
+/// Sets the options of a caller's connection. Those who do not read for a while, or are out of reach,
+/// find their answer when they are back.
+///
+/// # Errors
+///
+/// Returns the error of the first option that cannot be set.
+pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(CALLER_TIMEOUT))
+}
+
+/// Sets the options that all connections share. Those to servers and peers have no user time-out:
+/// bytes that wait at this host's own link are no sign of the other side, and test connections tell
+/// more.
 ///
 /// # Errors
 ///
 /// Returns the error of the first option that cannot be set.
-pub(crate) fn set_tcp_options(stream: &TcpStream) -> io::Result<()> {
+fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_PERIOD)
-        .with_interval(KEEPALIVE_PERIOD);
-    socket.set_tcp_keepalive(&keepalive)
+        .with_interval(KEEPALIVE_PERIOD)
+        .with_retries(KEEPALIVE_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
 /// Connects to a backend server.
@@ -87,7 +104,7 @@
     let stream = connecting
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_tcp_options(&stream)?;
+    set_options(&stream)?;
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = Driver(tokio::spawn(async move {
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -106,7 +106,7 @@
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
             };
-            if let Err(e) = crate::connections::set_tcp_options(&stream) {
+            if let Err(e) = crate::connections::set_caller_options(&stream) {
                 self.state
                     .log_event("caller_not_tuned", "", &e.to_string(), &[]);
             }
