Take the path for lost only after several samples

A host whose own link was full took itself for cut off: six connections that were not accepted within 100 ms at one moment were enough.

Now three samples must fail, 200 ms apart and with 300 ms each, 0.7 s in all; a connection that is accepted meanwhile ends the check. Bytes that come from any server during the check outweigh connections that only wait, for 2 s at most: new requests need new connections. Refusals count as before, since no full link makes them.

--- a/policy/src/connectivity.rs
+++ b/policy/src/connectivity.rs
@@ -3,6 +3,9 @@
 //! A server that accepts no connection may be down itself. A host that gets no connection to a
 //! sample of servers across services and zones has lost its path to all of them, however its open
 //! connections behave. Every later connection that is accepted ends that.
+//!
+//! A host whose own link is full gets no connection in time either. Therefore several samples must
+//! fail, and while bytes arrive from servers, connections that only wait tell nothing for a while.
 
 use std::time::Duration;
 
@@ -15,12 +18,39 @@
 /// Time between two checks of a lost path.
 pub const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Samples that must fail before the path is taken for lost.
+pub const SAMPLES: u32 = 3;
+
+/// Time from one sample of a check to the next, unless all servers have refused by then.
+pub const SAMPLE_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time limit for each connection of a sample. The servers of the first one have longer than those
+/// of any usual connection.
+pub const SAMPLE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time from the first failed check after which bytes from servers no longer speak for the path: new
+/// requests need new connections.
+const MAX_DOUBT: Duration = Duration::from_secs(2);
+
+/// A check in which no server accepted a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedCheck {
+    /// When the check began.
+    pub began_at: Millis,
+    /// Whether all servers refused, which no full link does.
+    pub are_all_refused: bool,
+    /// When bytes last came from any server.
+    pub last_contact: Millis,
+}
+
 /// What a host knows of its path to the backend servers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Connectivity {
     lost_since: Option<Millis>,
     /// When a server last accepted a connection.
     connected_at: Option<Millis>,
+    /// When the first check began that failed while bytes came from servers.
+    doubted_since: Option<Millis>,
 }
 
 impl Connectivity {
@@ -28,17 +58,23 @@
     /// lost, if it had.
     pub fn record_connected(&mut self, now: Millis) -> Option<Millis> {
         self.connected_at = Some(now);
+        self.doubted_since = None;
         self.lost_since.take()
     }
 
-    /// Records that no server of a sample accepted a connection in a check that began at
-    /// `began_at`. Returns whether the path is lost since now.
-    pub fn record_failed_check(&mut self, began_at: Millis, now: Millis) -> bool {
+    /// Records that no server accepted a connection in a check that ends now. Returns whether the
+    /// path is lost since now.
+    pub fn record_failed_check(&mut self, check: FailedCheck, now: Millis) -> bool {
         // A connection that was accepted meanwhile tells more than the sample.
-        let has_connected = self.connected_at.is_some_and(|at| at > began_at);
+        let has_connected = self.connected_at.is_some_and(|at| at > check.began_at);
         if self.lost_since.is_some() || has_connected {
             return false;
         }
+        let has_contact = !check.are_all_refused && check.last_contact > check.began_at;
+        let doubted_since = *self.doubted_since.get_or_insert(check.began_at);
+        if has_contact && now.since(doubted_since) < MAX_DOUBT {
+            return false;
+        }
         self.lost_since = Some(now);
         true
     }
--- a/router/src/connectivity.rs
+++ b/router/src/connectivity.rs
@@ -2,19 +2,24 @@
 //! of the path means for requests, peers and the load balancer.
 
 use std::{
+    io::{self, ErrorKind},
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use clementinearch_policy::{
-    connectivity::{CHECK_PERIOD, Connectivity, sample},
+    connectivity::{
+        CHECK_PERIOD, Connectivity, FailedCheck, SAMPLE_PERIOD, SAMPLE_TIMEOUT, SAMPLES, sample,
+    },
     names::Name,
     time::Millis,
 };
 use futures::{StreamExt, stream::FuturesUnordered};
 use parking_lot::Mutex;
+use tokio::net::TcpStream;
 
-use crate::{connections::connect, gossip_event::GossipEvent, host_state::HostState};
+use crate::{gossip_event::GossipEvent, host_state::HostState};
 
 /// Time for which a peer's refusal of a forwarded request makes this host not ready.
 const FORWARDING_FAILURE_WINDOW: Duration = Duration::from_secs(1);
@@ -79,7 +84,7 @@
     state.has_lost_servers()
 }
 
-/// Connects to a sample of the servers. A check that another task has begun meanwhile serves as
+/// Connects to samples of the servers. A check that another task has begun meanwhile serves as
 /// well.
 async fn check(state: &HostState) {
     let wanted_at = state.now();
@@ -88,45 +93,96 @@
         return;
     }
     let began_at = state.now();
-    let tried = connect_to_sample(state).await;
+    // Once the path is lost, the next check is soon enough.
+    let samples = if state.has_lost_servers() { 1 } else { SAMPLES };
+    let failure = connect_to_samples(state, samples).await;
     let now = state.now();
     *last_check = Some(now);
     drop(last_check);
-    let Some(tried) = tried else {
+    let Some(failure) = failure else {
         return;
     };
+    let servers = state.servers.all();
+    let contacts = servers.iter().map(|server| server.last_contact());
+    let failed = FailedCheck {
+        began_at,
+        are_all_refused: failure.are_all_refused,
+        last_contact: contacts.max().unwrap_or_default(),
+    };
     let mut connectivity = state.server_path.connectivity.lock();
-    let is_news = connectivity.record_failed_check(began_at, now);
+    let is_news = connectivity.record_failed_check(failed, now);
     drop(connectivity);
     if is_news {
-        let inputs = [("tried", tried as f64)];
+        let inputs = [("tried", failure.tried as f64)];
         state.log_event("servers_lost", "", "no server is reached", &inputs);
         state.enqueue_gossip(GossipEvent::Report);
     }
 }
 
-/// Connects to a sample of the servers until one accepts. Returns how many were tried if none did.
-async fn connect_to_sample(state: &HostState) -> Option<usize> {
-    let now = state.now();
+/// Connections of which none was accepted.
+struct FailedConnections {
+    tried: usize,
+    are_all_refused: bool,
+}
+
+/// Connects to samples of the servers, one after the other, until one accepts. Returns `None` if one
+/// did, or there are no servers. The connections of a sample go on during the next one.
+async fn connect_to_samples(state: &HostState, samples: u32) -> Option<FailedConnections> {
+    let mut connecting = FuturesUnordered::new();
+    let mut failure = FailedConnections {
+        tried: 0,
+        are_all_refused: true,
+    };
+    for number in 0..samples {
+        let sampled = sampled_addresses(state);
+        failure.tried += sampled.len();
+        connecting.extend(sampled.into_iter().map(try_connect));
+        let is_last = number + 1 == samples;
+        let limit = if is_last {
+            SAMPLE_TIMEOUT
+        } else {
+            SAMPLE_PERIOD
+        };
+        let trying = async {
+            while let Some(connected) = connecting.next().await {
+                match connected {
+                    Ok(()) => return true,
+                    Err(e) => failure.are_all_refused &= e.kind() == ErrorKind::ConnectionRefused,
+                }
+            }
+            false
+        };
+        match tokio::time::timeout(limit, trying).await {
+            Ok(true) => {
+                state.record_server_connected(state.now());
+                return None;
+            }
+            Ok(false) => {}
+            Err(_) => failure.are_all_refused = false,
+        }
+    }
+    (failure.tried > 0).then_some(failure)
+}
+
+/// Addresses of a sample of the servers.
+fn sampled_addresses(state: &HostState) -> Vec<SocketAddr> {
     let mut servers = state.servers.all();
     servers.retain(|server| server.accepts_requests());
     let kinds: Vec<(Name, Name)> = servers
         .iter()
         .map(|server| (server.entry.service.clone(), server.entry.zone.clone()))
         .collect();
-    let offset = state.placements.load(Ordering::Relaxed) + now.0 as usize;
+    let offset = state.placements.load(Ordering::Relaxed) + state.now().0 as usize;
     let sampled = sample(&kinds, offset);
-    let connecting = sampled
-        .iter()
-        .map(|index| connect(servers[*index].entry.address));
-    let mut connecting: FuturesUnordered<_> = connecting.collect();
-    while let Some(connected) = connecting.next().await {
-        if connected.is_ok() {
-            state.record_server_connected(state.now());
-            return None;
-        }
-    }
-    (!sampled.is_empty()).then_some(sampled.len())
+    let address = |index: &usize| servers[*index].entry.address;
+    sampled.iter().map(address).collect()
+}
+
+async fn try_connect(address: SocketAddr) -> io::Result<()> {
+    let connecting = tokio::time::timeout(SAMPLE_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| ErrorKind::TimedOut)??;
+    drop(stream);
+    Ok(())
 }
 
 /// Looks for the path while it is lost, until the process ends.
