--- a/host/tests/route_handover.rs
+++ b/host/tests/route_handover.rs
@@ -153,11 +153,12 @@
     is_plain.then(|| Step::Send(signed_response(received, "200 OK", "", "done")))
 }
 
-/// Routes whose time limits are short, with `attempts` attempts at most.
-fn routes(name: &str, attempts: u32) -> Vec<serde_json::Value> {
+/// Routes with `attempts` attempts at most. Another server is looked for after 0.6 x `target_ms`
+/// without an answer or first event, and after 3 x `gap_ms` without a further event.
+fn routes(name: &str, attempts: u32, target_ms: u64, gap_ms: u64) -> Vec<serde_json::Value> {
     vec![
-        json!({"name": format!("{name}-plain"), "host": "a.example", "pathPrefix": format!("/{name}-plain/"), "kind": "idempotent", "timeoutMs": 20000, "targetLatencyMs": 300, "priority": 2, "service": "orders", "maxAttempts": attempts}),
-        json!({"name": format!("{name}-stream"), "host": "a.example", "pathPrefix": format!("/{name}-stream/"), "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 300, "priority": 1, "service": "pool", "maxAttempts": attempts, "streamResume": true, "gapTargetMs": 300}),
+        json!({"name": format!("{name}-plain"), "host": "a.example", "pathPrefix": format!("/{name}-plain/"), "kind": "idempotent", "timeoutMs": 20000, "targetLatencyMs": target_ms, "priority": 2, "service": "orders", "maxAttempts": attempts}),
+        json!({"name": format!("{name}-stream"), "host": "a.example", "pathPrefix": format!("/{name}-stream/"), "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": target_ms, "priority": 1, "service": "pool", "maxAttempts": attempts, "streamResume": true, "gapTargetMs": gap_ms}),
     ]
 }
 
@@ -185,8 +186,9 @@
         let service = ["orders", "pool"][number % 2];
         servers.push(platform.add_backend(service, "v1", script).1);
     }
-    let mut more = routes("quick", 4);
-    more.extend(routes("once", 1));
+    let mut more = routes("quick", 4, 300, 300);
+    more.extend(routes("once", 1, 300, 300));
+    more.extend(routes("calm", 4, 2_000, 400));
     platform.configure(2, &json!(more));
     (platform, servers)
 }
@@ -379,3 +381,29 @@
         });
     }
 }
+
+/// How long a host stands still, and how long its servers work without sending anything: longer than
+/// the limits of the route by the clock, and far shorter in time in which the host ran.
+const STANDSTILL: Duration = Duration::from_millis(1_600);
+const WORK: Duration = Duration::from_millis(2_000);
+
+/// The host's process is frozen: its servers have not been silent meanwhile.
+#[test]
+fn a_host_that_stood_still_takes_no_server_for_silent() {
+    let (mut platform, servers) = prepare(2, WORK, Others::Serve);
+    platform.start_hosts(1);
+    let host = &platform.hosts[0];
+    let answers = send_all(&platform, &servers, "calm", || {
+        host.signal("STOP");
+        thread::sleep(STANDSTILL);
+        host.signal("CONT");
+    });
+    check_whole(answers, "stood still");
+    assert_eq!(arrivals(&servers), ALL_SILENT.len(), "each is sent once");
+    let metrics = host.metrics();
+    let mut lines = metrics.lines();
+    assert!(lines.any(|line| line.starts_with("clementinearch_loop_stall_seconds_sum")));
+    wait_until("the log tells of it", || {
+        !host.logged("loop_stalled").is_empty()
+    });
+}
