Measure silence in time in which this host ran

A host whose process was frozen, or whose event loop stood still for a long task, took sound servers for silent or late as soon as it went on, and sent their requests to others.

Cause: limits of silence were measured by the clock alone.

Limits on servers and peers use that time; deadlines use the clock.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rollout;
 pub mod rollout_evidence;
 pub mod routes;
+pub mod running_clock;
 pub mod server_health;
 pub mod server_limit;
 pub mod session;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -142,7 +142,7 @@
     server: &Server,
     silent_since: Millis,
 ) -> Option<&'static str> {
-    if state.now().since(silent_since) < SILENCE_BEFORE_CHECK {
+    if state.ran_since(silent_since) < SILENCE_BEFORE_CHECK {
         return None;
     }
     let began_at = state.now();
@@ -357,9 +357,9 @@
 }
 
 /// Whether the time since `since` exceeds the request's idle time-out.
-pub(crate) fn exceeds_idle_timeout(call: &Call, since: Millis, now: Millis) -> bool {
+pub(crate) fn exceeds_idle_timeout(state: &HostState, call: &Call, since: Millis) -> bool {
     let limit = call.head.server_idle_timeout;
-    limit.is_some_and(|limit| now.since(since) >= limit)
+    limit.is_some_and(|limit| state.ran_since(since) >= limit)
 }
 
 /// Records that a connection broke during a request. Unless the server has crashed, the break is a
--- a/router/src/data_path.rs
+++ b/router/src/data_path.rs
@@ -14,6 +14,7 @@
     hooks::RequestHooks,
     host_state::HostState,
     ingress::Ingress,
+    loop_stalls,
     settings::Settings,
 };
 
@@ -56,9 +57,12 @@
     pub async fn serve(&self, callers: TcpListener, stop: impl Future<Output = ()>) -> usize {
         let (ingress, drain) = Ingress::new(self.state.clone());
         let accepting = tokio::spawn(ingress.run(callers));
+        let watching = tokio::spawn(loop_stalls::watch(self.state.clone()));
         stop.await;
         accepting.abort();
         let grace = self.state.settings.limits.grace;
-        drain.run(self.state.now().after(grace)).await
+        let open = drain.run(self.state.now().after(grace)).await;
+        watching.abort();
+        open
     }
 }
--- a/router/src/event_source.rs
+++ b/router/src/event_source.rs
@@ -170,7 +170,7 @@
                 Err(_) if self.event_count() == 0 && state.has_blocked_part(call) => {
                     return StreamStep::Broken(CRASHES_SERVERS);
                 }
-                Err(_) if exceeds_idle_timeout(call, self.last_event, now) => {
+                Err(_) if exceeds_idle_timeout(state, call, self.last_event) => {
                     return self.end_or_broken(request, SERVER_SILENT);
                 }
                 Err(_) => {
@@ -245,7 +245,7 @@
         {
             return None;
         }
-        let waited = now.since(self.last_event);
+        let waited = state.ran_since(self.last_event);
         if self.reader.event_count() == 0 {
             let limit = attempt_timeout(state, call);
             if limit.is_some_and(|limit| waited >= limit) {
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -185,7 +185,7 @@
             tokio::select! {
                 biased;
                 sent = &mut self.sending => self.arrived = Some(sent),
-                is_unreachable = is_unreachable(self.peer, self.sent_at, now) => {
+                is_unreachable = is_unreachable(state, self.peer, self.sent_at) => {
                     if is_unreachable {
                         return Waited::Stalled(PEER_SILENT);
                     }
@@ -260,8 +260,12 @@
 }
 
 /// Whether a peer that has been silent for a while accepts no test connection either.
-pub(crate) async fn is_unreachable(peer: SocketAddr, silent_since: Millis, now: Millis) -> bool {
-    now.since(silent_since) >= SILENCE_BEFORE_CHECK && connect(peer).await.is_err()
+pub(crate) async fn is_unreachable(
+    state: &HostState,
+    peer: SocketAddr,
+    silent_since: Millis,
+) -> bool {
+    state.ran_since(silent_since) >= SILENCE_BEFORE_CHECK && connect(peer).await.is_err()
 }
 
 /// Builds the request to a peer from the caller's.
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -26,7 +26,7 @@
     hooks::DefaultHooks,
     host_state::HostState,
     ingress::Ingress,
-    peer_view, request_metrics,
+    loop_stalls, peer_view, request_metrics,
     rollout::{PendingStatus, VerdictChange},
     settings::Settings,
     stored_blocks,
@@ -157,6 +157,7 @@
     tokio::spawn(sweep(state.clone(), metrics));
     tokio::spawn(health_tracking::probe_unreachable(state.clone()));
     tokio::spawn(connectivity::watch(state.clone()));
+    tokio::spawn(loop_stalls::watch(state.clone()));
     let (ingress, drain) = Ingress::new(state.clone());
     tokio::spawn(ingress.run(callers));
     while let Some(signal) = signals.recv().await {
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -17,6 +17,7 @@
     retry_budget::{RetryBudget, RetryLimit},
     rollout_evidence::Outcome,
     routes::{Route, RoutingTable},
+    running_clock::RunningClock,
     server_limit::ReturnSchedule,
     time::Millis,
 };
@@ -63,6 +64,7 @@
     pub(crate) schema: Arc<dyn StoreSchema>,
     pub(crate) hooks: Arc<dyn RequestHooks>,
     pub(crate) clock: Clock,
+    pub(crate) running_clock: Mutex<RunningClock>,
     pub(crate) log: DecisionLog,
     pub(crate) servers: Servers,
     pub(crate) server_path: ServerPath,
@@ -124,6 +126,7 @@
             schema,
             hooks,
             clock: Clock::new(),
+            running_clock: Mutex::default(),
             log,
             servers: Servers::default(),
             server_path: ServerPath::default(),
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -33,6 +33,7 @@
 mod in_flight;
 mod ingress;
 mod internal_http;
+mod loop_stalls;
 mod moving_averages;
 mod peer_attempts;
 mod peer_source;
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -95,13 +95,13 @@
                 Err(_) if !request.may_hand_over(now) => {}
                 Err(_) => {
                     let limit = call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES);
-                    if self.event_count() > 0 && now.since(last_contact) >= limit {
+                    if self.event_count() > 0 && state.ran_since(last_contact) >= limit {
                         return StreamStep::Stalled(NEXT_EVENT_OVERDUE);
                     }
                     tokio::select! {
                         biased;
                         frame = self.body.frame() => self.arrived = Some(frame),
-                        is_unreachable = is_unreachable(self.peer, last_contact, now) => {
+                        is_unreachable = is_unreachable(state, self.peer, last_contact) => {
                             if is_unreachable {
                                 return StreamStep::Stalled(PEER_SILENT);
                             }
--- a/router/src/sent_attempt.rs
+++ b/router/src/sent_attempt.rs
@@ -98,13 +98,13 @@
             if state.has_blocked_part(&call) {
                 return Waited::GivenUp(CRASHES_SERVERS);
             }
-            if exceeds_idle_timeout(&call, self.sent_at, now) {
+            if exceeds_idle_timeout(&state, &call, self.sent_at) {
                 return Waited::GivenUp(SERVER_SILENT);
             }
             let Some(limit) = self.limit.filter(|_| may_leave(now)) else {
                 continue;
             };
-            if now.since(self.sent_at) >= limit {
+            if state.ran_since(self.sent_at) >= limit {
                 return Waited::Stalled(ANSWER_OVERDUE);
             }
             let silent_since = server.last_contact().max(self.sent_at);
