Let only signed responses go on with a stream that broke off

Callers got the body of an unsigned response in the middle of their stream, which then ended as if it were complete.

Cause: the status and the encoding of the next server's response were looked at, its signature was not, though it is where a stream begins.

One check of the head now serves both.

--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -54,6 +54,7 @@
 mod servers;
 mod settings;
 mod stored_blocks;
+mod stream_head;
 mod unfinished_attempts;
 #[cfg(test)]
 mod unfinished_attempts_tests;
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -19,6 +19,7 @@
     refusal::Refusal,
     relay::{EventSource, Relay, Source, StreamStep},
     response_body::{ResponseBody, full_body},
+    stream_head::is_usable_stream_head,
 };
 
 /// Maximum size of a response that is buffered until it is complete, bytes.
@@ -232,14 +233,8 @@
                 }
                 continue;
             }
-            if response.head.is_encoded || !response.head.is_signed {
-                let server = response.in_flight.server();
-                record_server_outcome(
-                    &self.state,
-                    server,
-                    AttemptOutcome::Failed,
-                    self.state.now(),
-                );
+            if !is_usable_stream_head(&response) {
+                self.reject_stream_head(&response);
                 continue;
             }
             if let Some(size) = self.larger_size(&response) {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{io, time::Duration};
 
-use clementinearch_policy::{routes::RouteKind, server_health::AttemptOutcome, time::Millis};
+use clementinearch_policy::{routes::RouteKind, time::Millis};
 use futures::{Stream, StreamExt};
 use http_body_util::BodyExt;
 use hyper::{
@@ -22,11 +22,11 @@
     connections::Connection,
     crash_check::has_ended,
     dialect::{EventReader, ResponseHead},
-    health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     in_flight::InFlight,
     peer_source::PeerSource,
     refusal::Refusal,
+    stream_head::is_usable_stream_head,
 };
 
 /// How often a waiting stream checks its time limits and the server.
@@ -448,19 +448,14 @@
                 }
                 Err(refusal) => return Err(StreamFailure { why, refusal }),
             };
-            if response.parts.status.is_success() && !response.head.is_encoded {
-                // Dropping the old source closes its connection and so cancels the old attempt.
-                let (_, source) = EventSource::new(response, true);
-                self.source = Source::Server(Box::new(source));
-                return Ok(());
+            if !is_usable_stream_head(&response) {
+                self.request.reject_stream_head(&response);
+                continue;
             }
-            let server = response.in_flight.server();
-            record_server_outcome(
-                &self.request.state,
-                server,
-                AttemptOutcome::Failed,
-                self.request.state.now(),
-            );
+            // Dropping the old source closes its connection and so cancels the old attempt.
+            let (_, source) = EventSource::new(response, true);
+            self.source = Source::Server(Box::new(source));
+            return Ok(());
         }
     }
 }
