Keep the events before one that is out of order

Callers missed events in a stream that looked complete: a server sent events that follow and then one out of order in the same packet, the stream went on elsewhere, and it went on after the events that nobody had got.

Cause: the reader counted the events of the packet, then refused the whole of it.

The reader now returns the events up to the first one that it refuses, and says why none can follow; that ends the attempt at once, also in the own dialect, which waited for more bytes.

--- a/host/src/requests/chat_events.rs
+++ b/host/src/requests/chat_events.rs
@@ -48,7 +48,7 @@
     /// The chunk with the finish reason, held back until the bill is recorded.
     last_chunk: Option<ChatChunk>,
     has_ended: bool,
-    /// Failure to report by the next call, after the chunks before it were relayed.
+    /// Why the stream cannot be relayed beyond the chunks before.
     failure: Option<StreamError>,
 }
 
@@ -153,6 +153,10 @@
         Ok(relayed.into())
     }
 
+    fn failure(&self) -> Option<StreamError> {
+        self.failure
+    }
+
     fn last_id(&self) -> Option<u64> {
         self.next_position.checked_sub(1).map(u64::from)
     }
--- a/policy/src/event_stream.rs
+++ b/policy/src/event_stream.rs
@@ -12,6 +12,8 @@
     pending: Vec<u8>,
     last_id: Option<u64>,
     events: u64,
+    /// Why the bytes after the events that were returned cannot be relayed.
+    failure: Option<StreamError>,
 }
 
 /// Reason why a stream cannot be relayed.
@@ -48,12 +50,16 @@
         }
     }
 
-    /// Adds bytes to the buffer and returns the events that are now complete.
+    /// Adds bytes to the buffer and returns the events that are now complete, up to the first one that
+    /// cannot be relayed.
     ///
     /// # Errors
     ///
-    /// Fails if an event exceeds [`MAX_EVENT_BYTES`] or is out of order.
+    /// Fails if an event exceeds [`MAX_EVENT_BYTES`] or is out of order, and no event comes before it.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
+        if let Some(failure) = self.failure {
+            return Err(failure);
+        }
         let scan_from = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.pending, scan_from) else {
@@ -63,22 +69,39 @@
             return Ok(Vec::new());
         };
         let rest = self.pending.split_off(end);
-        let complete = std::mem::replace(&mut self.pending, rest);
-        self.record_ids(&complete)?;
-        Ok(complete)
+        let mut complete = std::mem::replace(&mut self.pending, rest);
+        complete.truncate(self.record_events(&complete));
+        match self.failure {
+            Some(failure) if complete.is_empty() => Err(failure),
+            _ => Ok(complete),
+        }
     }
 
-    /// Counts the events and checks that their ids increase.
-    fn record_ids(&mut self, events: &[u8]) -> Result<(), StreamError> {
-        let mut has_fields = false;
-        for line in events.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if line.is_empty() {
-                self.events += u64::from(has_fields);
-                has_fields = false;
+    /// Records events up to the first one that cannot be relayed. Returns the number of their bytes.
+    fn record_events(&mut self, events: &[u8]) -> usize {
+        let mut begin = 0;
+        let mut end = 0;
+        for line in events.split_inclusive(|byte| *byte == b'\n') {
+            end += line.len();
+            if !without_line_end(line).is_empty() {
                 continue;
             }
-            has_fields = true;
+            if let Err(failure) = self.record_event(&events[begin..end]) {
+                self.failure = Some(failure);
+                return begin;
+            }
+            begin = end;
+        }
+        begin
+    }
+
+    /// Counts an event and checks that its id is above the previous one.
+    fn record_event(&mut self, event: &[u8]) -> Result<(), StreamError> {
+        let mut has_fields = false;
+        let mut last_id = self.last_id;
+        for line in event.split(|byte| *byte == b'\n') {
+            let line = without_line_end(line);
+            has_fields |= !line.is_empty();
             let Some(value) = line.strip_prefix(b"id:") else {
                 continue;
             };
@@ -86,14 +109,21 @@
             let Ok(id) = text.parse::<u64>() else {
                 continue;
             };
-            if self.last_id.is_some_and(|last| id <= last) {
+            if last_id.is_some_and(|last| id <= last) {
                 return Err(StreamError::OutOfOrder);
             }
-            self.last_id = Some(id);
+            last_id = Some(id);
         }
+        self.last_id = last_id;
+        self.events += u64::from(has_fields);
         Ok(())
     }
 
+    /// Returns why no further event can be relayed, once those before were returned.
+    pub fn failure(&self) -> Option<StreamError> {
+        self.failure
+    }
+
     /// Returns the id of the last complete event, else the one that the stream began after.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -110,6 +140,11 @@
     }
 }
 
+fn without_line_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
 /// Returns the end of the last complete event, which is after a blank line.
 ///
 /// `scan_from` is the index from which the bytes have not been searched yet.
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -88,13 +88,17 @@
 
 /// An incremental reader for the event stream of one attempt.
 pub trait EventReader: Send + Sync {
-    /// Reads the next bytes. Returns the events for the caller that are complete now.
+    /// Reads the next bytes. Returns the events for the caller that are complete now, up to the first
+    /// one that cannot be relayed.
     ///
     /// # Errors
     ///
-    /// Returns why the stream cannot be relayed further.
+    /// Returns why the stream cannot be relayed further, if there is no event before.
     fn push(&mut self, bytes: &[u8]) -> Result<Bytes, StreamError>;
 
+    /// Returns why the stream cannot be relayed beyond the events that were returned.
+    fn failure(&self) -> Option<StreamError>;
+
     /// Returns the id of the last event that the caller has, from this attempt or an earlier one.
     fn last_id(&self) -> Option<u64>;
 
@@ -121,6 +125,10 @@
         self.push(bytes).map(Bytes::from)
     }
 
+    fn failure(&self) -> Option<StreamError> {
+        self.failure()
+    }
+
     fn last_id(&self) -> Option<u64> {
         self.last_id()
     }
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -59,6 +59,9 @@
     pub(crate) async fn next(&mut self, request: &ActiveRequest) -> StreamStep {
         let (state, call) = (&request.state, &request.call);
         loop {
+            if let Some(failure) = self.reader.failure() {
+                return StreamStep::Broken(failure.reason());
+            }
             let now = state.now();
             if now >= call.deadline {
                 return StreamStep::DeadlinePassed;
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -111,6 +111,9 @@
             if self.has_ended {
                 return StreamStep::End;
             }
+            if let Some(failure) = self.reader.failure() {
+                return self.end_or_broken(request, failure.reason());
+            }
             let now = state.now();
             if now >= call.deadline {
                 return StreamStep::DeadlinePassed;
