Let only numbered events through in a stream

A stream broke off, the next server answered with the text of an error or a whole response under a signed 200, and callers found it in the middle of their stream, which then ended as if it were complete. The same text as the first body of a stream was passed on too.

Cause: the reader looked at ids where there were some.

An event now needs one id that can be read. Comments and the time to reconnect may stand without; gaps between ids are allowed, as ids need only increase. Anything else ends the attempt, counts against its server, and the next one is tried; a stream that nobody completes is cut off. Splitting and numbering are types of their own, since chunks of the own dialect have no ids.

--- a/host/src/requests/chat_events.rs
+++ b/host/src/requests/chat_events.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use clementinearch_border::{AnswerChoice, ChatAnswer, ChatChunk, ChatMessage, Usage};
-use clementinearch_policy::event_stream::{EventSplitter, StreamError};
+use clementinearch_policy::event_stream::{EventBuffer, StreamError};
 use clementinearch_router::EventReader;
 use eventsource_stream::Eventsource;
 use futures::{FutureExt, StreamExt};
@@ -40,7 +40,7 @@
     chat: Arc<ChatCall>,
     /// Id that the engine echoes in each chunk.
     attempt_id: String,
-    splitter: EventSplitter,
+    buffer: EventBuffer,
     /// Position of the next token to relay, counted from zero over all attempts.
     next_position: u32,
     /// Number of chunks accepted from this attempt.
@@ -67,7 +67,7 @@
         Self {
             chat,
             attempt_id,
-            splitter: EventSplitter::default(),
+            buffer: EventBuffer::default(),
             next_position: position,
             chunks: 0,
             last_chunk: None,
@@ -135,7 +135,7 @@
         if let Some(failure) = self.failure {
             return Err(failure);
         }
-        let events = self.splitter.push(bytes)?;
+        let events = self.buffer.push(bytes)?;
         let mut relayed = String::new();
         for data in parse_events(events)? {
             if self.has_ended {
--- a/policy/src/event_stream.rs
+++ b/policy/src/event_stream.rs
@@ -6,10 +6,16 @@
 /// Largest event that is buffered until it is complete, bytes.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// Buffer of an incomplete event, with the id and number of the complete ones.
+/// Splitter of a byte stream into complete events, whatever they hold.
 #[derive(Clone, Debug, Default)]
-pub struct EventSplitter {
+pub struct EventBuffer {
     pending: Vec<u8>,
+}
+
+/// Splitter of a stream of numbered events, of which each is relayed once and in order.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    buffer: EventBuffer,
     last_id: Option<u64>,
     events: u64,
     /// Why the bytes after the events that were returned cannot be relayed.
@@ -25,6 +31,9 @@
     /// The id of an event is not above the previous one, as after a server restarted the response.
     #[display("an event is out of order")]
     OutOfOrder,
+    /// An event has no id, or none that can be read, as the text of an error.
+    #[display("an event has no number")]
+    Unnumbered,
     /// An event does not have the format that the dialect expects.
     #[display("an event cannot be read")]
     Unreadable,
@@ -36,11 +45,37 @@
         match self {
             Self::EventTooLarge => "an event is too large",
             Self::OutOfOrder => "an event is out of order",
+            Self::Unnumbered => "an event has no number",
             Self::Unreadable => "an event cannot be read",
         }
     }
 }
 
+impl EventBuffer {
+    /// Adds bytes and returns the events that are now complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event exceeds [`MAX_EVENT_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
+        let scan_from = self.pending.len().saturating_sub(3);
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.pending, scan_from) else {
+            if self.pending.len() > MAX_EVENT_BYTES {
+                return Err(StreamError::EventTooLarge);
+            }
+            return Ok(Vec::new());
+        };
+        let rest = self.pending.split_off(end);
+        Ok(std::mem::replace(&mut self.pending, rest))
+    }
+
+    /// Returns whether the bytes so far end with a complete event.
+    pub fn is_at_boundary(&self) -> bool {
+        self.pending.is_empty()
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter for a stream that begins after the event with the id `last_id`.
     pub fn new(last_id: Option<u64>) -> Self {
@@ -51,25 +86,17 @@
     }
 
     /// Adds bytes to the buffer and returns the events that are now complete, up to the first one that
-    /// cannot be relayed.
+    /// cannot be relayed. Comments go with the events.
     ///
     /// # Errors
     ///
-    /// Fails if an event exceeds [`MAX_EVENT_BYTES`] or is out of order, and no event comes before it.
+    /// Fails if an event exceeds [`MAX_EVENT_BYTES`], has no id or is out of order, and no event comes
+    /// before it.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
         if let Some(failure) = self.failure {
             return Err(failure);
         }
-        let scan_from = self.pending.len().saturating_sub(3);
-        self.pending.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.pending, scan_from) else {
-            if self.pending.len() > MAX_EVENT_BYTES {
-                return Err(StreamError::EventTooLarge);
-            }
-            return Ok(Vec::new());
-        };
-        let rest = self.pending.split_off(end);
-        let mut complete = std::mem::replace(&mut self.pending, rest);
+        let mut complete = self.buffer.push(bytes)?;
         complete.truncate(self.record_events(&complete));
         match self.failure {
             Some(failure) if complete.is_empty() => Err(failure),
@@ -97,25 +124,14 @@
 
     /// Counts an event and checks that its id is above the previous one.
     fn record_event(&mut self, event: &[u8]) -> Result<(), StreamError> {
-        let mut has_fields = false;
-        let mut last_id = self.last_id;
-        for line in event.split(|byte| *byte == b'\n') {
-            let line = without_line_end(line);
-            has_fields |= !line.is_empty();
-            let Some(value) = line.strip_prefix(b"id:") else {
-                continue;
-            };
-            let text = std::str::from_utf8(value).unwrap_or_default().trim();
-            let Ok(id) = text.parse::<u64>() else {
-                continue;
-            };
-            if last_id.is_some_and(|last| id <= last) {
-                return Err(StreamError::OutOfOrder);
-            }
-            last_id = Some(id);
+        let Some(id) = read_id(event)? else {
+            return Ok(());
+        };
+        if self.last_id.is_some_and(|last| id <= last) {
+            return Err(StreamError::OutOfOrder);
         }
-        self.last_id = last_id;
-        self.events += u64::from(has_fields);
+        self.last_id = Some(id);
+        self.events += 1;
         Ok(())
     }
 
@@ -136,8 +152,34 @@
 
     /// Returns whether the bytes so far end with a complete event.
     pub fn is_at_boundary(&self) -> bool {
-        self.pending.is_empty()
+        self.buffer.is_at_boundary()
+    }
+}
+
+/// Returns the id of an event, or `None` if there is no event: only comments or the time after which
+/// a caller reconnects.
+fn read_id(event: &[u8]) -> Result<Option<u64>, StreamError> {
+    let mut id = None;
+    let mut has_fields = false;
+    for line in event.split(|byte| *byte == b'\n').map(without_line_end) {
+        if line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:") {
+            continue;
+        }
+        has_fields = true;
+        let Some(value) = line.strip_prefix(b"id:") else {
+            continue;
+        };
+        let text = std::str::from_utf8(value).unwrap_or_default().trim();
+        let number = text.parse().map_err(|_| StreamError::Unnumbered)?;
+        // Two ids are two events that were cut and joined.
+        if id.replace(number).is_some() {
+            return Err(StreamError::Unnumbered);
+        }
+    }
+    if has_fields && id.is_none() {
+        return Err(StreamError::Unnumbered);
     }
+    Ok(id)
 }
 
 fn without_line_end(line: &[u8]) -> &[u8] {
--- a/policy/tests/event_stream.rs
+++ b/policy/tests/event_stream.rs
@@ -69,6 +69,43 @@
     assert_eq!(splitter.last_id(), Some(4));
 }
 
+#[test]
+fn text_that_is_no_numbered_event_is_refused() {
+    for text in [
+        "upstream connect error\n\n",
+        "{\"error\":\"overloaded\"}\n\n",
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        "event: error\ndata: overloaded\n\n",
+        "data: overloaded\n\n",
+        "id: x\ndata: overloaded\n\n",
+        "id: -1\ndata: overloaded\n\n",
+        "id:\ndata: overloaded\n\n",
+        "id\ndata: overloaded\n\n",
+        "id: 2\ndata: a\nid: 3\ndata: b\n\n",
+    ] {
+        let mut splitter = EventSplitter::new(Some(1));
+        let pushed = splitter.push(text.as_bytes());
+        assert_eq!(pushed, Err(StreamError::Unnumbered), "{text:?}");
+        assert_eq!((splitter.last_id(), splitter.events()), (Some(1), 0));
+    }
+}
+
+#[test]
+fn comments_are_no_events() {
+    let mut splitter = EventSplitter::new(None);
+    let events = event(1) + ": waiting\n\nretry: 500\n\n\n\n: next\nid: 2\ndata: x\n\n";
+    assert_eq!(splitter.push(events.as_bytes()).unwrap(), events.as_bytes());
+    assert_eq!((splitter.last_id(), splitter.events()), (Some(2), 2));
+}
+
+#[test]
+fn ids_may_have_gaps() {
+    let mut splitter = EventSplitter::new(Some(5));
+    let events = event(10) + &event(20);
+    assert_eq!(splitter.push(events.as_bytes()).unwrap(), events.as_bytes());
+    assert_eq!((splitter.last_id(), splitter.events()), (Some(20), 2));
+}
+
 #[test]
 fn lines_may_end_with_carriage_returns() {
     let mut splitter = EventSplitter::new(None);
