Hold comments back until the first event of a stream

A server that sent comments and no event gave callers a stream without events that looked complete, and its comments counted as its first event: the caller was bound to that server's head, and its prompt counted as answered.

The comments before the first event now go with it. A body that holds nothing else has no events, as an empty one. They are bounded as an event is.

--- a/policy/src/event_stream.rs
+++ b/policy/src/event_stream.rs
@@ -18,6 +18,8 @@
     buffer: EventBuffer,
     last_id: Option<u64>,
     events: u64,
+    /// Comments before the first event.
+    comments: Vec<u8>,
     /// Why the bytes after the events that were returned cannot be relayed.
     failure: Option<StreamError>,
 }
@@ -86,12 +88,12 @@
     }
 
     /// Adds bytes to the buffer and returns the events that are now complete, up to the first one that
-    /// cannot be relayed. Comments go with the events.
+    /// cannot be relayed. Comments go with the events, at first with the first one.
     ///
     /// # Errors
     ///
-    /// Fails if an event exceeds [`MAX_EVENT_BYTES`], has no id or is out of order, and no event comes
-    /// before it.
+    /// Fails if an event or the comments before the first one exceed [`MAX_EVENT_BYTES`], or an event
+    /// has no id or is out of order, and no event comes before it.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
         if let Some(failure) = self.failure {
             return Err(failure);
@@ -99,9 +101,22 @@
         let mut complete = self.buffer.push(bytes)?;
         complete.truncate(self.record_events(&complete));
         match self.failure {
-            Some(failure) if complete.is_empty() => Err(failure),
-            _ => Ok(complete),
+            Some(failure) if complete.is_empty() || self.events == 0 => Err(failure),
+            _ if self.events == 0 => self.hold_comments(&complete),
+            _ => {
+                complete.splice(..0, self.comments.drain(..));
+                Ok(complete)
+            }
+        }
+    }
+
+    /// Holds comments back until the first event, since a body that holds nothing else is no stream.
+    fn hold_comments(&mut self, comments: &[u8]) -> Result<Vec<u8>, StreamError> {
+        self.comments.extend_from_slice(comments);
+        if self.comments.len() > MAX_EVENT_BYTES {
+            return Err(StreamError::EventTooLarge);
         }
+        Ok(Vec::new())
     }
 
     /// Records events up to the first one that cannot be relayed. Returns the number of their bytes.
--- a/policy/tests/event_stream.rs
+++ b/policy/tests/event_stream.rs
@@ -98,6 +98,27 @@
     assert_eq!((splitter.last_id(), splitter.events()), (Some(2), 2));
 }
 
+#[test]
+fn comments_wait_for_the_first_event() {
+    let mut splitter = EventSplitter::new(Some(1));
+    assert_eq!(splitter.push(b": waiting\n\n").unwrap(), b"");
+    assert_eq!(splitter.push(b"retry: 5\n\n: still\n\n").unwrap(), b"");
+    assert_eq!((splitter.last_id(), splitter.events()), (Some(1), 0));
+    let first = ": waiting\n\nretry: 5\n\n: still\n\n".to_owned() + &event(2);
+    let pushed = splitter.push(event(2).as_bytes()).unwrap();
+    assert_eq!(pushed, first.as_bytes());
+    assert_eq!(splitter.push(b": waiting\n\n").unwrap(), b": waiting\n\n");
+    let mut splitter = EventSplitter::new(None);
+    let spoiled = splitter.push(b": waiting\n\ndata: overloaded\n\n");
+    assert_eq!(spoiled, Err(StreamError::Unnumbered));
+    let mut splitter = EventSplitter::new(None);
+    let flood = ": waiting\n\n".repeat(MAX_EVENT_BYTES / 10);
+    assert_eq!(
+        splitter.push(flood.as_bytes()),
+        Err(StreamError::EventTooLarge)
+    );
+}
+
 #[test]
 fn ids_may_have_gaps() {
     let mut splitter = EventSplitter::new(Some(5));
