Refuse chunks without position once a chat has begun

A completion broke off, the next engine began anew and did not say where its chunks belong: callers got the first tokens a second time.

Cause: a chunk without position was taken as the next one. That holds only for an attempt that begins with the first token.

--- a/host/src/requests/chat_events.rs
+++ b/host/src/requests/chat_events.rs
@@ -43,6 +43,8 @@
     buffer: EventBuffer,
     /// Position of the next token to relay, counted from zero over all attempts.
     next_position: u32,
+    /// Whether tokens of an earlier attempt were relayed.
+    is_resumed: bool,
     /// Number of chunks accepted from this attempt.
     chunks: u64,
     /// The chunk with the finish reason, held back until the bill is recorded.
@@ -57,8 +59,8 @@
     Relay,
     /// Ignored, for this reason.
     Drop(&'static str),
-    /// Tokens before this chunk are missing, so the attempt fails.
-    Gap,
+    /// Tokens before this chunk are missing or its place is unknown, so the attempt fails.
+    Misplaced,
 }
 
 impl ChunkReader {
@@ -69,6 +71,7 @@
             attempt_id,
             buffer: EventBuffer::default(),
             next_position: position,
+            is_resumed: position > 0,
             chunks: 0,
             last_chunk: None,
             has_ended: false,
@@ -82,7 +85,9 @@
         }
         match chunk.position {
             Some(position) if position < self.next_position => ChunkAction::Drop("doubled"),
-            Some(position) if position > self.next_position => ChunkAction::Gap,
+            Some(position) if position > self.next_position => ChunkAction::Misplaced,
+            // The engine may have begun anew.
+            None if self.is_resumed => ChunkAction::Misplaced,
             _ => ChunkAction::Relay,
         }
     }
@@ -111,7 +116,7 @@
                     .increment(1);
                 return Ok(None);
             }
-            ChunkAction::Gap => return Err(StreamError::OutOfOrder),
+            ChunkAction::Misplaced => return Err(StreamError::OutOfOrder),
             ChunkAction::Relay => {}
         }
         self.next_position += 1;
