Refuse encoded chunks of a chat

An encoded body went into a caller's chat and completed it: the own dialect did not look at Content-Encoding, while no request of this host allows one.

Such a response now counts against its server as an unsigned one does, where a stream begins and where it goes on. Bodies of service calls are as before.

--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -11,7 +11,7 @@
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Bytes,
-    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+    header::{CONNECTION, CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderName, HeaderValue},
     http::{request, response},
 };
 
@@ -180,6 +180,8 @@
         ResponseHead {
             verdict,
             is_signed: true,
+            // Bodies of service calls are passed on without being read.
+            is_encoded: is_chat && head.headers.contains_key(CONTENT_ENCODING),
             is_closing: connection.is_some_and(|value| value == "close"),
             ..ResponseHead::default()
         }
