Let a chat that has begun go on when an engine rejects it

A completion broke off, the next engine answered 400, and the caller's chat ended with that engine's rejection, though an earlier one had answered the same request and others were left.

Cause: a rejection stands for what every server would say. Once a server has begun to answer it does not.

The rejection now counts against the server, and the next one is tried.

--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -65,6 +65,9 @@
 /// Reason of a request that is refused or given up because it crashes servers.
 pub(crate) const CRASHES_SERVERS: &str = "the request crashes servers";
 
+/// Reason of an attempt on a server that rejects what an earlier one began to answer.
+const REJECTS_BEGUN: &str = "server rejected a stream that has begun";
+
 /// Reason of an attempt whose response takes too long.
 const ANSWER_OVERDUE: &str = "answer overdue";
 
@@ -354,6 +357,11 @@
         }
     }
 
+    /// Whether the caller has events of an earlier attempt, which shows that the request is valid.
+    fn has_begun(&self) -> bool {
+        self.resume_after != self.call.head.resume_after
+    }
+
     /// Returns the result of the attempt if the response does not answer the request.
     fn read_verdict(
         &self,
@@ -382,6 +390,10 @@
                     why: "server failed",
                 })
             }
+            Verdict::Rejected(_) if self.has_begun() => {
+                record_server_outcome(self.state, server, AttemptOutcome::Failed, now);
+                Some(AttemptResult::Lost { why: REJECTS_BEGUN })
+            }
             Verdict::Rejected(refusal) => Some(AttemptResult::Rejected(refusal.clone())),
         }
     }
