Test which responses of a peer may go on with a stream

The same questions over a hop: a host that reaches no server forwards a stream to a stand-in for a peer. It breaks off, and the peer's next response is not signed, encoded, for another request, a failure, text of an error or empty; once, or each time.

--- a/host/tests/resumed/mod.rs
+++ b/host/tests/resumed/mod.rs
@@ -18,9 +18,9 @@
 use clementinearch_standins::scripted_server::{
     LAST_CHUNK, ReceivedRequest, Step, chunk, stream_head, token_event,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
-use crate::route::{Answer, Platform, send_request};
+use crate::route::{Answer, Host, Platform, send_request};
 
 /// Number of events of a whole stream.
 pub const EVENTS: u64 = 6;
@@ -116,8 +116,12 @@
     range.map(token_event).collect()
 }
 
-/// Id of the last event that the caller has.
+/// Id of the last event that the caller has, as a server or another host is told.
 pub fn last_id(received: &ReceivedRequest) -> u64 {
+    let forwarded = received.header("clementinearch-forwarded");
+    if let Ok(forwarded) = serde_json::from_str::<Value>(forwarded) {
+        return forwarded["resume_after"].as_u64().unwrap_or(0);
+    }
     received.header("last-event-id").parse().unwrap_or(0)
 }
 
@@ -263,13 +267,27 @@
         }
     }
 
-    /// Plays all cases and fails with those that `is_right` does not accept.
+    /// What a server or another host sends for a request, if it is one of the cases.
+    pub fn responder(
+        &self,
+    ) -> impl Fn(&ReceivedRequest) -> Option<Vec<Step>> + Send + Sync + 'static {
+        let cases = self.cases.clone();
+        move |received| Some(cases.get(received.header("attempt-id"))?.respond(received))
+    }
+
+    /// Plays all cases on a host before servers that follow them, and fails with those that
+    /// `is_right` does not accept.
     pub fn check(self, is_right: impl Fn(&Outcome) -> bool) {
-        let platform = start(&self.cases);
+        let platform = start(&self);
+        self.check_at(&platform.hosts[0], is_right);
+    }
+
+    /// Plays all cases at this host, and fails with those that `is_right` does not accept.
+    pub fn check_at(&self, host: &Host, is_right: impl Fn(&Outcome) -> bool) {
         let mut wrong = Vec::new();
         for id in &self.order {
             let case = &self.cases[id];
-            let answer = self.send(&platform, id);
+            let answer = self.send(host, id);
             let outcome = Outcome {
                 spoiled: case.spoiled,
                 events: case.events,
@@ -293,27 +311,27 @@
         );
     }
 
-    fn send(&self, platform: &Platform, id: &str) -> Answer {
+    fn send(&self, host: &Host, id: &str) -> Answer {
         let mut extra =
             "Model: small\r\nToken-Usage: 100,50\r\nPrompt-Prefix: a1:80,b2:20\r\n".to_owned();
         if self.resume_after > 0 {
             extra += &format!("Last-Event-Id: {}\r\n", self.resume_after);
         }
         let line = format!("POST {}1", self.path);
-        send_request(&platform.hosts[0], &line, id, &extra, id)
+        send_request(host, &line, id, &extra, id)
     }
 }
 
-fn start(cases: &HashMap<String, Arc<Case>>) -> Platform {
+fn start(cases: &Cases) -> Platform {
     let mut platform = Platform::new();
     platform.configure(
         2,
         &json!([{"name": "short", "host": "a.example", "pathPrefix": "/short/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 2000, "priority": 1, "service": "pool", "maxAttempts": SERVERS, "sessionAffinity": true, "streamResume": true, "gapTargetMs": 200}]),
     );
     for _ in 0..SERVERS {
-        let cases = cases.clone();
+        let respond = cases.responder();
         platform.add_backend("pool", "v1", move |_, received| {
-            cases[received.header("attempt-id")].respond(received)
+            respond(received).unwrap_or_default()
         });
     }
     platform.start_hosts(1);
