Let only a server's own responses join a stream over a hop

A host that reaches no server took any 200 from the address of a peer for the server's response: unsigned, encoded or of another request, at the beginning of a stream and in its middle, and the stream then looked complete.

Cause: the status of a peer's response was looked at, nothing else. A peer passes the server's id and signature on, and its address may be that of another process by now.

The head is now read as a server's is. One that is rejected is logged, and the request goes on within its limits. Failures of a peer are as before.

--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -214,12 +214,16 @@
         loop {
             let response = match self.next_response(resume_after).await {
                 Ok(Reply::Server(response)) => *response,
-                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                Ok(Reply::Peer(response)) if self.is_usable_peer_head(&response) => {
                     let parts = response.parts.clone();
                     let source = PeerSource::new(response, resume_after);
                     let source = Source::Peer(Box::new(source));
                     return self.relay(parts, source, Bytes::new()).await;
                 }
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    self.reject_peer_head(&response);
+                    continue;
+                }
                 Ok(Reply::Peer(response)) => match self.read_peer_response(response).await {
                     Some(response) => return Ok(response),
                     None => continue,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -441,10 +441,14 @@
         loop {
             let response = match self.request.next_response(after).await {
                 Ok(Reply::Server(response)) => *response,
-                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                Ok(Reply::Peer(response)) if self.request.is_usable_peer_head(&response) => {
                     self.source = Source::Peer(Box::new(PeerSource::new(response, after)));
                     return Ok(());
                 }
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    self.request.reject_peer_head(&response);
+                    continue;
+                }
                 Ok(Reply::Peer(_)) => {
                     let refusal = Refusal::MayHaveRun { reason: why };
                     return Err(StreamFailure { why, refusal });
--- a/router/src/stream_head.rs
+++ b/router/src/stream_head.rs
@@ -2,17 +2,43 @@
 
 use clementinearch_policy::server_health::AttemptOutcome;
 
+use hyper::StatusCode;
+
 use crate::{
-    active_request::ActiveRequest, attempt::AttemptResponse, health_tracking::record_server_outcome,
+    active_request::ActiveRequest,
+    attempt::AttemptResponse,
+    dialect::{ResponseHead, Verdict},
+    forwarding::PeerResponse,
+    health_tracking::record_server_outcome,
 };
 
 /// Whether a caller's stream may begin or go on with the body of this response. The status alone
 /// does not show that the bytes are the server's own.
 pub(crate) fn is_usable_stream_head(response: &AttemptResponse) -> bool {
-    response.parts.status.is_success() && response.head.is_signed && !response.head.is_encoded
+    is_usable(response.parts.status, &response.head)
+}
+
+fn is_usable(status: StatusCode, head: &ResponseHead) -> bool {
+    status.is_success() && head.is_signed && !head.is_encoded
 }
 
 impl ActiveRequest {
+    /// Whether a caller's stream may begin or go on with the body that a peer passes on. Another
+    /// process may have the peer's address by now.
+    pub(crate) fn is_usable_peer_head(&self, response: &PeerResponse) -> bool {
+        let head = self
+            .state
+            .dialect
+            .read_response(&response.parts, &self.call);
+        head.verdict == Verdict::Matching && is_usable(response.parts.status, &head)
+    }
+
+    /// Logs a successful response of a peer that [`Self::is_usable_peer_head`] rejects.
+    pub(crate) fn reject_peer_head(&self, response: &PeerResponse) {
+        let peer = response.peer.to_string();
+        self.log_step("answer_spoiled", &peer, "not its own", &[]);
+    }
+
     /// Logs a response that [`is_usable_stream_head`] rejects, and records it against its server.
     pub(crate) fn reject_stream_head(&self, response: &AttemptResponse) {
         let server = response.in_flight.server();
