Wait for the first event of a stream over a hop

A peer's stream without any event was passed on as complete, and the head of one that broke off before its first event was passed on, so that no other response could take its place.

Cause: the events of a server are waited for before its head is passed on, and none at all is a break; for a peer neither held. A peer sends its head with the first events, so that waiting takes no time.

--- a/host/tests/route_resumed_peers.rs
+++ b/host/tests/route_resumed_peers.rs
@@ -212,3 +212,12 @@
     cases.add(&variants, EVENTS, Break::Close, Spoiled::Always);
     check(&cases, Outcome::is_whole_stream);
 }
+
+/// The caller may have broken off between the last event and the end itself.
+#[test]
+fn a_stream_of_a_peer_that_the_caller_resumes_after_its_last_event_is_complete() {
+    let variants = Variant::of_body("nothing left", |after| events(after + 1..=EVENTS));
+    let mut cases = Cases::new().resumed_after(EVENTS);
+    cases.add(&variants, 0, Break::Close, Spoiled::Always);
+    check(&cases, Outcome::is_whole_stream);
+}
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -24,6 +24,8 @@
     /// Connection on which the body arrives; dropping it cancels the request at the peer.
     _connection: Connection,
     peer: SocketAddr,
+    /// Whether the stream continues after events of an earlier attempt.
+    is_resumed: bool,
     /// When bytes last came.
     last_contact: Option<Millis>,
 }
@@ -36,6 +38,7 @@
             reader: EventSplitter::new(resume_after),
             _connection: response.connection,
             peer: response.peer,
+            is_resumed: resume_after.is_some(),
             last_contact: None,
         }
     }
@@ -83,8 +86,13 @@
                     }
                 }
                 Ok(Some(Err(_))) => return StreamStep::Broken("peer broke off"),
-                Ok(None) if self.reader.is_at_boundary() => return StreamStep::End,
-                Ok(None) => return StreamStep::Broken("stream ended within an event"),
+                Ok(None) if !self.reader.is_at_boundary() => {
+                    return StreamStep::Broken("stream ended within an event");
+                }
+                Ok(None) if self.event_count() == 0 && !self.is_resumed => {
+                    return StreamStep::Broken("stream without events");
+                }
+                Ok(None) => return StreamStep::End,
                 Err(_) if !call.head.route.kind.may_retry() => {}
                 Err(_) => {
                     let limit = call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES);
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -215,10 +215,11 @@
             let response = match self.next_response(resume_after).await {
                 Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if self.is_usable_peer_head(&response) => {
-                    let parts = response.parts.clone();
-                    let source = PeerSource::new(response, resume_after);
-                    let source = Source::Peer(Box::new(source));
-                    return self.relay(parts, source, Bytes::new()).await;
+                    let Some((parts, source, first)) = self.begin_peer_stream(response).await
+                    else {
+                        continue;
+                    };
+                    return self.relay(parts, source, first).await;
                 }
                 Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
                     self.reject_peer_head(&response);
@@ -278,6 +279,26 @@
         }
     }
 
+    /// Waits for the first events of a peer's stream, before which the caller gets no head. Returns
+    /// `None` if it breaks off or the deadline passes.
+    async fn begin_peer_stream(
+        &self,
+        response: PeerResponse,
+    ) -> Option<(response::Parts, Source, Bytes)> {
+        let parts = response.parts.clone();
+        let mut source = PeerSource::new(response, self.call.head.resume_after);
+        let first = match source.next(self).await {
+            StreamStep::Events(first) => first,
+            StreamStep::End => Bytes::new(),
+            StreamStep::Broken(why) => {
+                self.log_broken_relay(&source, why);
+                return None;
+            }
+            StreamStep::DeadlinePassed => return None,
+        };
+        Some((parts, Source::Peer(Box::new(source)), first))
+    }
+
     /// Starts to forward a stream, or collects it for a caller that wants a single response.
     async fn relay(
         self,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -469,7 +469,7 @@
 
 impl ActiveRequest {
     /// Logs that a stream from a peer broke off.
-    fn log_broken_relay(&self, source: &PeerSource, why: &str) {
+    pub(crate) fn log_broken_relay(&self, source: &PeerSource, why: &str) {
         let events = [("events", source.event_count() as f64)];
         self.log_step("stream_broken", &source.peer().to_string(), why, &events);
     }
