--- a/host/tests/resumed/mod.rs
+++ b/host/tests/resumed/mod.rs
@@ -172,9 +172,12 @@
     }
 }
 
-/// Which attempts after the first one follow the variant's script. All others are sound.
+/// Which attempts follow the variant's script. The first one breaks off otherwise, and all others are
+/// sound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spoiled {
+    /// The first one.
+    AtOnce,
     /// The second one.
     Once,
     /// Each.
@@ -198,12 +201,12 @@
             *attempts += 1;
             *attempts - 1
         };
-        if number == 0 {
-            return self.break_off(received);
-        }
-        match self.spoiled {
-            Spoiled::Once if number > 1 => sound(received),
-            _ => (self.script)(received),
+        match (self.spoiled, number) {
+            (Spoiled::Once | Spoiled::Always, 0) => self.break_off(received),
+            (Spoiled::AtOnce, 0) | (Spoiled::Once, 1) | (Spoiled::Always, _) => {
+                (self.script)(received)
+            }
+            _ => sound(received),
         }
     }
 
@@ -244,6 +247,12 @@
         self
     }
 
+    /// Plays the cases on a route whose streams must not be sent again.
+    pub fn without_resumption(mut self) -> Self {
+        self.path = "/note/";
+        self
+    }
+
     /// Plays the cases for a caller that goes on after this event itself.
     pub fn resumed_after(mut self, id: u64) -> Self {
         self.resume_after = id;
@@ -326,7 +335,7 @@
     let mut platform = Platform::new();
     platform.configure(
         2,
-        &json!([{"name": "short", "host": "a.example", "pathPrefix": "/short/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 2000, "priority": 1, "service": "pool", "maxAttempts": SERVERS, "sessionAffinity": true, "streamResume": true, "gapTargetMs": 200}]),
+        &json!([{"name": "short", "host": "a.example", "pathPrefix": "/short/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 2000, "priority": 1, "service": "pool", "maxAttempts": SERVERS, "sessionAffinity": true, "streamResume": true, "gapTargetMs": 200}, {"name": "note", "host": "a.example", "pathPrefix": "/note/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 2000, "priority": 1, "service": "pool", "maxAttempts": SERVERS, "sessionAffinity": true, "streamResume": false, "gapTargetMs": 1000}]),
     );
     for _ in 0..SERVERS {
         let respond = cases.responder();
@@ -377,7 +386,7 @@
     pub fn is_whole_or_broken(&self) -> bool {
         match self.spoiled {
             Spoiled::Once => self.is_whole_stream(),
-            Spoiled::Always => self.is_visibly_broken(),
+            Spoiled::AtOnce | Spoiled::Always => self.is_visibly_broken(),
         }
     }
 }
--- a/host/tests/route_resumed_events.rs
+++ b/host/tests/route_resumed_events.rs
@@ -120,7 +120,7 @@
         }
     }
     cases.check(|outcome| match outcome.spoiled {
-        Spoiled::Once => outcome.is_whole_stream(),
+        Spoiled::AtOnce | Spoiled::Once => outcome.is_whole_stream(),
         // The route allows three attempts.
         Spoiled::Always => {
             let answer = &outcome.answer;
@@ -229,3 +229,26 @@
     cases.add(&variants, EVENTS - 2, Break::Close, Spoiled::Always);
     cases.check(Outcome::is_whole_stream);
 }
+
+/// Whatever does not belong to the stream ends it where there is no resumption.
+#[test]
+fn text_of_an_error_ends_a_stream_that_must_not_be_resumed() {
+    let mut variants = Vec::new();
+    for spoiled in [
+        "event: error\ndata: overloaded\n\n",
+        "upstream connect error\n\n",
+        "id: 1\ndata: again\n\n",
+        INNER_RESPONSE,
+    ] {
+        variants.extend(Variant::of_body(&format!("{spoiled:?}"), move |_| {
+            events(1..=2) + spoiled
+        }));
+        variants.extend(Variant::of_body(
+            &format!("{spoiled:?}, then the rest"),
+            move |_| events(1..=2) + spoiled + &rest(2),
+        ));
+    }
+    let mut cases = Cases::new().without_resumption();
+    cases.add(&variants, 2, Break::Close, Spoiled::AtOnce);
+    cases.check(Outcome::is_visibly_broken);
+}
