--- a/host/src/requests/chat_events.rs
+++ b/host/src/requests/chat_events.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use clementinearch_border::{AnswerChoice, ChatAnswer, ChatChunk, ChatMessage, Usage};
-use clementinearch_policy::event_stream::{EventSplitter, StreamError};
+use clementinearch_policy::event_stream::{EventBuffer, StreamError};
 use clementinearch_router::EventReader;
 use eventsource_stream::Eventsource;
 use futures::{FutureExt, StreamExt};
@@ -40,15 +40,17 @@
     chat: Arc<ChatCall>,
     /// Id that the engine echoes in each chunk.
     attempt_id: String,
-    splitter: EventSplitter,
+    buffer: EventBuffer,
     /// Position of the next token to relay, counted from zero over all attempts.
     next_position: u32,
+    /// Whether tokens of an earlier attempt were relayed.
+    is_resumed: bool,
     /// Number of chunks accepted from this attempt.
     chunks: u64,
     /// The chunk with the finish reason, held back until the bill is recorded.
     last_chunk: Option<ChatChunk>,
     has_ended: bool,
-    /// Failure to report by the next call, after the chunks before it were relayed.
+    /// Why the stream cannot be relayed beyond the chunks before.
     failure: Option<StreamError>,
 }
 
@@ -57,8 +59,8 @@
     Relay,
     /// Ignored, for this reason.
     Drop(&'static str),
-    /// Tokens before this chunk are missing, so the attempt fails.
-    Gap,
+    /// Tokens before this chunk are missing or its place is unknown, so the attempt fails.
+    Misplaced,
 }
 
 impl ChunkReader {
@@ -67,8 +69,9 @@
         Self {
             chat,
             attempt_id,
-            splitter: EventSplitter::default(),
+            buffer: EventBuffer::default(),
             next_position: position,
+            is_resumed: position > 0,
             chunks: 0,
             last_chunk: None,
             has_ended: false,
@@ -82,7 +85,9 @@
         }
         match chunk.position {
             Some(position) if position < self.next_position => ChunkAction::Drop("doubled"),
-            Some(position) if position > self.next_position => ChunkAction::Gap,
+            Some(position) if position > self.next_position => ChunkAction::Misplaced,
+            // The engine may have begun anew.
+            None if self.is_resumed => ChunkAction::Misplaced,
             _ => ChunkAction::Relay,
         }
     }
@@ -111,7 +116,7 @@
                     .increment(1);
                 return Ok(None);
             }
-            ChunkAction::Gap => return Err(StreamError::OutOfOrder),
+            ChunkAction::Misplaced => return Err(StreamError::OutOfOrder),
             ChunkAction::Relay => {}
         }
         self.next_position += 1;
@@ -135,7 +140,7 @@
         if let Some(failure) = self.failure {
             return Err(failure);
         }
-        let events = self.splitter.push(bytes)?;
+        let events = self.buffer.push(bytes)?;
         let mut relayed = String::new();
         for data in parse_events(events)? {
             if self.has_ended {
@@ -153,6 +158,10 @@
         Ok(relayed.into())
     }
 
+    fn failure(&self) -> Option<StreamError> {
+        self.failure
+    }
+
     fn last_id(&self) -> Option<u64> {
         self.next_position.checked_sub(1).map(u64::from)
     }
--- a/router/src/event_source.rs
+++ b/router/src/event_source.rs
@@ -60,6 +60,7 @@
     /// Whether the end of the body is told by its framing rather than by that of the connection.
     is_framed: bool,
     has_ended: bool,
+    sent_at: Millis,
     /// When the last event arrived; before the first one, when the request was sent.
     last_event: Millis,
     /// What came while another server was looked for.
@@ -80,6 +81,7 @@
             is_resumed,
             is_framed: is_framed(&response.parts),
             has_ended: false,
+            sent_at: response.sent_at,
             last_event: response.sent_at,
             arrived: None,
             is_stall_recorded: false,
@@ -87,6 +89,11 @@
         (response.parts, source)
     }
 
+    /// When the request was sent.
+    pub(crate) fn sent_at(&self) -> Millis {
+        self.sent_at
+    }
+
     /// Id of the last complete event.
     pub(crate) fn last_id(&self) -> Option<u64> {
         self.reader.last_id()
@@ -114,6 +121,9 @@
             if self.has_ended {
                 return StreamStep::End;
             }
+            if let Some(failure) = self.reader.failure() {
+                return self.end_or_broken(request, failure.reason());
+            }
             let now = state.now();
             if now >= call.deadline {
                 return StreamStep::DeadlinePassed;
--- a/router/src/handover.rs
+++ b/router/src/handover.rs
@@ -274,7 +274,10 @@
                 response.parts.status,
                 response.head.is_signed && !response.head.is_encoded,
             ),
-            Reply::Peer(response) => (response.parts.status, true),
+            Reply::Peer(response) => (
+                response.parts.status,
+                !is_stream || self.is_usable_peer_head(response),
+            ),
         };
         if status.is_server_error() {
             return Some("server_failed");
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -60,6 +60,9 @@
 mod servers;
 mod settings;
 mod stored_blocks;
+mod stream_begin;
+mod stream_head;
+mod stream_source;
 mod unfinished_attempts;
 #[cfg(test)]
 mod unfinished_attempts_tests;
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -28,6 +28,8 @@
     /// Connection on which the body arrives; dropping it cancels the request at the peer.
     connection: Option<Connection>,
     peer: SocketAddr,
+    /// Whether the stream continues after events of an earlier attempt.
+    is_resumed: bool,
     /// What came while another host or server was looked for.
     arrived: Option<Option<hyper::Result<Frame<Bytes>>>>,
     /// When bytes last came.
@@ -42,6 +44,7 @@
             reader: EventSplitter::new(resume_after),
             connection: Some(response.connection),
             peer: response.peer,
+            is_resumed: resume_after.is_some(),
             arrived: None,
             last_contact: None,
         }
@@ -62,10 +65,18 @@
         self.reader.events()
     }
 
+    /// Whether the stream is complete if its body ends now.
+    fn is_complete(&self) -> bool {
+        self.reader.is_at_boundary() && (self.event_count() > 0 || self.is_resumed)
+    }
+
     /// Waits until events are complete, or the stream ends, breaks off or exceeds a time limit.
     pub(crate) async fn next(&mut self, request: &ActiveRequest) -> StreamStep {
         let (state, call) = (&request.state, &request.call);
         loop {
+            if let Some(failure) = self.reader.failure() {
+                return StreamStep::Broken(failure.reason());
+            }
             let now = state.now();
             if now >= call.deadline {
                 return StreamStep::DeadlinePassed;
@@ -90,8 +101,11 @@
                     }
                 }
                 Ok(Some(Err(_))) => return StreamStep::Broken("peer broke off"),
-                Ok(None) if self.reader.is_at_boundary() => return StreamStep::End,
-                Ok(None) => return StreamStep::Broken("stream ended within an event"),
+                Ok(None) if !self.reader.is_at_boundary() => {
+                    return StreamStep::Broken("stream ended within an event");
+                }
+                Ok(None) if self.is_complete() => return StreamStep::End,
+                Ok(None) => return StreamStep::Broken("stream without events"),
                 Err(_) if !request.may_hand_over(now) => {}
                 Err(_) => {
                     let limit = call.head.route.gap_objective.mul_f64(MAX_GAP_OBJECTIVES);
@@ -133,7 +147,7 @@
             }
             match &self.arrived {
                 Some(Some(Ok(_))) => Sign::GoesOn,
-                Some(None) if self.reader.is_at_boundary() => Sign::GoesOn,
+                Some(None) if self.is_complete() => Sign::GoesOn,
                 _ => Sign::Gone,
             }
         }
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use clementinearch_policy::{server_health::AttemptOutcome, time::Millis};
+use clementinearch_policy::server_health::AttemptOutcome;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::{Response, StatusCode, body::Bytes, http::response};
 
@@ -11,16 +11,18 @@
     active_request::{ActiveRequest, Reply},
     attempt::{AttemptResponse, is_framed, record_break},
     call::Call,
-    event_source::{EventSource, StreamStep},
+    event_source::EventSource,
     forwarding::PeerResponse,
-    handover::Handover,
     health_tracking::record_server_outcome,
     hooks::{AttemptEnd, CallEnd},
     host_state::HostState,
     peer_source::PeerSource,
     refusal::Refusal,
-    relay::{Relay, Source},
+    relay::Relay,
     response_body::{ResponseBody, full_body},
+    stream_begin::Begin,
+    stream_head::is_usable_stream_head,
+    stream_source::Source,
 };
 
 /// Maximum size of a response that is buffered until it is complete, bytes.
@@ -32,16 +34,6 @@
     body: Bytes,
 }
 
-/// The first step of a stream.
-enum FirstStep {
-    /// A step of the server that got the request.
-    Step(StreamStep),
-    /// Another server or peer has taken the request over.
-    Taken(Reply),
-    /// The server was left or broke off, and no other could be had.
-    Failed(Refusal),
-}
-
 /// Serves a request from admission to its response.
 pub(crate) async fn serve(state: Arc<HostState>, call: Call) -> Response<ResponseBody> {
     let dialect = state.dialect.clone();
@@ -230,11 +222,25 @@
             };
             let response = match reply {
                 Ok(Reply::Server(response)) => *response,
-                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                Ok(Reply::Peer(response)) if self.is_usable_peer_head(&response) => {
                     let parts = response.parts.clone();
                     let source = PeerSource::new(response, resume_after);
                     let source = Source::Peer(Box::new(source));
-                    return self.relay(parts, source, Bytes::new()).await;
+                    match self.begin_stream(source, resume_after).await {
+                        Begin::Stream(source, first) => {
+                            return self.relay(parts, source, first).await;
+                        }
+                        Begin::Taken(reply) => taken = Some(reply),
+                        Begin::Failed(refusal) => {
+                            return self.forward_failure(failure, refusal).await;
+                        }
+                        Begin::Broken => {}
+                    }
+                    continue;
+                }
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    self.reject_peer_head(&response);
+                    continue;
                 }
                 Ok(Reply::Peer(response)) => match self.read_peer_response(response).await {
                     Some(response) => return Ok(response),
@@ -249,14 +255,8 @@
                 }
                 continue;
             }
-            if response.head.is_encoded || !response.head.is_signed {
-                let server = response.in_flight.server();
-                record_server_outcome(
-                    &self.state,
-                    server,
-                    AttemptOutcome::Failed,
-                    self.state.now(),
-                );
+            if !is_usable_stream_head(&response) {
+                self.reject_stream_head(&response);
                 continue;
             }
             if let Some(size) = self.larger_size(&response) {
@@ -264,72 +264,17 @@
                 self.tried.clear();
                 continue;
             }
-            let sent_at = response.sent_at;
-            let (parts, mut source) = EventSource::new(response, resume_after.is_some());
-            match self.first_step(&mut source, resume_after).await {
-                FirstStep::Taken(reply) => taken = Some(reply),
-                FirstStep::Failed(refusal) => return self.forward_failure(failure, refusal).await,
-                FirstStep::Step(StreamStep::Events(first)) => {
-                    self.record_start(&source, sent_at);
-                    let source = Source::Server(Box::new(source));
-                    return self.relay(parts, source, first).await;
-                }
-                FirstStep::Step(StreamStep::End) => {
-                    let source = Source::Server(Box::new(source));
-                    return self.relay(parts, source, Bytes::new()).await;
-                }
-                FirstStep::Step(StreamStep::Broken(why) | StreamStep::Stalled(why)) => {
-                    self.record_broken_stream(&source, why).await;
-                }
-                FirstStep::Step(StreamStep::DeadlinePassed) => {
-                    let refusal = Refusal::DeadlinePassed;
-                    return self.forward_failure(failure, refusal).await;
-                }
-            }
-        }
-    }
-
-    /// Waits for the first step of a stream. If its server is silent or late, others are tried
-    /// meanwhile.
-    async fn first_step(
-        &mut self,
-        source: &mut EventSource,
-        resume_after: Option<u64>,
-    ) -> FirstStep {
-        loop {
-            let step = source.next(self).await;
-            let StreamStep::Stalled(why) = step else {
-                return FirstStep::Step(step);
-            };
-            source.record_stall(self, why).await;
-            let handover = self.hand_over(source, resume_after, why).await;
-            if handover.is_gone() {
-                source.record_gone(&self.state, &self.call).await;
-            }
-            match handover {
-                Handover::Kept => {}
-                Handover::Taken { reply, .. } => return FirstStep::Taken(reply),
-                Handover::Failed { refusal, .. } => return FirstStep::Failed(refusal),
+            let (parts, source) = EventSource::new(response, resume_after.is_some());
+            let source = Source::Server(Box::new(source));
+            match self.begin_stream(source, resume_after).await {
+                Begin::Stream(source, first) => return self.relay(parts, source, first).await,
+                Begin::Taken(reply) => taken = Some(reply),
+                Begin::Failed(refusal) => return self.forward_failure(failure, refusal).await,
+                Begin::Broken => {}
             }
         }
     }
 
-    /// Records that the first event of a stream arrived, whose request was sent at `sent_at`.
-    fn record_start(&mut self, source: &EventSource, sent_at: Millis) {
-        let now = self.state.now();
-        self.first_event_at = Some(now);
-        let server = source.in_flight().server().clone();
-        self.record_first_event(&server, sent_at, now);
-        self.state.record_prefill(
-            &self.call.service,
-            self.call.head.route.sizes.len(),
-            self.size,
-            source.in_flight().uncached_tokens(),
-            now.since(sent_at),
-        );
-        record_server_outcome(&self.state, &server, AttemptOutcome::Good, now);
-    }
-
     /// Starts to forward a stream, or collects it for a caller that wants a single response.
     async fn relay(
         self,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{io, time::Duration};
 
-use clementinearch_policy::{routes::RouteKind, server_health::AttemptOutcome};
+use clementinearch_policy::routes::RouteKind;
 use futures::{Stream, StreamExt};
 use hyper::body::{Bytes, Frame};
 use tokio::sync::mpsc;
@@ -11,62 +11,17 @@
 use crate::{
     active_request::{ActiveRequest, Reply},
     event_source::{EventSource, StreamStep},
-    handover::{Handover, Holder},
-    health_tracking::record_server_outcome,
+    handover::Handover,
     hooks::CallEnd,
     peer_source::PeerSource,
     refusal::Refusal,
+    stream_head::is_usable_stream_head,
+    stream_source::Source,
 };
 
 /// Number of frames that are buffered for a slow caller.
 const FRAME_BUFFER: usize = 8;
 
-/// Where the events of a stream come from.
-pub(crate) enum Source {
-    /// A backend server.
-    Server(Box<EventSource>),
-    /// Another entry host, to which the request was forwarded.
-    Peer(Box<PeerSource>),
-}
-
-impl Source {
-    async fn next(&mut self, request: &ActiveRequest) -> StreamStep {
-        match self {
-            Self::Server(source) => source.next(request).await,
-            Self::Peer(source) => source.next(request).await,
-        }
-    }
-
-    /// The stream as one that may be handed over.
-    fn holder(&mut self) -> &mut dyn Holder {
-        match self {
-            Self::Server(source) => &mut **source,
-            Self::Peer(source) => &mut **source,
-        }
-    }
-
-    fn last_id(&self) -> Option<u64> {
-        match self {
-            Self::Server(source) => source.last_id(),
-            Self::Peer(source) => source.last_id(),
-        }
-    }
-
-    fn event_count(&self) -> u64 {
-        match self {
-            Self::Server(source) => source.event_count(),
-            Self::Peer(source) => source.event_count(),
-        }
-    }
-
-    fn final_events(&mut self) -> Bytes {
-        match self {
-            Self::Server(source) => source.final_events(),
-            Self::Peer(_) => Bytes::new(),
-        }
-    }
-}
-
 /// The reason why a stream cannot be completed.
 struct StreamFailure {
     /// Cause, for logs and metrics.
@@ -268,10 +223,7 @@
     async fn resume(&mut self, why: &'static str) -> Result<(), StreamFailure> {
         let after = self.source.last_id();
         self.request.is_pace_due = false;
-        match &self.source {
-            Source::Server(source) => self.request.record_broken_stream(source, why).await,
-            Source::Peer(source) => self.request.log_broken_relay(source, why),
-        }
+        self.request.record_broken_source(&self.source, why).await;
         if self.request.call.head.route.kind != (RouteKind::Stream { resumable: true }) {
             let refusal = Refusal::MayHaveRun { reason: why };
             return Err(StreamFailure { why, refusal });
@@ -279,34 +231,41 @@
         loop {
             let response = match self.request.next_response(after).await {
                 Ok(Reply::Server(response)) => *response,
-                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                Ok(Reply::Peer(response)) if self.request.is_usable_peer_head(&response) => {
                     self.source = Source::Peer(Box::new(PeerSource::new(response, after)));
                     return Ok(());
                 }
+                Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
+                    self.request.reject_peer_head(&response);
+                    continue;
+                }
                 Ok(Reply::Peer(_)) => {
                     let refusal = Refusal::MayHaveRun { reason: why };
                     return Err(StreamFailure { why, refusal });
                 }
                 Err(refusal) => return Err(StreamFailure { why, refusal }),
             };
-            if response.parts.status.is_success() && !response.head.is_encoded {
-                // Dropping the old source closes its connection and so cancels the old attempt.
-                let (_, source) = EventSource::new(response, true);
-                self.source = Source::Server(Box::new(source));
-                return Ok(());
+            if !is_usable_stream_head(&response) {
+                self.request.reject_stream_head(&response);
+                continue;
             }
-            let server = response.in_flight.server();
-            record_server_outcome(
-                &self.request.state,
-                server,
-                AttemptOutcome::Failed,
-                self.request.state.now(),
-            );
+            // Dropping the old source closes its connection and so cancels the old attempt.
+            let (_, source) = EventSource::new(response, true);
+            self.source = Source::Server(Box::new(source));
+            return Ok(());
         }
     }
 }
 
 impl ActiveRequest {
+    /// Records that a stream broke off.
+    pub(crate) async fn record_broken_source(&mut self, source: &Source, why: &'static str) {
+        match source {
+            Source::Server(source) => self.record_broken_stream(source, why).await,
+            Source::Peer(source) => self.log_broken_relay(source, why),
+        }
+    }
+
     /// Logs that a stream from a peer broke off.
     fn log_broken_relay(&self, source: &PeerSource, why: &str) {
         let events = [("events", source.event_count() as f64)];
