--- a/host/tests/route_handover.rs
+++ b/host/tests/route_handover.rs
@@ -346,6 +346,28 @@
     assert_eq!(arrivals(&servers), ALL_SILENT.len(), "each is sent once");
 }
 
+/// The peer that serves a host's requests stands still, and there is no other one.
+#[test]
+fn a_silent_peer_keeps_its_request() {
+    let (mut platform, servers) = prepare(1, BEFORE_HANG, Others::Refuse);
+    platform.start_linked_hosts(2);
+    platform.set_links(0, LinkState::Resetting);
+    wait_until("the host knows that it is cut off", || {
+        send_request(&platform.hosts[0], "GET /look/first", "first", "", "");
+        platform.hosts[0].status()["reaches_servers"] == false
+    });
+    let answers = send_all(&platform, &servers, "quick", || {
+        platform.hosts[1].signal("STOP");
+        thread::sleep(HANG);
+        platform.hosts[1].signal("CONT");
+    });
+    check_whole(answers, "silent peer");
+    assert_eq!(arrivals(&servers), ALL_SILENT.len(), "each is sent once");
+    wait_until("the log tells that another one was looked for", || {
+        !platform.hosts[0].logged("server_kept").is_empty()
+    });
+}
+
 /// Another server has room: it takes over at once, and the first one sees the end of its request.
 #[test]
 fn another_server_takes_over_when_it_has_room() {
