Count failures of servers that were asked to take a request over

A server error that came while the first server kept the request was not counted for the server's version.

--- a/router/src/handover.rs
+++ b/router/src/handover.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     active_request::{ActiveRequest, LastAttempt, Reply},
+    attempt::AttemptResponse,
     call::Call,
     forwarding::Forwarding,
     health_tracking::record_server_outcome,
@@ -246,15 +247,7 @@
                 };
                 self.sent.clear();
                 match &reply {
-                    Reply::Server(response) => {
-                        let server = response.in_flight.server();
-                        let now = self.state.now();
-                        let target = response.in_flight.attempt_target();
-                        self.record_attempt(target, AttemptEnd::Broken);
-                        record_server_outcome(&self.state, server, AttemptOutcome::Failed, now);
-                        let status = response.parts.status;
-                        self.log_step(why, &server.entry.name, status.as_str(), &[]);
-                    }
+                    Reply::Server(response) => self.record_flaw(response, why),
                     Reply::Peer(response) => {
                         let status = response.parts.status;
                         let peer = response.peer.to_string();
@@ -266,6 +259,19 @@
         .boxed()
     }
 
+    /// Records a server's response that cannot replace that of the server before it.
+    fn record_flaw(&mut self, response: &AttemptResponse, why: &str) {
+        let server = response.in_flight.server();
+        let now = self.state.now();
+        self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Broken);
+        if !response.parts.status.is_success() {
+            self.record_response(server, true, response.sent_at, now);
+        }
+        record_server_outcome(&self.state, server, AttemptOutcome::Failed, now);
+        let status = response.parts.status;
+        self.log_step(why, &server.entry.name, status.as_str(), &[]);
+    }
+
     /// The log event for a response that cannot replace that of the server before it.
     fn flaw(&self, reply: &Reply) -> Option<&'static str> {
         let is_stream = self.call.head.route.kind.is_stream();
