Let links of tests hang without accepting or refusing in between

A link that changed between up and hanging closed its listener and opened another one: connections of that moment were refused, or accepted and reset later, so that tests of held-up connections failed now and then (a_path_that_is_held_up_for_a_moment_is_not_lost 2 of 15, with 502 for a call that had been sent into the queue of a hanging link). The listener stays now and its queue is kept full. The test also waits until the links hang: 2 of 25 failed before because the request came through.

--- a/host/tests/route_slow_host.rs
+++ b/host/tests/route_slow_host.rs
@@ -2,11 +2,14 @@
 
 mod route;
 
-use std::thread;
+use std::{net::TcpStream, thread, time::Duration};
 
 use clementinearch_standins::link::LinkState;
 use route::{Platform, ok, send_request, wait_until};
 
+/// Time in which a link that is up accepts a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Connections wait for a moment: longer than one sample of them is given.
 #[test]
 fn a_path_that_is_held_up_for_a_moment_is_not_lost() {
@@ -18,6 +21,13 @@
     let host = &platform.hosts[0];
     for round in 0..3 {
         platform.set_links(0, LinkState::Hanging);
+        wait_until("the links hold connections", || {
+            let links = platform.links(0);
+            let mut tries = links
+                .iter()
+                .map(|link| TcpStream::connect_timeout(&link.address(), CONNECT_TIMEOUT));
+            tries.all(|connected| connected.is_err())
+        });
         let answer = thread::scope(|scope| {
             let id = format!("id-{round}");
             let call = scope.spawn(move || send_request(host, "POST /pay/1", &id, "", ""));
--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -50,7 +50,7 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Arc<Self>> {
-        let listener = listen(address, BACKLOG)?;
+        let listener = listen(address)?;
         let link = Arc::new(Self {
             address,
             target,
@@ -75,26 +75,31 @@
         let mut listener = Some(listener);
         loop {
             let current = *state.borrow_and_update();
-            match current {
-                LinkState::Up => {
-                    let bound = match listener.take() {
-                        Some(bound) => bound,
-                        None => listen_again(self.address, BACKLOG).await,
-                    };
-                    self.accept(bound, &mut state).await;
-                }
-                LinkState::Hanging => self.hang(&mut state).await,
-                LinkState::Resetting | LinkState::RefusingNew => {
-                    let _ = state.changed().await;
+            if matches!(current, LinkState::Resetting | LinkState::RefusingNew) {
+                if let Some(bound) = listener.take() {
+                    // A child process of a parallel test may hold the descriptor until exec.
+                    let _ = SockRef::from(&bound).shutdown(std::net::Shutdown::Both);
                 }
+                let _ = state.changed().await;
+                continue;
+            }
+            let bound = match listener.take() {
+                Some(bound) => bound,
+                None => listen_again(self.address).await,
+            };
+            if current == LinkState::Hanging {
+                self.hang(&bound, &mut state).await;
+            } else {
+                self.accept(&bound, &mut state).await;
             }
+            listener = Some(bound);
         }
     }
 
     /// Accepts connections until the state changes.
     async fn accept(
         self: &Arc<Self>,
-        listener: TcpListener,
+        listener: &TcpListener,
         state: &mut watch::Receiver<LinkState>,
     ) {
         loop {
@@ -104,23 +109,21 @@
                         tokio::spawn(self.clone().carry(stream));
                     }
                 }
-                _ = state.changed() => break,
+                _ = state.changed() => return,
             }
         }
-        // A child process of a parallel test may hold the descriptor until exec.
-        let _ = SockRef::from(&listener).shutdown(std::net::Shutdown::Both);
     }
 
-    /// Listens with a full accept queue until the state changes, so that the kernel drops the
-    /// packets that open connections.
-    async fn hang(&self, state: &mut watch::Receiver<LinkState>) {
-        let listener = listen_again(self.address, 0).await;
+    /// Keeps the accept queue full until the state changes, so that the kernel drops the packets
+    /// that open connections. One that was in the queue before is held like the others.
+    async fn hang(&self, listener: &TcpListener, state: &mut watch::Receiver<LinkState>) {
+        let _ = SockRef::from(listener).listen(0);
         let mut fillers = Vec::new();
         for _ in 0..FILLERS {
             fillers.push(timeout(RETRY_PERIOD, TcpStream::connect(self.address)).await);
         }
         let _ = state.changed().await;
-        let _ = SockRef::from(&listener).shutdown(std::net::Shutdown::Both);
+        let _ = SockRef::from(listener).listen(BACKLOG as i32);
     }
 
     async fn carry(self: Arc<Self>, mut client: TcpStream) {
@@ -175,17 +178,17 @@
     }
 }
 
-fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(backlog)
+    socket.listen(BACKLOG)
 }
 
 /// Listens at an address that was in use a moment ago.
-async fn listen_again(address: SocketAddr, backlog: u32) -> TcpListener {
+async fn listen_again(address: SocketAddr) -> TcpListener {
     loop {
-        if let Ok(listener) = listen(address, backlog) {
+        if let Ok(listener) = listen(address) {
             return listener;
         }
         sleep(RETRY_PERIOD).await;
