Test what extra bytes on a kept connection are taken for

A faulty server may write a refusal once more on a kept connection, before the next request, with it, or after it.

--- /dev/null
+++ b/host/tests/route_kept_connections.rs
@@ -0,0 +1,332 @@
+//! Bytes that a server sends on a kept connection beside its answer: none is taken for the answer to
+//! the next request, unless it bears that request's id.
+
+mod route;
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use clementinearch_standins::scripted_server::{
+    LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, stream_head, token_event,
+};
+use route::{Answer, Platform, ok, send_request, wait_until};
+
+/// Time for which a server still works on a request after its extra bytes.
+const WORK: Duration = Duration::from_millis(30);
+
+/// Statuses that state that a request did not run.
+const PROMISES: [&str; 4] = [
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+];
+
+const PROOF: &str = "Not-Executed: 1\r\n";
+
+/// When a server sends its extra bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Moment {
+    /// In one piece with the answer to the request before.
+    WithEarlierAnswer,
+    /// Some time after the answer to the request before, while the connection is idle.
+    Idle,
+    /// Once the request has arrived, before its answer.
+    WithRequest,
+}
+
+/// A kind of request that may be sent on a kept connection.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    service: &'static str,
+    line: &'static str,
+    headers: &'static str,
+}
+
+const CALL: Kind = Kind {
+    service: "orders",
+    line: "GET /look/",
+    headers: "",
+};
+
+const STREAM: Kind = Kind {
+    service: "pool",
+    line: "POST /draft/",
+    headers: "Model: small\r\n",
+};
+
+fn answer(kind: Kind, received: &ReceivedRequest) -> Vec<Step> {
+    if kind.service == "orders" {
+        return ok(received);
+    }
+    let mut text = stream_head(received, "Confidence: 90\r\n");
+    text.extend((1..=3).map(|id| chunk(&token_event(id))));
+    text.push_str(LAST_CHUNK);
+    vec![Step::Send(text)]
+}
+
+fn is_right(kind: Kind, answer: &Answer) -> bool {
+    let body = if kind.service == "orders" {
+        "done".to_owned()
+    } else {
+        (1..=3).map(token_event).collect()
+    };
+    answer.status == 200 && answer.is_whole && answer.body == body
+}
+
+/// Extra bytes that a server is still to send, and when.
+type Planned = Arc<Mutex<Option<(Moment, String)>>>;
+
+/// A host with one server, which sends extra bytes on kept connections as it is told.
+struct Setup {
+    platform: Platform,
+    server: Arc<ScriptedServer>,
+    kind: Kind,
+    planned: Planned,
+    sent: usize,
+}
+
+impl Setup {
+    fn new(kind: Kind) -> Self {
+        let mut platform = Platform::new();
+        let planned = Planned::default();
+        let (plan, kept) = (planned.clone(), Mutex::new(HashSet::new()));
+        let (_, server) = platform.add_backend(kind.service, "v1", move |_, received| {
+            let is_kept = !kept.lock().unwrap().insert(received.connection);
+            let is_probe = received.request_line.ends_with("probe");
+            let mut plan = plan.lock().unwrap();
+            let is_due = plan.as_ref().is_some_and(|(moment, _)| {
+                (*moment == Moment::WithRequest) == is_probe && (is_kept || !is_probe)
+            });
+            let Some((moment, extra)) = plan.take_if(|_| is_due) else {
+                return answer(kind, received);
+            };
+            with_extra(moment, extra, answer(kind, received))
+        });
+        platform.start_hosts(1);
+        Self {
+            platform,
+            server,
+            kind,
+            planned,
+            sent: 0,
+        }
+    }
+
+    fn send(&mut self, path: &str) -> Answer {
+        self.sent += 1;
+        let (line, id) = (
+            format!("{}{path}", self.kind.line),
+            format!("id-{}", self.sent),
+        );
+        let extra = self.kind.headers;
+        send_request(&self.platform.hosts[0], &line, &id, extra, "")
+    }
+
+    /// Id of the next probe.
+    fn next_id(&self) -> String {
+        format!("id-{}", self.sent + 2)
+    }
+
+    /// Lets a connection be kept, then sends a request beside which `extra` comes at `moment`.
+    fn probe(&mut self, moment: Moment, extra: String) -> Answer {
+        wait_until("the server is used", || self.is_served());
+        // The request that was just served left a connection; the next one uses it.
+        self.sent = self.sent.next_multiple_of(2);
+        *self.planned.lock().unwrap() = Some((moment, extra));
+        self.send("first");
+        if moment == Moment::Idle {
+            std::thread::sleep(2 * WORK);
+        }
+        let answer = self.send("probe");
+        let left = self.planned.lock().unwrap().take();
+        assert!(left.is_none(), "not sent: {left:?}");
+        answer
+    }
+
+    fn is_served(&self) -> bool {
+        let (line, extra) = (format!("{}wait", self.kind.line), self.kind.headers);
+        let answer = send_request(&self.platform.hosts[0], &line, "id-wait", extra, "");
+        is_right(self.kind, &answer)
+    }
+}
+
+fn with_extra(moment: Moment, extra: String, mut answer: Vec<Step>) -> Vec<Step> {
+    match moment {
+        Moment::WithEarlierAnswer => {
+            if let Some(Step::Send(last)) = answer.last_mut() {
+                last.push_str(&extra);
+            }
+        }
+        Moment::Idle => answer.extend([Step::Wait(WORK), Step::Send(extra)]),
+        Moment::WithRequest => {
+            answer.splice(0..0, [Step::Send(extra), Step::Wait(WORK)]);
+        }
+    }
+    answer
+}
+
+/// A refusal with these header lines.
+fn refusal(status: &str, headers: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n")
+}
+
+/// Plays extra bytes of each kind. Returns the variants with a wrong answer, and the number of all.
+fn play(variants: impl Fn(&str) -> Vec<(Moment, String)>) -> (Vec<String>, usize) {
+    let (mut wrong, mut played) = (Vec::new(), 0);
+    for kind in [CALL, STREAM] {
+        let mut setup = Setup::new(kind);
+        let count = variants("").len();
+        for number in 0..count {
+            setup.sent = setup.sent.next_multiple_of(2);
+            let (moment, extra) = variants(&setup.next_id()).swap_remove(number);
+            let answer = setup.probe(moment, extra.clone());
+            played += 1;
+            if !is_right(kind, &answer) {
+                wrong.push(format!(
+                    "{} {moment:?} {extra:?}: {}",
+                    kind.line, answer.status
+                ));
+            }
+        }
+    }
+    (wrong, played)
+}
+
+fn check(variants: impl Fn(&str) -> Vec<(Moment, String)>) {
+    let (wrong, played) = play(variants);
+    report(&wrong, played);
+}
+
+/// Fails with the variants that went wrong.
+fn report(wrong: &[String], played: usize) {
+    assert!(
+        wrong.is_empty(),
+        "{} of {played} wrong: {wrong:#?}",
+        wrong.len()
+    );
+}
+
+/// The server runs the request, so the caller must not be told that it did not run.
+#[test]
+fn a_refusal_without_an_id_says_nothing_of_a_request_on_a_kept_connection() {
+    check(|_| {
+        let mut variants = Vec::new();
+        for status in PROMISES {
+            for proof in ["", PROOF] {
+                for interim in [
+                    "",
+                    "HTTP/1.1 100 Continue\r\n\r\n",
+                    "HTTP/1.1 103 Early Hints\r\n\r\n",
+                ] {
+                    let extra = format!("{interim}{}", refusal(status, proof));
+                    variants.push((Moment::WithRequest, extra));
+                }
+            }
+        }
+        variants
+    });
+}
+
+#[test]
+fn a_refusal_with_an_earlier_id_says_nothing_of_a_request_on_a_kept_connection() {
+    check(|_| {
+        let mut variants = Vec::new();
+        for status in PROMISES {
+            for proof in ["", PROOF] {
+                let headers = format!("Attempt-Id: id-earlier\r\n{proof}");
+                variants.push((Moment::WithRequest, refusal(status, &headers)));
+            }
+        }
+        variants
+    });
+}
+
+#[test]
+fn a_refusal_with_two_ids_says_nothing_of_a_request_on_a_kept_connection() {
+    check(|own| {
+        let mut variants = Vec::new();
+        for status in PROMISES {
+            for proof in ["", PROOF] {
+                for (first, second) in [(own, "id-earlier"), ("id-earlier", own)] {
+                    let ids = format!("Attempt-Id: {first}\r\nAttempt-Id: {second}\r\n");
+                    let headers = format!("{ids}{proof}");
+                    variants.push((Moment::WithRequest, refusal(status, &headers)));
+                }
+            }
+        }
+        variants
+    });
+}
+
+#[test]
+fn bytes_on_an_idle_connection_say_nothing_of_the_next_request() {
+    let earlier_id = "Attempt-Id: id-wait\r\n";
+    check(|_| {
+        let mut variants = Vec::new();
+        for moment in [Moment::WithEarlierAnswer, Moment::Idle] {
+            for status in PROMISES {
+                variants.push((moment, refusal(status, PROOF)));
+                variants.push((moment, refusal(status, &format!("{earlier_id}{PROOF}"))));
+            }
+            variants.push((moment, refusal("200 OK", earlier_id)));
+            variants.push((moment, "\r\n".to_owned()));
+            variants.push((moment, "noise".to_owned()));
+        }
+        variants
+    });
+}
+
+/// The only server refuses, as its answer with the request's id states.
+#[test]
+fn a_refusal_with_the_requests_id_is_believed_on_a_kept_connection() {
+    for kind in [CALL, STREAM] {
+        let mut setup = Setup::new(kind);
+        for status in ["408 Request Timeout", "429 Too Many Requests", "503 Full"] {
+            setup.sent = setup.sent.next_multiple_of(2);
+            let id = setup.next_id();
+            let twice = refusal(status, &format!("Attempt-Id: {id}\r\n{PROOF}")).repeat(2);
+            let answer = setup.probe(Moment::WithRequest, twice);
+            assert_eq!(answer.status, 503, "{status}");
+        }
+        assert!(setup.server.requests().len() >= 9);
+    }
+}
+
+/// What a server says of itself counts only in an answer that is its answer to this request.
+#[test]
+fn an_answer_that_is_not_believed_says_nothing_of_its_server() {
+    let marks = [
+        "Retry-After: 3",
+        "Server-Leaving: 1",
+        "Server-Limit: 0.1",
+        "Server-Brittle: 0",
+    ];
+    let (mut wrong, mut played) = (Vec::new(), 0);
+    for kind in [CALL, STREAM] {
+        for mark in marks {
+            for ids in 0..3 {
+                let mut setup = Setup::new(kind);
+                let own = setup.next_id();
+                let ids = [
+                    String::new(),
+                    "Attempt-Id: id-earlier\r\n".to_owned(),
+                    format!("Attempt-Id: {own}\r\nAttempt-Id: id-earlier\r\n"),
+                ][ids]
+                    .clone();
+                let extra = refusal(PROMISES[3], &format!("{ids}{PROOF}{mark}\r\n"));
+                let first = setup.probe(Moment::WithRequest, extra.clone());
+                let mut answers = vec![first];
+                answers.extend((0..6).map(|_| setup.send("next")));
+                played += 1;
+                if !answers.iter().all(|answer| is_right(kind, answer)) {
+                    wrong.push(format!("{} {extra:?}", kind.line));
+                }
+            }
+        }
+    }
+    report(&wrong, played);
+}
