Believe a refusal on a kept connection only with the request's id

Callers saw 503 "not run" for requests that the server was running, and the server was left alone for it: a refusal without an id, written once more on a kept connection, was taken for the answer to the request just sent.

A response without an id could, on a connection that had carried other requests, be a late answer to one of them. It now proves nothing there: the attempt counts as lost, its connection is closed, and what the server says of itself in that response is not recorded. As the first answer on a connection such a refusal is believed as before.

--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -3,7 +3,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::routes::{Route, RouteKind, RoutingTable};
+use clementinearch_policy::{
+    answer_id::AnswerId,
+    routes::{Route, RouteKind, RoutingTable},
+};
 use clementinearch_router::{
     AttemptContext, Call, CallHead, Dialect, EventReader, ModelChoice, Refusal as RouterRefusal,
     ResponseBody, ResponseHead, Verdict,
@@ -174,10 +177,11 @@
         let verdict = if is_chat {
             read_engine_status(head.status)
         } else {
-            Verdict::Matching
+            Verdict::Answered
         };
         let connection = head.headers.get(CONNECTION);
         ResponseHead {
+            id: AnswerId::Own,
             verdict,
             is_signed: true,
             is_closing: connection.is_some_and(|value| value == "close"),
@@ -242,7 +246,7 @@
 /// Maps an engine's status to what it says about the request.
 fn read_engine_status(status: StatusCode) -> Verdict {
     match status {
-        StatusCode::OK => Verdict::Matching,
+        StatusCode::OK => Verdict::Answered,
         StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Verdict::NotRun
         }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! isolation.
 
 pub mod admission;
+pub mod answer_id;
 pub mod cascade;
 pub mod catalogue;
 pub mod claim;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    event_stream::EventSplitter, rollout_evidence::Outcome, server_health::AttemptOutcome,
-    time::Millis,
+    answer_id::AnswerId, event_stream::EventSplitter, rollout_evidence::Outcome,
+    server_health::AttemptOutcome, time::Millis,
 };
 use http_body_util::Full;
 use hyper::{
@@ -238,18 +238,13 @@
         if let Some(load) = head.load {
             server.record_load(load, now);
         }
-        if matches!(head.verdict, Verdict::Matching | Verdict::NotRun)
-            && parts.status != StatusCode::MISDIRECTED_REQUEST
-        {
-            state.record_limit(&server, head.limit, now);
-            state.record_refusal_limit(&server, head.refusal_limit, now);
-            if parts.status == StatusCode::SERVICE_UNAVAILABLE {
-                state.record_no_room(&server, now);
-            }
-            state.record_rest(&server, &head, now);
-            if head.is_leaving && state.servers.mark_leaving(&server, now) {
-                state.log_event("server_leaving", &server.entry.name, "", &[]);
-            }
+        if !head.id.is_believed(was_idle) {
+            return AttemptResult::Lost {
+                why: doubt(head.id),
+            };
+        }
+        if parts.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_marks(&server, &head, parts.status, now);
         }
         if let Some(result) = self.read_verdict(&head.verdict, parts.status, &server, now) {
             if !matches!(result, AttemptResult::Lost { .. }) {
@@ -354,7 +349,28 @@
         }
     }
 
-    /// Returns the result of the attempt if the response does not answer the request.
+    /// Records what the server says of itself in its answer: its limits, and whether it wants rest or
+    /// leaves.
+    fn record_marks(
+        &self,
+        server: &Arc<Server>,
+        head: &ResponseHead,
+        status: StatusCode,
+        now: Millis,
+    ) {
+        let state = self.state;
+        state.record_limit(server, head.limit, now);
+        state.record_refusal_limit(server, head.refusal_limit, now);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            state.record_no_room(server, now);
+        }
+        state.record_rest(server, head, now);
+        if head.is_leaving && state.servers.mark_leaving(server, now) {
+            state.log_event("server_leaving", &server.entry.name, "", &[]);
+        }
+    }
+
+    /// Returns the result of the attempt if the response is none for the caller.
     fn read_verdict(
         &self,
         verdict: &Verdict,
@@ -363,10 +379,7 @@
         now: Millis,
     ) -> Option<AttemptResult> {
         match verdict {
-            Verdict::Matching => None,
-            Verdict::Mismatched => Some(AttemptResult::Lost {
-                why: "answer to another request",
-            }),
+            Verdict::Answered => None,
             Verdict::NotRun => {
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     // Another server has the address now, so the addressed one is gone.
@@ -387,6 +400,15 @@
     }
 }
 
+/// Returns the reason of an attempt whose response is not believed.
+fn doubt(id: AnswerId) -> &'static str {
+    if id == AnswerId::Absent {
+        "answer without an id on a kept connection"
+    } else {
+        "answer to another request"
+    }
+}
+
 /// Whether the end of a response's body is told by its framing rather than by the end of its
 /// connection.
 pub(crate) fn is_framed(parts: &response::Parts) -> bool {
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
+    answer_id::AnswerId,
     event_stream::{EventSplitter, StreamError},
     names::Name,
     routes::RoutingTable,
@@ -40,17 +41,15 @@
     pub resume_after: Option<u64>,
 }
 
-/// What the head of a backend server's response means for the attempt.
+/// What the head of a backend server's response means for the request that it answers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Verdict {
-    /// The response answers this request.
-    Matching,
-    /// The response answers another request.
-    #[default]
-    Mismatched,
+    /// The server answered the request.
+    Answered,
     /// The server states that the request did not run.
     NotRun,
     /// The server failed; another server may succeed.
+    #[default]
     Failed,
     /// The request itself is invalid; every server would reject it.
     Rejected(Refusal),
@@ -59,7 +58,9 @@
 /// The head of a backend server's response, as parsed by the dialect.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHead {
-    /// What the response means for the attempt.
+    /// Which request the response names.
+    pub id: AnswerId,
+    /// What the response means if it answers this request.
     pub verdict: Verdict,
     /// Whether the server signed the response.
     pub is_signed: bool,
