--- a/host/tests/fleet/mod.rs
+++ b/host/tests/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 #[path = "../loopback/mod.rs"]
 mod loopback;
+mod scripted;
 
 use std::{
     fs,
--- a/host/tests/route_kept_connections.rs
+++ b/host/tests/route_kept_connections.rs
@@ -1,43 +1,19 @@
 //! Bytes that a server sends on a kept connection beside its answer: none is taken for the answer to
 //! the next request, unless it bears that request's id.
 
+mod extra_bytes;
 mod route;
 
-use std::{
-    collections::HashSet,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::sync::Arc;
 
 use clementinearch_standins::scripted_server::{
     LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, stream_head, token_event,
 };
+use extra_bytes::{Moment, PROMISES, Planned, refusal, report};
 use route::{Answer, Platform, ok, send_request, wait_until};
 
-/// Time for which a server still works on a request after its extra bytes.
-const WORK: Duration = Duration::from_millis(30);
-
-/// Statuses that state that a request did not run.
-const PROMISES: [&str; 4] = [
-    "408 Request Timeout",
-    "421 Misdirected Request",
-    "429 Too Many Requests",
-    "503 Service Unavailable",
-];
-
 const PROOF: &str = "Not-Executed: 1\r\n";
 
-/// When a server sends its extra bytes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Moment {
-    /// In one piece with the answer to the request before.
-    WithEarlierAnswer,
-    /// Some time after the answer to the request before, while the connection is idle.
-    Idle,
-    /// Once the request has arrived, before its answer.
-    WithRequest,
-}
-
 /// A kind of request that may be sent on a kept connection.
 #[derive(Clone, Copy, Debug)]
 struct Kind {
@@ -77,34 +53,23 @@
     answer.status == 200 && answer.is_whole && answer.body == body
 }
 
-/// Extra bytes that a server is still to send, and when.
-type Planned = Arc<Mutex<Option<(Moment, String)>>>;
-
 /// A host with one server, which sends extra bytes on kept connections as it is told.
 struct Setup {
     platform: Platform,
     server: Arc<ScriptedServer>,
     kind: Kind,
-    planned: Planned,
+    planned: Arc<Planned>,
     sent: usize,
 }
 
 impl Setup {
     fn new(kind: Kind) -> Self {
         let mut platform = Platform::new();
-        let planned = Planned::default();
-        let (plan, kept) = (planned.clone(), Mutex::new(HashSet::new()));
+        let planned = Arc::<Planned>::default();
+        let plan = planned.clone();
         let (_, server) = platform.add_backend(kind.service, "v1", move |_, received| {
-            let is_kept = !kept.lock().unwrap().insert(received.connection);
             let is_probe = received.request_line.ends_with("probe");
-            let mut plan = plan.lock().unwrap();
-            let is_due = plan.as_ref().is_some_and(|(moment, _)| {
-                (*moment == Moment::WithRequest) == is_probe && (is_kept || !is_probe)
-            });
-            let Some((moment, extra)) = plan.take_if(|_| is_due) else {
-                return answer(kind, received);
-            };
-            with_extra(moment, extra, answer(kind, received))
+            plan.apply(received, is_probe, answer(kind, received))
         });
         platform.start_hosts(1);
         Self {
@@ -136,14 +101,11 @@
         wait_until("the server is used", || self.is_served());
         // The request that was just served left a connection; the next one uses it.
         self.sent = self.sent.next_multiple_of(2);
-        *self.planned.lock().unwrap() = Some((moment, extra));
+        self.planned.set(moment, extra);
         self.send("first");
-        if moment == Moment::Idle {
-            std::thread::sleep(2 * WORK);
-        }
+        moment.pass();
         let answer = self.send("probe");
-        let left = self.planned.lock().unwrap().take();
-        assert!(left.is_none(), "not sent: {left:?}");
+        self.planned.check_sent();
         answer
     }
 
@@ -154,26 +116,6 @@
     }
 }
 
-fn with_extra(moment: Moment, extra: String, mut answer: Vec<Step>) -> Vec<Step> {
-    match moment {
-        Moment::WithEarlierAnswer => {
-            if let Some(Step::Send(last)) = answer.last_mut() {
-                last.push_str(&extra);
-            }
-        }
-        Moment::Idle => answer.extend([Step::Wait(WORK), Step::Send(extra)]),
-        Moment::WithRequest => {
-            answer.splice(0..0, [Step::Send(extra), Step::Wait(WORK)]);
-        }
-    }
-    answer
-}
-
-/// A refusal with these header lines.
-fn refusal(status: &str, headers: &str) -> String {
-    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n")
-}
-
 /// Plays extra bytes of each kind. Returns the variants with a wrong answer, and the number of all.
 fn play(variants: impl Fn(&str) -> Vec<(Moment, String)>) -> (Vec<String>, usize) {
     let (mut wrong, mut played) = (Vec::new(), 0);
@@ -201,15 +143,6 @@
     report(&wrong, played);
 }
 
-/// Fails with the variants that went wrong.
-fn report(wrong: &[String], played: usize) {
-    assert!(
-        wrong.is_empty(),
-        "{} of {played} wrong: {wrong:#?}",
-        wrong.len()
-    );
-}
-
 /// The server runs the request, so the caller must not be told that it did not run.
 #[test]
 fn a_refusal_without_an_id_says_nothing_of_a_request_on_a_kept_connection() {
