Give each request of the own dialect a new connection

Callers of the own dialect got answers that a server wrote for another request: reads went out on kept connections, and responses of engines and services bear no id by which a late one could be told apart. Chat completions and claimed calls had new connections already.

A dialect now says whether its responses bear ids; if not, no connection is kept.

--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -172,6 +172,10 @@
         headers
     }
 
+    fn has_response_ids(&self) -> bool {
+        false
+    }
+
     fn read_response(&self, head: &response::Parts, call: &Call) -> ResponseHead {
         let is_chat = call.head.dialect_data::<ChatCall>().is_some();
         let verdict = if is_chat {
@@ -181,7 +185,7 @@
         };
         let connection = head.headers.get(CONNECTION);
         ResponseHead {
-            id: AnswerId::Own,
+            id: AnswerId::Absent,
             verdict,
             is_signed: true,
             is_closing: connection.is_some_and(|value| value == "close"),
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -263,7 +263,7 @@
         head: &ResponseHead,
         now: Millis,
     ) {
-        if head.is_closing {
+        if head.is_closing || !self.state.dialect.has_response_ids() {
             return;
         }
         connection.set_idle(head.keep_alive, now);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -173,11 +173,10 @@
         let state = self.state;
         // A call that must not be retried gets a new connection, since an idle one may be closed by
         // the server just as the request is sent.
-        let idle = if self.call.head.route.kind.may_retry() {
-            server.take_idle_connection(state.now())
-        } else {
-            None
-        };
+        let may_reuse = self.call.head.route.kind.may_retry() && state.dialect.has_response_ids();
+        let idle = may_reuse
+            .then(|| server.take_idle_connection(state.now()))
+            .flatten();
         let was_idle = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -150,6 +150,10 @@
     /// Builds the headers of the request to a backend server.
     fn attempt_headers(&self, attempt: &AttemptContext<'_>) -> HeaderMap;
 
+    /// Whether responses bear the id of their request. If not, each request gets a new connection, as
+    /// a late answer to another request could not be told apart on one that is kept.
+    fn has_response_ids(&self) -> bool;
+
     /// Parses the head of a backend server's response.
     fn read_response(&self, head: &response::Parts, call: &Call) -> ResponseHead;
 
