--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -11,6 +11,8 @@
 mod call;
 mod clock;
 mod connections;
+#[cfg(test)]
+mod connections_tests;
 mod connectivity;
 mod crash_check;
 mod crash_records;
