Send no request after bytes that no request asked for

A refusal or answer that came on a connection before the request was taken for its answer if the runtime had not yet learned of it; and a request sent on a connection that its server had closed counted as one that may have run.

The kernel is asked right before the first byte of a request leaves, and when an idle connection is chosen: with unread bytes, an end or an error the request stays here, and the connection is closed. This holds for servers, peers and the store alike. What is still on its way then is told apart by the id.

The servers of the test now send at once: with Nagle's algorithm four variants of the fixed sources sent their bytes only after the request.

--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -13,6 +13,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use crate::checked_stream::CheckedStream;
+
 /// Time limit for connecting: many round trips within a region, but short compared with any latency
 /// objective. Waiting longer would not help, since TCP sends a lost SYN again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -46,6 +48,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    stream: CheckedStream,
     reusable_until: Millis,
 }
 
@@ -87,7 +90,9 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_tcp_options(&stream)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let stream = CheckedStream::new(stream);
+    let io = TokioIo::new(stream.clone());
+    let handshake = http1::Builder::new().handshake(io).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = Driver(tokio::spawn(async move {
         // The sender that waits for a response sees the error as well.
@@ -96,6 +101,7 @@
     Ok(Connection {
         sender,
         driver,
+        stream,
         reusable_until: Millis::default(),
     })
 }
@@ -106,9 +112,10 @@
         now < self.reusable_until && self.is_open()
     }
 
-    /// Whether neither side is known to have closed the connection.
+    /// Whether neither side has closed the connection, and nothing has come that no request asked
+    /// for.
     pub fn is_open(&self) -> bool {
-        !self.sender.is_closed() && !self.driver.0.is_finished()
+        !self.sender.is_closed() && !self.driver.0.is_finished() && !self.stream.has_input()
     }
 
     /// Marks the connection as idle since `now` and sets until when it may be reused, from the
@@ -120,15 +127,16 @@
         self.reusable_until = now.after(keep);
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request, unless bytes came before it, and waits for the head of the response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendOutcome {
         if self.sender.ready().await.is_err() {
             return SendOutcome::NotSent;
         }
+        self.stream.begin_request();
         match self.sender.try_send_request(req).await {
             Ok(response) => SendOutcome::Response(response),
             Err(mut e) => {
-                if e.take_message().is_some() {
+                if e.take_message().is_some() || self.stream.has_held_back() {
                     SendOutcome::NotSent
                 } else {
                     SendOutcome::Unknown
--- a/router/src/connections_tests.rs
+++ b/router/src/connections_tests.rs
@@ -101,6 +101,8 @@
             let (is_not_sent, server) = runtime.block_on(async {
                 let mut connection = connect(address).await.unwrap();
                 let mut server = listener.accept().unwrap().0;
+                // Otherwise the early bytes would wait for an acknowledgement.
+                server.set_nodelay(true).unwrap();
                 for _ in 0..earlier_requests {
                     server = exchange(&mut connection, server).await;
                 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod attempt;
 mod call;
+mod checked_stream;
 mod clock;
 mod connections;
 #[cfg(test)]
