--- a/host/tests/extra_bytes/mod.rs
+++ b/host/tests/extra_bytes/mod.rs
@@ -61,6 +61,11 @@
         assert!(left.is_none(), "not sent: {left:?}");
     }
 
+    /// Whether extra bytes are still to be sent.
+    pub fn is_left(&self) -> bool {
+        self.extra.lock().unwrap().is_some()
+    }
+
     /// Forgets extra bytes for whose moment no connection was kept.
     pub fn forget(&self) {
         *self.extra.lock().unwrap() = None;
--- a/host/tests/route_kept_connections.rs
+++ b/host/tests/route_kept_connections.rs
@@ -64,6 +64,11 @@
 
 impl Setup {
     fn new(kind: Kind) -> Self {
+        Self::beside(kind, 0)
+    }
+
+    /// Starts `others` sound servers beside the one that sends extra bytes.
+    fn beside(kind: Kind, others: usize) -> Self {
         let mut platform = Platform::new();
         let planned = Arc::<Planned>::default();
         let plan = planned.clone();
@@ -71,6 +76,11 @@
             let is_probe = received.request_line.ends_with("probe");
             plan.apply(received, is_probe, answer(kind, received))
         });
+        for _ in 0..others {
+            platform.add_backend(kind.service, "v1", move |_, received| {
+                answer(kind, received)
+            });
+        }
         platform.start_hosts(1);
         Self {
             platform,
@@ -263,3 +273,33 @@
     }
     report(&wrong, played);
 }
+
+/// A server is avoided by the load that it reports, so a report in an answer to another request must
+/// not count.
+#[test]
+fn an_answer_that_is_not_believed_says_nothing_of_its_servers_load() {
+    let (mut wrong, mut played) = (Vec::new(), 0);
+    for kind in [CALL, STREAM] {
+        for id in ["", "Attempt-Id: id-earlier\r\n"] {
+            for status in [PROMISES[3], "200 OK"] {
+                let mut setup = Setup::beside(kind, 1);
+                let extra = refusal(status, &format!("{id}{PROOF}Server-Load: 16,900,16\r\n"));
+                setup.planned.set(Moment::WithRequest, extra.clone());
+                wait_until("the extra bytes were sent", || {
+                    setup.send("first");
+                    assert!(is_right(kind, &setup.send("probe")));
+                    !setup.planned.is_left()
+                });
+                let earlier = setup.server.requests().len();
+                for _ in 0..30 {
+                    assert!(is_right(kind, &setup.send("next")));
+                }
+                played += 1;
+                if setup.server.requests().len() == earlier {
+                    wrong.push(format!("{} {extra:?}", kind.line));
+                }
+            }
+        }
+    }
+    report(&wrong, played);
+}
