Record a server's load only from an answer that is believed

Requests went round a server that had room: the load in a response to another request was recorded before the response was doubted.

--- a/host/tests/route_kept_connections.rs
+++ b/host/tests/route_kept_connections.rs
@@ -4,7 +4,7 @@
 mod extra_bytes;
 mod route;
 
-use std::sync::Arc;
+use std::{sync::Arc, thread, time::Duration};
 
 use clementinearch_standins::scripted_server::{
     LAST_CHUNK, ReceivedRequest, ScriptedServer, Step, chunk, stream_head, token_event,
@@ -12,6 +12,9 @@
 use extra_bytes::{Moment, PROMISES, Planned, refusal, report};
 use route::{Answer, Platform, ok, send_request, wait_until};
 
+/// Time for which each of the requests that are sent together runs.
+const RUN: Duration = Duration::from_millis(300);
+
 const PROOF: &str = "Not-Executed: 1\r\n";
 
 /// A kind of request that may be sent on a kept connection.
@@ -35,6 +38,14 @@
 };
 
 fn answer(kind: Kind, received: &ReceivedRequest) -> Vec<Step> {
+    let mut steps = whole_answer(kind, received);
+    if received.request_line.ends_with("together") {
+        steps.insert(0, Step::Wait(RUN));
+    }
+    steps
+}
+
+fn whole_answer(kind: Kind, received: &ReceivedRequest) -> Vec<Step> {
     if kind.service == "orders" {
         return ok(received);
     }
@@ -101,6 +112,21 @@
         send_request(&self.platform.hosts[0], &line, &id, extra, "")
     }
 
+    /// Sends requests that run at the same time, so that they are dealt to all servers that are not
+    /// taken for full.
+    fn send_together(&self, count: usize) {
+        let (line, extra) = (format!("{}together", self.kind.line), self.kind.headers);
+        thread::scope(|scope| {
+            for number in 0..count {
+                let (line, id) = (&line, format!("id-together-{number}"));
+                scope.spawn(move || {
+                    let answer = send_request(&self.platform.hosts[0], line, &id, extra, "");
+                    assert!(is_right(self.kind, &answer));
+                });
+            }
+        });
+    }
+
     /// Id of the next probe.
     fn next_id(&self) -> String {
         format!("id-{}", self.sent + 2)
@@ -291,9 +317,7 @@
                     !setup.planned.is_left()
                 });
                 let earlier = setup.server.requests().len();
-                for _ in 0..30 {
-                    assert!(is_right(kind, &setup.send("next")));
-                }
+                setup.send_together(12);
                 played += 1;
                 if setup.server.requests().len() == earlier {
                     wrong.push(format!("{} {extra:?}", kind.line));
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -234,14 +234,14 @@
         server.record_contact(now);
         let (parts, body) = response.into_parts();
         let head = state.dialect.read_response(&parts, self.call);
-        if let Some(load) = head.load {
-            server.record_load(load, now);
-        }
         if !head.id.is_believed(was_idle) {
             return AttemptResult::Lost {
                 why: doubt(head.id),
             };
         }
+        if let Some(load) = head.load {
+            server.record_load(load, now);
+        }
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_marks(&server, &head, parts.status, now);
         }
