--- a/host/tests/route_kept_connections.rs
+++ b/host/tests/route_kept_connections.rs
@@ -64,12 +64,12 @@
     answer.status == 200 && answer.is_whole && answer.body == body
 }
 
-/// A host with one server, which sends extra bytes on kept connections as it is told.
+/// A host with servers, which send extra bytes on kept connections as they are told. Most tests use
+/// one.
 struct Setup {
     platform: Platform,
-    server: Arc<ScriptedServer>,
+    servers: Vec<(Arc<ScriptedServer>, Arc<Planned>)>,
     kind: Kind,
-    planned: Arc<Planned>,
     sent: usize,
 }
 
@@ -78,30 +78,46 @@
         Self::beside(kind, 0)
     }
 
-    /// Starts `others` sound servers beside the one that sends extra bytes.
+    /// Starts `others` servers beside the first one.
     fn beside(kind: Kind, others: usize) -> Self {
         let mut platform = Platform::new();
-        let planned = Arc::<Planned>::default();
-        let plan = planned.clone();
-        let (_, server) = platform.add_backend(kind.service, "v1", move |_, received| {
-            let is_probe = received.request_line.ends_with("probe");
-            plan.apply(received, is_probe, answer(kind, received))
-        });
-        for _ in 0..others {
-            platform.add_backend(kind.service, "v1", move |_, received| {
-                answer(kind, received)
+        let mut servers = Vec::new();
+        for _ in 0..=others {
+            let planned = Arc::<Planned>::default();
+            let plan = planned.clone();
+            let (_, server) = platform.add_backend(kind.service, "v1", move |_, received| {
+                let is_probe = received.request_line.ends_with("probe");
+                plan.apply(received, is_probe, answer(kind, received))
             });
+            servers.push((server, planned));
         }
         platform.start_hosts(1);
         Self {
             platform,
-            server,
+            servers,
             kind,
-            planned,
             sent: 0,
         }
     }
 
+    /// Sends probes until one server has sent `extra` beside one, and returns that server. Only one at
+    /// a time may send it: a probe that is sent again gets its answer from the other.
+    fn probe_any(&mut self, extra: &str) -> Arc<ScriptedServer> {
+        let mut turns = (0..self.servers.len()).cycle();
+        let mut sender = None;
+        wait_until("the extra bytes were sent", || {
+            let turn = turns.next().unwrap();
+            let (server, planned) = self.servers[turn].clone();
+            planned.set(Moment::WithRequest, extra.to_owned());
+            self.send("first");
+            assert!(is_right(self.kind, &self.send("probe")));
+            sender = (!planned.is_left()).then_some(server);
+            planned.forget();
+            sender.is_some()
+        });
+        sender.unwrap()
+    }
+
     fn send(&mut self, path: &str) -> Answer {
         self.sent += 1;
         let (line, id) = (
@@ -137,11 +153,11 @@
         wait_until("the server is used", || self.is_served());
         // The request that was just served left a connection; the next one uses it.
         self.sent = self.sent.next_multiple_of(2);
-        self.planned.set(moment, extra);
+        self.servers[0].1.set(moment, extra);
         self.send("first");
         moment.pass();
         let answer = self.send("probe");
-        self.planned.check_sent();
+        self.servers[0].1.check_sent();
         answer
     }
 
@@ -261,7 +277,7 @@
             let answer = setup.probe(Moment::WithRequest, twice);
             assert_eq!(answer.status, 503, "{status}");
         }
-        assert!(setup.server.requests().len() >= 9);
+        assert!(setup.servers[0].0.requests().len() >= 9);
     }
 }
 
@@ -310,16 +326,11 @@
             for status in [PROMISES[3], "200 OK"] {
                 let mut setup = Setup::beside(kind, 1);
                 let extra = refusal(status, &format!("{id}{PROOF}Server-Load: 16,900,16\r\n"));
-                setup.planned.set(Moment::WithRequest, extra.clone());
-                wait_until("the extra bytes were sent", || {
-                    setup.send("first");
-                    assert!(is_right(kind, &setup.send("probe")));
-                    !setup.planned.is_left()
-                });
-                let earlier = setup.server.requests().len();
+                let server = setup.probe_any(&extra);
+                let earlier = server.requests().len();
                 setup.send_together(12);
                 played += 1;
-                if setup.server.requests().len() == earlier {
+                if server.requests().len() == earlier {
                     wrong.push(format!("{} {extra:?}", kind.line));
                 }
             }
