--- a/host/src/requests/dialect.rs
+++ b/host/src/requests/dialect.rs
@@ -3,7 +3,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::routes::{Route, RouteKind, RoutingTable};
+use clementinearch_policy::{
+    answer_id::AnswerId,
+    routes::{Route, RouteKind, RoutingTable},
+};
 use clementinearch_router::{
     AttemptContext, Call, CallHead, Dialect, EventReader, ModelChoice, Refusal as RouterRefusal,
     ResponseBody, ResponseHead, Verdict,
@@ -169,15 +172,20 @@
         headers
     }
 
+    fn has_response_ids(&self) -> bool {
+        false
+    }
+
     fn read_response(&self, head: &response::Parts, call: &Call) -> ResponseHead {
         let is_chat = call.head.dialect_data::<ChatCall>().is_some();
         let verdict = if is_chat {
             read_engine_status(head.status)
         } else {
-            Verdict::Matching
+            Verdict::Answered
         };
         let connection = head.headers.get(CONNECTION);
         ResponseHead {
+            id: AnswerId::Absent,
             verdict,
             is_signed: true,
             // Bodies of service calls are passed on without being read.
@@ -244,7 +252,7 @@
 /// Maps an engine's status to what it says about the request.
 fn read_engine_status(status: StatusCode) -> Verdict {
     match status {
-        StatusCode::OK => Verdict::Matching,
+        StatusCode::OK => Verdict::Answered,
         StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Verdict::NotRun
         }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,8 +9,11 @@
 mod admin;
 mod attempt;
 mod call;
+mod checked_stream;
 mod clock;
 mod connections;
+#[cfg(test)]
+mod connections_tests;
 mod connectivity;
 mod crash_check;
 mod crash_records;
--- a/router/src/stream_head.rs
+++ b/router/src/stream_head.rs
@@ -1,15 +1,11 @@
 //! What the head of a response must show before its events reach the caller.
 
-use clementinearch_policy::server_health::AttemptOutcome;
-
+use clementinearch_policy::{answer_id::AnswerId, server_health::AttemptOutcome};
 use hyper::StatusCode;
 
 use crate::{
-    active_request::ActiveRequest,
-    attempt::AttemptResponse,
-    dialect::{ResponseHead, Verdict},
-    forwarding::PeerResponse,
-    health_tracking::record_server_outcome,
+    active_request::ActiveRequest, attempt::AttemptResponse, dialect::ResponseHead,
+    forwarding::PeerResponse, health_tracking::record_server_outcome,
 };
 
 /// Whether a caller's stream may begin or go on with the body of this response. The status alone
@@ -30,7 +26,7 @@
             .state
             .dialect
             .read_response(&response.parts, &self.call);
-        head.verdict == Verdict::Matching && is_usable(response.parts.status, &head)
+        head.id == AnswerId::Own && is_usable(response.parts.status, &head)
     }
 
     /// Logs a successful response of a peer that [`Self::is_usable_peer_head`] rejects.
