--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -54,6 +54,9 @@
 const FIRST_BACKEND_IP: u8 = 120;
 const FIRST_LINK_IP: u8 = 190;
 
+/// Last octet that is left to tests.
+const SPARE_IP: u8 = 253;
+
 /// An entry host process.
 pub struct Host {
     process: Child,
@@ -365,6 +368,11 @@
         IpAddr::V4(Ipv4Addr::new(127, self.network.0, self.network.1, number))
     }
 
+    /// An IP that no host, server or endpoint has.
+    pub fn spare_ip(&self) -> IpAddr {
+        self.ip(SPARE_IP)
+    }
+
     /// Writes a configuration with a route of each kind and `more` routes.
     pub fn configure(&self, version: u64, more: &Value) {
         let mut routes = vec![
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -47,6 +47,23 @@
     is_rate_limited: bool,
     /// Keys of each lease, by its id.
     leases: BTreeMap<u64, Vec<String>>,
+    /// JSON that responses contain instead of an item, by its key.
+    replaced: BTreeMap<String, String>,
+}
+
+impl State {
+    /// Returns an item in the store's JSON format.
+    fn item_json(&self, key: &str, value: &[u8], revision: u64) -> Value {
+        if self.replaced.contains_key(key) {
+            return placeholder(key).into();
+        }
+        json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
+    }
+}
+
+/// Stands for an item whose JSON is replaced in the text of a response.
+fn placeholder(key: &str) -> String {
+    format!("replaced:{key}")
 }
 
 /// Values and revisions of items by key.
@@ -73,6 +90,24 @@
         self.change(key, Some(value.into()))
     }
 
+    /// Writes an item that responses contain as `json`, which need not be an item, nor a value that
+    /// fits in a [`Value`].
+    pub fn put_replaced(&self, key: &str, json: &str) -> u64 {
+        let mut state = self.state.lock();
+        state.replaced.insert(key.to_owned(), json.to_owned());
+        drop(state);
+        self.put(key, "")
+    }
+
+    /// Returns the text of a response.
+    fn render(&self, body: &Value) -> String {
+        let mut text = body.to_string();
+        for (key, json) in &self.state.lock().replaced {
+            text = text.replace(&Value::from(placeholder(key)).to_string(), json);
+        }
+        text
+    }
+
     /// Removes an item; returns the revision of the removal.
     pub fn remove(&self, key: &str) -> u64 {
         self.change(key, None)
@@ -173,7 +208,7 @@
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let mut items: Vec<Value> = matching
             .take(MAX_PAGE_ITEMS + 1)
-            .map(|(key, (value, revision))| item_json(key, value, *revision))
+            .map(|(key, (value, revision))| state.item_json(key, value, *revision))
             .collect();
         let is_truncated = items.len() > MAX_PAGE_ITEMS;
         items.truncate(MAX_PAGE_ITEMS);
@@ -192,7 +227,7 @@
             .iter()
             .filter(|change| change.revision > after && change.key.starts_with(prefix));
         let event = |change: &Change| match &change.value {
-            Some(value) => item_json(&change.key, value, change.revision),
+            Some(value) => state.item_json(&change.key, value, change.revision),
             None => json!({"key": change.key, "revision": change.revision, "tombstone": true}),
         };
         Some((matching.map(event).collect(), state.revision))
@@ -242,11 +277,6 @@
     serde_json::from_slice(&body.to_bytes()).map_err(io::Error::other)
 }
 
-/// Returns an item in the store's JSON format.
-fn item_json(key: &str, value: &[u8], revision: u64) -> Value {
-    json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
-}
-
 impl StoreEndpoint {
     /// Creates an endpoint in [`EndpointMode::Normal`].
     pub fn new(store: Arc<PlatformStore>) -> Arc<Self> {
@@ -330,7 +360,7 @@
                 Ok(match self.store.range(&prefix, &after, is_stale) {
                     Some(mut page) => {
                         self.localise_all(&mut page["items"]);
-                        text(StatusCode::OK, page.to_string())
+                        text(StatusCode::OK, self.store.render(&page))
                     }
                     None => text(StatusCode::TOO_MANY_REQUESTS, ""),
                 })
@@ -364,7 +394,7 @@
             if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                 let mut body = json!({"events": events, "storeRevision": revision});
                 self.localise_all(&mut body["events"]);
-                return text(StatusCode::OK, body.to_string());
+                return text(StatusCode::OK, self.store.render(&body));
             }
             tokio::select! {
                 () = changed => {}
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
 use hyper::{Request, Response, StatusCode, body::Bytes, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use tokio::net::TcpListener;
 
 /// HTTP response of a stand-in.
@@ -48,6 +49,7 @@
         .filter_map(|pair| pair.split_once('='))
         .find(|(key, _)| *key == name)?
         .1;
+    let value = percent_decode_str(value).decode_utf8().ok()?;
     value.parse().ok()
 }
 
