Read the items of the store one by one

Callers saw nothing at first: the host stayed ready, and followed nothing.

Change: each item is decoded by itself; one that cannot be read is a finding (item_unreadable with its key) and counts as removed, so that its server is not used. Revisions above 2^53 are no revisions, of the store, of items and of peers' views alike. A value whose application panics is a finding as well. An entry with an address of the host itself names no server.

The test of the host's own addresses was written with the change and not run before it.

--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -74,18 +74,15 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let address = SocketAddr::new(self.ip, READINESS_PORT);
-        get(address, "/").is_some_and(|answer| answer.status == 200)
+        get(self.readiness(), "/").is_some_and(|answer| answer.status == 200)
     }
 
     pub fn metrics(&self) -> String {
-        let address = SocketAddr::new(self.ip, ADMIN_PORT);
-        get(address, "/metrics").map_or_else(String::new, |answer| answer.body)
+        get(self.admin(), "/metrics").map_or_else(String::new, |answer| answer.body)
     }
 
     pub fn status(&self) -> Value {
-        let address = SocketAddr::new(self.ip, ADMIN_PORT);
-        let answer = get(address, "/status").unwrap();
+        let answer = get(self.admin(), "/status").unwrap();
         serde_json::from_str(&answer.body).unwrap()
     }
 
@@ -93,6 +90,14 @@
         SocketAddr::new(self.ip, PEERS_PORT)
     }
 
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READINESS_PORT)
+    }
+
+    pub fn admin(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, ADMIN_PORT)
+    }
+
     /// Id of the process.
     pub fn id(&self) -> u32 {
         self.process.id()
--- a/host/tests/route_odd_servers.rs
+++ b/host/tests/route_odd_servers.rs
@@ -4,6 +4,8 @@
 mod route;
 
 use odd::{Expected, Met, Variant, deep, play_all, with_field, without_field};
+use route::{Platform, check_payments, ok, wait_until};
+use serde_json::json;
 
 const KEY: &str = "servers/odd";
 
@@ -132,3 +134,25 @@
 fn an_odd_entry_of_a_server_from_a_peer_names_no_server() {
     play_all(&all(), Met::FromPeer);
 }
+
+/// A request to such a server would come back to the host, which would send it again.
+#[test]
+fn an_entry_with_an_address_of_the_host_itself_names_no_server() {
+    let mut platform = Platform::new();
+    platform.add_backend("orders", "v1", |_, received| ok(received));
+    platform.start_hosts(1);
+    let host = &platform.hosts[0];
+    let own = [host.callers(), host.readiness(), host.admin(), host.peers()];
+    for (number, address) in own.into_iter().enumerate() {
+        platform.write_entry(&format!("own-{number}"), "orders", "v1", address, "ready");
+    }
+    platform.configure(2, &json!([]));
+    wait_until("the change is in force", || {
+        host.status()["routing_version"] == 2
+    });
+    assert_eq!(host.status()["servers"], 1);
+    check_payments(host, 4, 200);
+    wait_until("each is in a finding", || {
+        host.logged("item_unreadable").len() == own.len()
+    });
+}
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -28,7 +28,7 @@
     clock::Clock,
     connectivity::ServerPath,
     decision_log::{Decision, DecisionLog, Severity},
-    dialect::{Dialect, StoreItem, StoreSchema},
+    dialect::{Dialect, StoreSchema},
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
@@ -36,11 +36,11 @@
     request_metrics::RequestMetrics,
     rollouts::Rollouts,
     server::{MAX_IDLE_CONNECTIONS, Server},
-    servers::{EntryChange, Servers},
+    servers::Servers,
     settings::Settings,
     stored_blocks::StoredBlocks,
     unfinished_attempts::UnfinishedAttempts,
-    view::{Update, View},
+    view::View,
 };
 
 /// Time from the start of a graceful shutdown during which streams are still accepted. The load
@@ -91,7 +91,7 @@
     gossip: mpsc::UnboundedSender<GossipEvent>,
     table: RwLock<Option<Arc<RoutingTable>>>,
     table_changed: Notify,
-    view_changed: Notify,
+    pub(crate) view_changed: Notify,
     /// Number of servers chosen so far, by which equal servers are chosen in turn.
     pub(crate) placements: AtomicUsize,
     /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
@@ -357,108 +357,6 @@
         }
     }
 
-    /// Applies updates of the store's items.
-    pub(crate) fn apply_updates(&self, updates: Vec<Update>) {
-        let mut is_relevant = false;
-        for update in updates {
-            is_relevant |= self.apply_update(update);
-        }
-        self.servers.refresh();
-        if is_relevant {
-            self.view_changed.notify_waiters();
-        }
-    }
-
-    /// Applies one update. Returns whether it is relevant to peers.
-    fn apply_update(&self, update: Update) -> bool {
-        match update {
-            Update::Written { key, value } => match self.schema.read(&key, &value) {
-                Ok(item) => {
-                    let is_relevant = self.apply_item(item);
-                    if is_relevant {
-                        self.view.lock().mark_relevant(&key);
-                    }
-                    is_relevant
-                }
-                Err(why) => {
-                    // A server whose entry cannot be parsed must not be used.
-                    if let Some(name) = self.schema.server_name(&key) {
-                        self.servers.remove(name);
-                    }
-                    self.log_event("item_unreadable", &key, &why, &[]);
-                    self.view.lock().mark_relevant(&key);
-                    true
-                }
-            },
-            Update::Lapsed { key } => {
-                if let Some(name) = self.schema.server_name(&key) {
-                    self.servers.mark_lapsed(name);
-                    self.log_event("server_doubtful", name, "entry lapsed", &[]);
-                }
-                false
-            }
-            Update::Removed { key } => {
-                if let Some(name) = self.schema.server_name(&key)
-                    && let Some(server) = self.servers.remove(name)
-                {
-                    self.log_event("server_gone", name, "entry removed", &[]);
-                    self.unfinished_attempts.on_removal(server, self.now());
-                }
-                if let Some(block) = self.schema.block(&key) {
-                    self.record_removed_block(block);
-                }
-                true
-            }
-        }
-    }
-
-    /// Applies an item. Returns whether it is relevant to peers: a server's heartbeat without a
-    /// change is not.
-    fn apply_item(&self, item: StoreItem) -> bool {
-        let now = self.now();
-        match item {
-            StoreItem::Routing(table) => self.install_table(table),
-            StoreItem::Server(entry) => {
-                let name = entry.name.clone();
-                let version = entry.version.clone();
-                let known = self.servers.get(&name);
-                let change = self.servers.update(entry);
-                if let (EntryChange::Restarted, Some(known)) = (change, known) {
-                    self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
-                }
-                match change {
-                    EntryChange::New | EntryChange::Restarted => {
-                        self.log_event("server_ready", &name, &version, &[])
-                    }
-                    EntryChange::Draining => {
-                        self.log_event("server_draining", &name, &version, &[])
-                    }
-                    EntryChange::Updated | EntryChange::Unchanged => {}
-                }
-                return change != EntryChange::Unchanged;
-            }
-            StoreItem::RolloutOrder(order) => {
-                let (service, target) = (order.service.clone(), order.target.clone());
-                if self.rollouts.accept_order(order, now) {
-                    self.log_event("rollout_ordered", &service, &target, &[]);
-                }
-            }
-            StoreItem::RolloutStatus(status) => {
-                if self.rollouts.record_status(&status, now) {
-                    let rollout_state = format!("{:?}", status.state);
-                    self.log_event("rollout_status", &status.service, &rollout_state, &[]);
-                }
-            }
-            StoreItem::Host { name, address } => {
-                let hosts = self.fleet.lock().add_host(name, address);
-                self.rollouts.set_fleet_size(hosts);
-            }
-            StoreItem::Block(block) => self.record_stored_block(block),
-            StoreItem::Other => return false,
-        }
-        true
-    }
-
     /// Installs a routing table, unless the one in force is at least as new.
     pub(crate) fn install_table(&self, table: Arc<RoutingTable>) {
         let mut current = self.table.write();
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -53,6 +53,7 @@
 mod server_selection;
 mod servers;
 mod settings;
+mod store_items;
 mod stored_blocks;
 mod unfinished_attempts;
 #[cfg(test)]
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use clementinearch_storage::MAX_REVISION;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -190,14 +191,15 @@
         .map_err(io::Error::other)?;
     let view = PeerView {
         delta: decompress(&body.to_bytes())?,
-        store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER)?,
-        age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER)?),
+        store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER, MAX_REVISION)?,
+        age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER, u64::MAX)?),
     };
     Ok((view, connection))
 }
 
-fn parse_header(headers: &HeaderMap, name: &str) -> io::Result<u64> {
+fn parse_header(headers: &HeaderMap, name: &str, max: u64) -> io::Result<u64> {
     let text = headers.get(name).and_then(|value| value.to_str().ok());
     text.and_then(|text| text.parse().ok())
+        .filter(|number| *number <= max)
         .ok_or_else(|| io::Error::other(format!("the peer's response has no valid {name} header")))
 }
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -22,6 +22,13 @@
     pub admin: SocketAddr,
 }
 
+impl Listen {
+    /// Returns all addresses.
+    pub(crate) fn all(&self) -> [SocketAddr; 4] {
+        [self.callers, self.readiness, self.peers, self.admin]
+    }
+}
+
 /// Limits of the host.
 #[derive(Clone, Debug)]
 pub struct Limits {
--- /dev/null
+++ b/router/src/store_items.rs
@@ -0,0 +1,138 @@
+//! Application of the store's items to a host's state. An item that cannot be read leaves all others
+//! in force.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use clementinearch_storage::UnreadableItem;
+use hyper::body::Bytes;
+
+use crate::{dialect::StoreItem, host_state::HostState, servers::EntryChange, view::Update};
+
+impl HostState {
+    /// Applies updates of the store's items.
+    pub(crate) fn apply_updates(&self, updates: Vec<Update>) {
+        let mut is_relevant = false;
+        for update in updates {
+            is_relevant |= self.apply_update(update);
+        }
+        self.servers.refresh();
+        if is_relevant {
+            self.view_changed.notify_waiters();
+        }
+    }
+
+    /// Applies one update. Returns whether it is relevant to peers.
+    fn apply_update(&self, update: Update) -> bool {
+        match update {
+            Update::Written { key, value } => {
+                let is_relevant = self.apply_value(&key, &value).unwrap_or_else(|why| {
+                    self.record_unreadable(&key, &why);
+                    true
+                });
+                if is_relevant {
+                    self.view.lock().mark_relevant(&key);
+                }
+                is_relevant
+            }
+            Update::Lapsed { key } => {
+                if let Some(name) = self.schema.server_name(&key) {
+                    self.servers.mark_lapsed(name);
+                    self.log_event("server_doubtful", name, "entry lapsed", &[]);
+                }
+                false
+            }
+            Update::Removed { key } => {
+                if let Some(name) = self.schema.server_name(&key)
+                    && let Some(server) = self.servers.remove(name)
+                {
+                    self.log_event("server_gone", name, "entry removed", &[]);
+                    self.unfinished_attempts.on_removal(server, self.now());
+                }
+                if let Some(block) = self.schema.block(&key) {
+                    self.record_removed_block(block);
+                }
+                true
+            }
+        }
+    }
+
+    /// Applies the value of an item. Returns whether it is relevant to peers.
+    fn apply_value(&self, key: &str, value: &Bytes) -> Result<bool, String> {
+        let apply = || self.read_item(key, value).map(|item| self.apply_item(item));
+        // Locks are released as the panic passes, and the next items are applied.
+        catch_unwind(AssertUnwindSafe(apply)).unwrap_or_else(|_| Err("it panicked".to_owned()))
+    }
+
+    fn read_item(&self, key: &str, value: &Bytes) -> Result<StoreItem, String> {
+        let item = self.schema.read(key, value)?;
+        if let StoreItem::Server(entry) = &item
+            && self.settings.listen.all().contains(&entry.address)
+        {
+            return Err(format!("address {} is this host's own", entry.address));
+        }
+        Ok(item)
+    }
+
+    /// Records that an item cannot be read. If it is a server's entry, the server is not used; of any
+    /// other item the last value that could be read stays in force.
+    fn record_unreadable(&self, key: &str, why: &str) {
+        if let Some(name) = self.schema.server_name(key) {
+            self.servers.remove(name);
+        }
+        self.log_event("item_unreadable", key, why, &[]);
+    }
+
+    /// Logs items that are not even items.
+    pub(crate) fn log_unreadable(&self, items: &[UnreadableItem]) {
+        for item in items {
+            self.log_event("item_unreadable", &item.key, &item.why, &[]);
+        }
+    }
+
+    /// Applies an item. Returns whether it is relevant to peers: a server's heartbeat without a
+    /// change is not.
+    fn apply_item(&self, item: StoreItem) -> bool {
+        let now = self.now();
+        match item {
+            StoreItem::Routing(table) => self.install_table(table),
+            StoreItem::Server(entry) => {
+                let name = entry.name.clone();
+                let version = entry.version.clone();
+                let known = self.servers.get(&name);
+                let change = self.servers.update(entry);
+                if let (EntryChange::Restarted, Some(known)) = (change, known) {
+                    self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
+                }
+                match change {
+                    EntryChange::New | EntryChange::Restarted => {
+                        self.log_event("server_ready", &name, &version, &[])
+                    }
+                    EntryChange::Draining => {
+                        self.log_event("server_draining", &name, &version, &[])
+                    }
+                    EntryChange::Updated | EntryChange::Unchanged => {}
+                }
+                return change != EntryChange::Unchanged;
+            }
+            StoreItem::RolloutOrder(order) => {
+                let (service, target) = (order.service.clone(), order.target.clone());
+                if self.rollouts.accept_order(order, now) {
+                    self.log_event("rollout_ordered", &service, &target, &[]);
+                }
+            }
+            StoreItem::RolloutStatus(status) => {
+                if self.rollouts.record_status(&status, now) {
+                    let rollout_state = format!("{:?}", status.state);
+                    self.log_event("rollout_status", &status.service, &rollout_state, &[]);
+                }
+            }
+            StoreItem::Host { name, address } => {
+                let hosts = self.fleet.lock().add_host(name, address);
+                self.rollouts.set_fleet_size(hosts);
+            }
+            StoreItem::Block(block) => self.record_stored_block(block),
+            StoreItem::Other => return false,
+        }
+        true
+    }
+}
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -7,7 +7,7 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use clementinearch_policy::time::Millis;
-use clementinearch_storage::{ItemChange, StoredItem};
+use clementinearch_storage::{ItemChange, StoredItem, UnreadableItem, check_revision};
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -93,6 +93,17 @@
     revision: u64,
 }
 
+impl ItemRow {
+    fn into_item(self) -> Result<StoredItem, String> {
+        check_revision(self.revision)?;
+        Ok(StoredItem {
+            key: self.key,
+            value: self.value.into_bytes().map_err(|e| e.to_string())?,
+            revision: self.revision,
+        })
+    }
+}
+
 /// All items of a view or its changes since a revision, as hosts exchange them.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct ViewDelta {
@@ -295,33 +306,32 @@
         }
     }
 
-    /// Merges a delta of a peer whose view is complete up to `store_revision`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error, and changes nothing, if a value is not valid base64.
+    /// Merges a delta of a peer whose view is complete up to `store_revision`. Returns the updates,
+    /// and the items that cannot be read.
     pub(crate) fn merge(
         &mut self,
         delta: ViewDelta,
         store_revision: u64,
-    ) -> Result<Vec<Update>, base64::DecodeError> {
+    ) -> (Vec<Update>, Vec<UnreadableItem>) {
         let mut items = Vec::with_capacity(delta.items.len());
+        let mut unreadable = Vec::new();
         for row in delta.items {
-            items.push(StoredItem {
-                key: row.key,
-                value: row.value.into_bytes()?,
-                revision: row.revision,
-            });
+            let key = row.key.clone();
+            match row.into_item() {
+                Ok(item) => items.push(item),
+                Err(why) => unreadable.push(UnreadableItem { key, why }),
+            }
         }
         if delta.is_whole {
-            return Ok(self.replace(items, store_revision, None));
+            return (self.replace(items, store_revision, None), unreadable);
+        }
+        let mut changes: Vec<ItemChange> = items.into_iter().map(ItemChange::Written).collect();
+        for (key, revision) in delta.removed {
+            match check_revision(revision) {
+                Ok(revision) => changes.push(ItemChange::Removed { key, revision }),
+                Err(why) => unreadable.push(UnreadableItem { key, why }),
+            }
         }
-        let written = items.into_iter().map(ItemChange::Written);
-        let removed = delta
-            .removed
-            .into_iter()
-            .map(|(key, revision)| ItemChange::Removed { key, revision });
-        let changes = written.chain(removed).collect();
-        Ok(self.apply(changes, store_revision, None))
+        (self.apply(changes, store_revision, None), unreadable)
     }
 }
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -219,7 +219,8 @@
                     .await?;
                 // Pages are not a snapshot: changes are read from the earliest page's revision on.
                 revision = revision.min(page.store_revision);
-                after = page.items.last().map(|item| item.key.clone());
+                after = page.last_key().map(str::to_owned);
+                self.state.log_unreadable(&page.unreadable);
                 items.extend(page.items);
                 if !page.is_truncated || after.is_none() {
                     break;
@@ -252,8 +253,10 @@
                 }
                 Changes::Since {
                     changes,
+                    unreadable,
                     store_revision,
                 } => {
+                    self.state.log_unreadable(&unreadable);
                     let grace = self.grace_from(self.state.now());
                     let mut view = self.state.view.lock();
                     updates.extend(view.apply(changes, store_revision, grace));
@@ -299,14 +302,13 @@
 
     fn merge(&mut self, peer: PeerView) {
         let mut view = self.state.view.lock();
-        let merged = view.merge(peer.delta, peer.store_revision);
+        let (updates, unreadable) = view.merge(peer.delta, peer.store_revision);
         drop(view);
-        match merged {
-            Ok(updates) => self.apply_updates(updates),
-            Err(e) => self
-                .state
-                .log_event("peer_view_unreadable", "", &e.to_string(), &[]),
+        for item in unreadable {
+            self.state
+                .log_event("peer_view_unreadable", &item.key, &item.why, &[]);
         }
+        self.apply_updates(updates);
     }
 
     /// Writes this host's entry to the store, by which other hosts find it.
--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -34,6 +34,22 @@
     }
 }
 
+/// Largest revision that a store can have: the largest whole number up to which JSON numbers are
+/// exact for every reader.
+pub const MAX_REVISION: u64 = 1 << 53;
+
+/// Checks a revision that a store or a host names.
+///
+/// # Errors
+///
+/// Returns why it can be none: following the changes after it would never show any.
+pub fn check_revision(revision: u64) -> Result<u64, String> {
+    if revision > MAX_REVISION {
+        return Err(format!("revision {revision} is too large"));
+    }
+    Ok(revision)
+}
+
 /// Consistency required of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -54,17 +70,37 @@
     pub revision: u64,
 }
 
+/// An item that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// Key of the item; empty if that cannot be read either.
+    pub key: String,
+    /// What is wrong with the item.
+    pub why: String,
+}
+
 /// One page of the items under a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// Items in key order.
     pub items: Vec<StoredItem>,
+    /// Items that cannot be read, in key order.
+    pub unreadable: Vec<UnreadableItem>,
     /// Whether more items follow after the last key of this page.
     pub is_truncated: bool,
     /// Store revision at the time of the read.
     pub store_revision: u64,
 }
 
+impl Page {
+    /// Returns the last key of the page, after which the next page begins.
+    pub fn last_key(&self) -> Option<&str> {
+        let readable = self.items.last().map(|item| item.key.as_str());
+        let mut unreadable = self.unreadable.iter().rev().map(|item| item.key.as_str());
+        readable.max(unreadable.find(|key| !key.is_empty()))
+    }
+}
+
 /// Change of one item.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ItemChange {
@@ -84,8 +120,10 @@
 pub enum Changes {
     /// All changes since the requested revision.
     Since {
-        /// Changes, oldest first.
+        /// Changes, oldest first. An item that was written and cannot be read counts as removed.
         changes: Vec<ItemChange>,
+        /// Written items that cannot be read.
+        unreadable: Vec<UnreadableItem>,
         /// Revision from which to request the next changes.
         store_revision: u64,
     },
