Take numbers and addresses of items for what they can be

Hosts ended the task that follows the store, at each start anew, and stayed ready; callers got answers by a list that grew old.

Cause: `Duration::from_secs_f64` panics on 1e19 or 1e300 seconds, which timeouts, targets, limits and the duration of a rollout could name; negative ones counted as zero, so that a rollout was over as it began. Ports of 0, addresses of nobody or of many, two to the 32 slots, names that are no header value and the version 2^64-1 were taken as they are.

Change: one conversion of seconds and milliseconds (finite, not negative, up to a year), one check of addresses. What is out of range is a finding with its key and field: the server is not used, the last good configuration stays, the rollout is not begun.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! the random source are arguments, so that each decision can be tested and benchmarked in
 //! isolation.
 
+pub mod addresses;
 pub mod admission;
 pub mod cascade;
 pub mod catalogue;
