Bound the numbers of other hosts' datagrams

One datagram ended the stepping of rollouts for good, another one the call that met it.

Cause: evidence on period 65535 overflows the search of a span (and, in a release build, asks for a range that begins after its end, which panics as well); the limit 1e308 of a server overflows the number of its senders. Sums of counts could overflow, a prefill of 49 days kept a server unused, an elapsed time of 2^64-1 ms moved a rollout to its end.

Change: rows on periods that no rollout has, limits out of range, times above a year and reports without a usable address are left out, the latter with a line (word_unreadable); sums saturate; a peer's prefill counts for a minute at most.

--- a/policy/src/places.rs
+++ b/policy/src/places.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use crate::{server_limit::MAX_LIMIT, time::Millis};
+use crate::{
+    server_limit::is_limit,
+    time::{Millis, nearest_span},
+};
 
 /// Shortest time for which a host leaves a server alone that had no room for its request.
 const MIN_PAUSE: Duration = Duration::from_secs(1);
@@ -18,7 +21,7 @@
 /// not a number that can be one.
 pub fn parse_refusal_limit(text: &str) -> Option<f64> {
     let limit: f64 = text.trim().parse().ok()?;
-    (0.0..=MAX_LIMIT).contains(&limit).then_some(limit)
+    is_limit(limit).then_some(limit)
 }
 
 /// Returns the places of the host of rank `rank` out of `hosts` at each server, given their slots in
@@ -40,13 +43,13 @@
 /// Returns the time between two requests of a host without any place to one of the servers.
 pub fn unplaced_interval(refusal_limit: f64, hosts: usize) -> Duration {
     let rate = (refusal_limit * UNPLACED_PART).max(1.0) / hosts.max(1) as f64;
-    Duration::from_secs_f64(1.0 / rate)
+    nearest_span(1.0 / rate)
 }
 
 /// Returns until when a host leaves a server alone that had no room for its request at `now`, so
 /// that all hosts together stay below the server's limit of refusals.
 pub fn pause_until(refusal_limit: f64, hosts: usize, now: Millis) -> Millis {
-    let pause = Duration::from_secs_f64(hosts as f64 / refusal_limit.max(1.0));
+    let pause = nearest_span(hosts as f64 / refusal_limit.max(1.0));
     // `after` drops the fraction of a millisecond.
     now.after(pause.max(MIN_PAUSE) + Duration::from_millis(1))
 }
--- a/policy/src/quality.rs
+++ b/policy/src/quality.rs
@@ -48,11 +48,16 @@
     /// Returns the sum of two counts.
     pub fn plus(self, other: Self) -> Self {
         Self {
-            good: self.good + other.good,
-            bad: self.bad + other.bad,
+            good: self.good.saturating_add(other.good),
+            bad: self.bad.saturating_add(other.bad),
         }
     }
 
+    /// Returns the number of answers.
+    pub fn total(self) -> u64 {
+        self.good.saturating_add(self.bad)
+    }
+
     /// Returns the increase since an earlier reading.
     pub fn since(self, earlier: Self) -> Self {
         Self {
--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -186,14 +186,14 @@
 /// Returns the old version's rate of bad responses, with [`PRIOR_RESPONSES`] added.
 fn smoothed_rate(old: Counts) -> f64 {
     let bad = old.bad as f64 + ALLOWED_RATE * PRIOR_RESPONSES;
-    bad / ((old.good + old.bad) as f64 + PRIOR_RESPONSES)
+    bad / (old.total() as f64 + PRIOR_RESPONSES)
 }
 
 /// Returns the rate of bad responses that the new version is allowed beside these of the old one,
 /// whose rate may be a standard error above what was counted.
 fn allowed_rate(old: Counts) -> f64 {
     let rate = smoothed_rate(old);
-    let responses = (old.good + old.bad) as f64 + PRIOR_RESPONSES;
+    let responses = old.total() as f64 + PRIOR_RESPONSES;
     let standard_error = (rate * (1.0 - rate) / responses).sqrt();
     let allowed = with_odds(
         (rate + standard_error).min(MAX_ALTERNATIVE_RATE),
@@ -215,15 +215,15 @@
     let last = periods.keys().next_back().copied().unwrap_or_default();
     let new = periods.get(&period).copied().unwrap_or_default().new;
     let new = kind.counts(new);
-    let wanted = MIN_OLD_RESPONSES.max(new.good + new.bad);
+    let wanted = MIN_OLD_RESPONSES.max(new.total());
     loop {
-        let span = period.saturating_sub(radius)..=period + radius;
+        let span = period.saturating_sub(radius)..=period.saturating_add(radius);
         let is_all = *span.start() == 0 && *span.end() >= last;
         let near = periods.range(span);
         let old = near.fold(Counts::default(), |sum, (_, pair)| {
             sum.plus(kind.counts(pair.old))
         });
-        if is_all || old.good + old.bad >= wanted {
+        if is_all || old.total() >= wanted {
             return old;
         }
         radius += 1;
@@ -252,7 +252,7 @@
     let spans = periods
         .keys()
         .map(|period| old_around(periods, *period, 0, kind));
-    let measured = spans.filter(|old| old.good + old.bad > 0);
+    let measured = spans.filter(|old| old.total() > 0);
     measured.map(smoothed_rate).reduce(f64::min)
 }
 
--- a/policy/src/rollout_evidence.rs
+++ b/policy/src/rollout_evidence.rs
@@ -88,7 +88,7 @@
     pub fn total(self) -> Counts {
         Counts {
             good: self.responses.good.saturating_sub(self.pace.bad),
-            bad: self.responses.bad + self.pace.bad,
+            bad: self.responses.bad.saturating_add(self.pace.bad),
         }
     }
 }
@@ -128,8 +128,9 @@
     fn new((period, route): (u16, u32), pair: &Pair) -> Self {
         let mut numbers = [0; 12];
         let counts = [pair.new, pair.old].map(|it| [it.responses, it.pace, it.stalls]);
+        let number = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
         for (pair, counts) in numbers.chunks_exact_mut(2).zip(counts.as_flattened()) {
-            pair.copy_from_slice(&[counts.good as u32, counts.bad as u32]);
+            pair.copy_from_slice(&[number(counts.good), number(counts.bad)]);
         }
         Self(period, route, numbers)
     }
@@ -190,9 +191,9 @@
     }
 
     /// Merges a later or earlier reading of the same evidence. Counts only grow, so the larger
-    /// number is the later one.
+    /// number is the later one. Rows on periods that no rollout has are left out.
     pub fn merge(&mut self, rows: &[EvidenceRow]) {
-        for row in rows {
+        for row in rows.iter().filter(|row| row.0 <= LAST_PERIOD) {
             let known = self.cells.entry((row.0, row.1)).or_default();
             *known = known.later(row.pair());
         }
--- a/policy/src/server_limit.rs
+++ b/policy/src/server_limit.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::time::Millis;
+use crate::time::{Millis, nearest_span};
 
 /// Hosts that send to a limited server beyond one for each request a second.
 const BASE_SENDERS: usize = 3;
@@ -16,7 +16,7 @@
 const MIN_RATE: f64 = 0.1;
 
 /// Highest rate that counts as a limit, requests per second.
-pub(crate) const MAX_LIMIT: f64 = 100_000.0;
+const MAX_LIMIT: f64 = 100_000.0;
 
 /// Longest time after which a refused caller is asked to return.
 const MAX_RETURN_DELAY: Duration = Duration::from_secs(60);
@@ -25,18 +25,25 @@
 /// limit.
 pub fn parse_limit(text: &str) -> Option<f64> {
     let limit: f64 = text.trim().parse().ok()?;
-    (0.0..=MAX_LIMIT).contains(&limit).then_some(limit)
+    is_limit(limit).then_some(limit)
+}
+
+/// Whether a number of requests per second can be a limit.
+pub fn is_limit(per_s: f64) -> bool {
+    (0.0..=MAX_LIMIT).contains(&per_s)
 }
 
 /// Returns the number of hosts that send to a server with this limit, out of `hosts`.
 pub fn senders(limit: f64, hosts: usize) -> usize {
-    (limit as usize + BASE_SENDERS).min(hosts.max(1))
+    (limit as usize)
+        .saturating_add(BASE_SENDERS)
+        .min(hosts.max(1))
 }
 
 /// Returns the time between two requests of one sending host, out of `hosts` hosts.
 pub fn send_interval(limit: f64, hosts: usize) -> Duration {
     let rate = limit.max(MIN_RATE) / senders(limit, hosts) as f64;
-    Duration::from_secs_f64(1.0 / rate)
+    nearest_span(1.0 / rate)
 }
 
 /// Spaces the requests of one host to a limited server.
@@ -71,7 +78,7 @@
     /// Returns when the next refused caller should return, if `rate` requests per second can be
     /// served, and not before `earliest` from now.
     pub fn delay(&mut self, rate: f64, earliest: Duration, now: Millis) -> Duration {
-        let interval = Duration::from_secs_f64(1.0 / rate.max(MIN_RATE));
+        let interval = nearest_span(1.0 / rate.max(MIN_RATE));
         let last = now.after(MAX_RETURN_DELAY);
         self.next = self.next.max(now.after(earliest)).min(last);
         let delay = self.next.since(now);
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -6,6 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
+    addresses::check_address,
     crash_evidence::EvidenceRow,
     names::{FastSet, Name},
     part_evidence::PartRow,
@@ -39,6 +40,9 @@
 /// less frequent.
 const PREFILL_DATAGRAMS_PER_S: u32 = 600;
 
+/// Longest prefill that a peer's word stands for.
+const MAX_PREFILL: Duration = Duration::from_secs(60);
+
 /// Most prefills or sessions in one datagram.
 const ROWS_PER_DATAGRAM: usize = 40;
 
@@ -220,7 +224,7 @@
         Ok(Datagram::Prefills(prefills)) => {
             for prefill in prefills {
                 if let Some(server) = state.servers.by_hash(prefill.server) {
-                    let span = Duration::from_millis(u64::from(prefill.ms));
+                    let span = Duration::from_millis(u64::from(prefill.ms)).min(MAX_PREFILL);
                     server.record_peer_prefill(&prefill.shared, prefill.size, span, now);
                 }
             }
@@ -242,6 +246,10 @@
     if report.from == state.settings.name {
         return Vec::new();
     }
+    if let Err(why) = check_address(report.address) {
+        state.log_event("word_unreadable", &report.from, &why, &[]);
+        return Vec::new();
+    }
     let zone = Some(&report.zone).filter(|zone| **zone != state.settings.zone);
     state
         .rollouts
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -8,7 +8,7 @@
     quality::Counts,
     rollout::{Assessment, Progress, RolloutStep, Verdict, assess, next_step},
     rollout_evidence::{BEFORE_ORDER, Evidence, EvidenceRow, Outcome, Outcomes, Pair, period_at},
-    time::Millis,
+    time::{Millis, span_from_millis},
 };
 use serde::{Deserialize, Serialize};
 
@@ -276,7 +276,10 @@
         if self.order.target != report.target {
             return;
         }
-        self.advance_clock(Duration::from_millis(report.elapsed_ms), now);
+        let Ok(elapsed) = span_from_millis(report.elapsed_ms as f64) else {
+            return;
+        };
+        self.advance_clock(elapsed, now);
         self.is_bad |= report.is_bad;
         let sum = match zone {
             Some(zone) => self.zones.entry(zone.clone()).or_default(),
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -5,7 +5,7 @@
 
 use clementinearch_policy::{
     names::Name,
-    server_limit::{send_interval, senders},
+    server_limit::{is_limit, send_interval, senders},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
@@ -69,6 +69,11 @@
 ) -> Vec<(Arc<Server>, Option<f64>, Millis)> {
     let read = |LimitRow(name_hash, per_s, age_ms): &LimitRow| {
         let server = state.servers.by_hash(*name_hash)?;
+        if per_s.is_some_and(|per_s| !is_limit(per_s)) {
+            let why = "limit out of range";
+            state.log_event("word_unreadable", &server.entry.name, why, &[]);
+            return None;
+        }
         Some((server, *per_s, Millis(now.0.saturating_sub(*age_ms))))
     };
     rows.iter().filter_map(read).collect()
