Add up tokens and loads as fractions

A call whose prompt parts or whose server's load add up to more than 2^32 got no answer in a build with overflow checks; without them the sum was a small number, so that a full server looked empty.

Cause: sums of 32-bit numbers from Server-Load and Prompt-Prefix.

Change: sums of f64, as all that follows uses them.

--- a/router/src/call.rs
+++ b/router/src/call.rs
@@ -48,9 +48,10 @@
     }
 
     /// Returns the total length of the shared parts, tokens.
-    pub(crate) fn shared_tokens(&self) -> u32 {
+    pub(crate) fn shared_tokens(&self) -> f64 {
         let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| part.tokens).sum()
+        let tokens = self.parts[..shared].iter();
+        tokens.map(|part| f64::from(part.tokens)).sum()
     }
 
     /// Returns the id of the last shared part, by which requests with the same shared prefix are
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -395,7 +395,7 @@
         let (running, waiting) = match observed.report {
             Some((report, local_then, at)) if now.since(at) <= REPORT_LIFETIME => {
                 let change = local - f64::from(local_then);
-                let total = f64::from(report.running + report.waiting) + change;
+                let total = f64::from(report.running) + f64::from(report.waiting) + change;
                 let total = total.max(local);
                 let waiting = (total - f64::from(report.slots)).max(0.0);
                 (total - waiting, waiting)
@@ -428,14 +428,16 @@
     /// size.
     pub(crate) fn cached_tokens(&self, prompt: &Prompt, size: usize, now: Millis) -> f64 {
         let observed = self.observed.lock();
-        let mut tokens = 0;
+        let mut tokens = 0.0;
         for part in &prompt.parts {
             match observed.parts.get(&(part.id, size)) {
-                Some(at) if now.since(*at) <= PREFIX_CACHE_LIFETIME => tokens += part.tokens,
+                Some(at) if now.since(*at) <= PREFIX_CACHE_LIFETIME => {
+                    tokens += f64::from(part.tokens);
+                }
                 _ => break,
             }
         }
-        f64::from(tokens)
+        tokens
     }
 
     /// Records that the server caches the parts of a prompt for a model size.
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -154,7 +154,7 @@
 fn server_views(call: &Call, servers: &[Arc<Server>], size: usize, now: Millis) -> Vec<ServerView> {
     let prompt = call.head.prompt.as_ref();
     let shared = prompt.and_then(|prompt| prompt.shared_prefix());
-    let shared_tokens = prompt.map_or(0.0, |prompt| f64::from(prompt.shared_tokens()));
+    let shared_tokens = prompt.map_or(0.0, |prompt| prompt.shared_tokens());
     let ranks = shared.map(|part| top_two_ranks(part, servers));
     let view = |(index, server): (usize, &Arc<Server>)| {
         let load = server.load(now);
