--- a/host/tests/route_odd_configurations.rs
+++ b/host/tests/route_odd_configurations.rs
@@ -4,6 +4,8 @@
 mod odd;
 mod route;
 
+use std::{fs, process::Command};
+
 use odd::{Expected, Met, Variant, deep, play_all, with_field, without_field};
 
 /// A proper configuration whose routes differ from those in force.
@@ -128,3 +130,24 @@
 fn an_odd_configuration_from_a_peer_leaves_the_last_good_one() {
     play_all(&all(), Met::FromPeer);
 }
+
+#[test]
+fn an_odd_number_in_the_settings_is_a_finding_with_its_line() {
+    let path = std::env::temp_dir().join(format!("odd-settings-{}.toml", std::process::id()));
+    for number in ["1e300", "1e19", "1e400", "-1", "NaN", "inf"] {
+        let settings = format!(
+            "name = \"h\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\n[store]\naddress = \"127.0.0.1:5\"\n[bounds]\nsession_s = \"{number}\"\n"
+        );
+        fs::write(&path, settings).unwrap();
+        let ended = Command::new(env!("CARGO_BIN_EXE_clementinearch"))
+            .args(["route", "--settings"])
+            .arg(&path)
+            .output()
+            .unwrap();
+        let told = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(told.contains("session_s"), "{number}: {told}");
+        assert!(!told.contains("panicked"), "{number}: {told}");
+        assert!(!ended.status.success());
+    }
+    fs::remove_file(path).unwrap();
+}
