Convert all numbers of seconds through one function

A number of the settings ended the start with a panic; numbers that the host computes could not panic in any play, but nothing kept them from it.

Change: settings use the bounded conversion, computed spans the nearest one (`policy::time`).

--- a/policy/src/admission.rs
+++ b/policy/src/admission.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     names::{FastMap, Name},
-    time::Millis,
+    time::{Millis, nearest_span},
 };
 
 /// Longest expected wait with which a request is queued.
@@ -115,7 +115,7 @@
     /// Returns the expected wait of a request with `ahead` requests before it in the queue.
     fn expected_wait(&self, ahead: usize) -> Duration {
         let seconds = (ahead + 1) as f64 * self.mean_service_s / f64::from(self.limit.max(1));
-        Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()))
+        nearest_span(seconds).min(MAX_RETRY_AFTER)
     }
 
     /// Admits, queues or refuses a request of `account`.
--- a/policy/src/rest.rs
+++ b/policy/src/rest.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::time::nearest_span;
+
 /// Longest rest that is kept; after it, one refusal tells whether the server still wants rest.
 pub const MAX_REST: Duration = Duration::from_secs(300);
 
@@ -10,5 +12,5 @@
 pub fn parse_rest(text: &str) -> Option<Duration> {
     let seconds: f64 = text.trim().parse().ok()?;
     let is_positive = seconds.is_finite() && seconds > 0.0;
-    is_positive.then(|| Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+    is_positive.then(|| nearest_span(seconds).min(MAX_REST))
 }
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -6,7 +6,7 @@
 use clementinearch_policy::{
     crash_suspects::ContentStatus,
     sizing::{SizingQuery, first_size},
-    time::Millis,
+    time::{Millis, nearest_span},
 };
 
 use crate::{
@@ -309,7 +309,7 @@
             return STREAM_SLOT_TIME;
         }
         let latency_ms = self.state.latencies_ms.largest(&route.name);
-        Duration::from_secs_f64(latency_ms / 1_000.0).max(MIN_SLOT_TIME)
+        nearest_span(latency_ms / 1_000.0).max(MIN_SLOT_TIME)
     }
 
     fn retry_after(&self) -> Duration {
@@ -436,7 +436,7 @@
                 model: self.model(),
                 resume_after,
                 number: self.sends - 1,
-                pending: Duration::from_secs_f64(self.pending_ms / 1_000.0),
+                pending: nearest_span(self.pending_ms / 1_000.0),
                 may_abandon: &|now| self.attempts_left() > 1 && self.may_abandon_attempt(now),
             };
             match attempt.run(in_flight).await {
@@ -483,7 +483,7 @@
 
     /// Time from sending to the first event that was expected of the last attempt.
     pub(crate) fn expected_latency(&self) -> Duration {
-        Duration::from_secs_f64((self.pending_ms + self.prefill_ms) / 1_000.0)
+        nearest_span((self.pending_ms + self.prefill_ms) / 1_000.0)
     }
 
     fn model(&self) -> Option<&str> {
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -3,8 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    event_stream::EventSplitter, rollout_evidence::Outcome, server_health::AttemptOutcome,
-    time::Millis,
+    event_stream::EventSplitter,
+    rollout_evidence::Outcome,
+    server_health::AttemptOutcome,
+    time::{Millis, nearest_span},
 };
 use http_body_util::Full;
 use hyper::{
@@ -135,7 +137,7 @@
         return None;
     }
     let mean_ms = state.latencies_ms.largest(&route.name);
-    let mean = Duration::from_secs_f64(mean_ms / 1_000.0).mul_f64(MAX_MEAN_LATENCIES);
+    let mean = nearest_span(mean_ms / 1_000.0).mul_f64(MAX_MEAN_LATENCIES);
     let tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
     let objective = route.objective.mul_f64(OBJECTIVE_FRACTION);
     Some(mean.max(objective) + PREFILL_TIME_PER_TOKEN * tokens)
--- a/router/src/in_flight.rs
+++ b/router/src/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::time::Millis;
+use clementinearch_policy::time::{Millis, nearest_span};
 
 use crate::{
     call::Call,
@@ -91,7 +91,7 @@
 
     /// Remaining expected prefill time.
     pub(crate) fn expected_prefill(&self) -> Duration {
-        Duration::from_secs_f64(self.prefill_ms / 1_000.0)
+        nearest_span(self.prefill_ms / 1_000.0)
     }
 
     /// Records that events of the response arrived. Returns when the first one did, once the server
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -6,7 +6,7 @@
 use clementinearch_policy::{
     rollout_evidence::Outcome,
     sizing::{DEFAULT_ACCEPTED_CONFIDENCE, SizingQuery, next_size},
-    time::Millis,
+    time::{Millis, nearest_span},
 };
 
 use crate::{
@@ -154,7 +154,7 @@
         let uncritical = route.objective.mul_f64(MIN_SLOW_OBJECTIVES);
         let mean_ms = self.state.latencies_ms.get(&route.name, self.size);
         mean_ms.is_some_and(|mean_ms| {
-            let mean = Duration::from_secs_f64(mean_ms / 1_000.0);
+            let mean = nearest_span(mean_ms / 1_000.0);
             latency > uncritical.min(MAX_UNCRITICAL_LATENCY)
                 && latency > mean.max(self.expected_latency()).mul_f64(SLOW_FACTOR)
         })
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -6,6 +6,7 @@
     findings::Findings,
     names::Name,
     retry_budget::RetryLimit,
+    time::span_from_secs,
     toml_reader::{Table, read_document},
 };
 
@@ -115,10 +116,12 @@
     const DEFAULT_RETRY_RATIO: f64 = 0.2;
     const DEFAULT_RETRY_SLACK: u64 = 10;
     const DEFAULT_RETRY_WINDOW_S: u64 = 10;
-    const DEFAULT_SESSION_S: f64 = 5.0;
+    const DEFAULT_SESSION: Duration = Duration::from_secs(5);
     const DEFAULT_EXPOSURE: f64 = 0.15;
     let ratio = table.parsed("repeat_ratio", parse_non_negative);
-    let session_s = table.parsed("session_s", parse_non_negative);
+    let session_s = table.parsed("session_s", |text| {
+        parse_non_negative(text).and_then(span_from_secs)
+    });
     let max_exposure = table.parsed("rollout_exposure", parse_share);
     let window_s = table.number("repeat_window_s", 1..=600, DEFAULT_RETRY_WINDOW_S);
     Bounds {
@@ -127,7 +130,7 @@
             slack: table.number("repeat_slack", 0..=1_000_000, DEFAULT_RETRY_SLACK) as f64,
             window: Duration::from_secs(window_s),
         },
-        session_timeout: Duration::from_secs_f64(session_s.unwrap_or(DEFAULT_SESSION_S)),
+        session_timeout: session_s.unwrap_or(DEFAULT_SESSION),
         max_exposure: max_exposure.unwrap_or(DEFAULT_EXPOSURE),
     }
 }
