--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -57,9 +57,10 @@
 /// Last octet that is left to tests.
 const SPARE_IP: u8 = 253;
 
-/// An entry host process.
+/// An entry host.
 pub struct Host {
-    process: Child,
+    /// Its process; none if the test runs the host itself.
+    process: Option<Child>,
     /// Path of its settings.
     settings: PathBuf,
     pub ip: IpAddr,
@@ -100,35 +101,38 @@
 
     /// Id of the process.
     pub fn id(&self) -> u32 {
-        self.process.id()
+        self.process.as_ref().map_or(std::process::id(), Child::id)
     }
 
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
-            .args([format!("-{name}"), self.process.id().to_string()])
+            .args([format!("-{name}"), self.id().to_string()])
             .status();
         assert!(status.unwrap().success(), "cannot send {name}");
     }
 
     /// Waits until the process exits. Returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
-        self.process.wait().unwrap().success()
+        self.process.as_mut().unwrap().wait().unwrap().success()
     }
 
     /// Kills the process without warning.
     pub fn kill(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        if let Some(process) = &mut self.process {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
     }
 
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
-        self.process = spawn_host(&self.settings, &self.log);
+        self.process = Some(spawn_host(&self.settings, &self.log));
     }
 
     /// Whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
-        self.process.try_wait().unwrap().is_some()
+        let process = self.process.as_mut().unwrap();
+        process.try_wait().unwrap().is_some()
     }
 
     /// Log lines with this event.
@@ -450,6 +454,13 @@
     }
 
     fn launch_host_in(&mut self, zone: &str, store_endpoint: Arc<StoreEndpoint>) {
+        let mut host = self.prepare_host(zone, store_endpoint);
+        host.restart();
+        self.hosts.push(host);
+    }
+
+    /// A host without a process, with its settings and its endpoint of the store.
+    fn prepare_host(&self, zone: &str, store_endpoint: Arc<StoreEndpoint>) -> Host {
         let number = self.hosts.len() as u8;
         let store_address = SocketAddr::new(self.ip(FIRST_ENDPOINT_IP + number), STORE_PORT);
         let bound = self
@@ -467,14 +478,20 @@
             self.network.0, self.network.1
         ));
         fs::write(&path, settings).unwrap();
-        let log = Arc::new(Mutex::new(Vec::new()));
-        self.hosts.push(Host {
-            process: spawn_host(&path, &log),
+        Host {
+            process: None,
             settings: path,
             ip,
             store_endpoint,
-            log,
-        });
+            log: Arc::default(),
+        }
+    }
+
+    /// A host that the test runs itself, and its settings.
+    pub fn host_of_test(&self) -> (Host, String) {
+        let host = self.prepare_host("a", StoreEndpoint::new(self.store.clone()));
+        let settings = fs::read_to_string(&host.settings).unwrap();
+        (host, settings)
     }
 
     /// Starts hosts that reach each backend server over a link, and waits until they are ready and
