Start tasks that panic again, and answer calls that do

A host whose task had panicked stayed ready and followed nothing, with no line that said so; a caller whose request panicked saw its connection end.

Cause: tasks were spawned without anyone who looks at their end; the runtime keeps the process alive.

Change: a hook logs and counts each panic (panicked, with its place). Each task of a host is started again after a pause that doubles up to 2 s (task_restarted). Following the store begins with all that the view holds, as the last changes may not have taken effect; a single value whose application panics is a finding and is passed over, so that it cannot end the task again and again. The process goes on in all cases: its end would close every open stream. A call that panics gets 502, which promises nothing, on a connection that is closed; a stream that has begun is broken off. Open connections are counted by a guard.

--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -515,9 +515,14 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         if !self.has_ended {
-            // The future was dropped because the caller closed its connection.
+            // The future was dropped because the caller closed its connection, or it panicked.
             self.state.hooks.record_disconnect(&self.call);
-            self.end("caller left", 0);
+            let why = if std::thread::panicking() {
+                "internal failure"
+            } else {
+                "caller left"
+            };
+            self.end(why, 0);
         }
     }
 }
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -48,7 +48,7 @@
 }
 
 /// Serves readiness probes: 200 if the host is ready and 503 otherwise, at any path.
-pub(crate) async fn serve_readiness(listener: TcpListener, state: Arc<HostState>) {
+pub(crate) async fn serve_readiness(listener: Arc<TcpListener>, state: Arc<HostState>) {
     let respond = move |_| {
         let status = if state.is_ready() {
             StatusCode::OK
@@ -57,18 +57,18 @@
         };
         ready(with_status(status, Bytes::new()))
     };
-    internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
 }
 
 /// Serves `/metrics` and `/status` to operators.
 pub(crate) async fn serve_operators(
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     state: Arc<HostState>,
     metrics: PrometheusHandle,
 ) {
     let respond =
         move |req: Request<Incoming>| ready(operator_response(&state, &metrics, req.uri().path()));
-    internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
 }
 
 fn operator_response(
--- a/router/src/data_path.rs
+++ b/router/src/data_path.rs
@@ -55,7 +55,7 @@
     /// period of the settings. Returns the number of connections still open at its end.
     pub async fn serve(&self, callers: TcpListener, stop: impl Future<Output = ()>) -> usize {
         let (ingress, drain) = Ingress::new(self.state.clone());
-        let accepting = tokio::spawn(ingress.run(callers));
+        let accepting = tokio::spawn(async move { ingress.run(&callers).await });
         stop.await;
         accepting.abort();
         let grace = self.state.settings.limits.grace;
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -110,7 +110,7 @@
     }
 
     /// Sends and receives gossip until the process ends.
-    pub(crate) async fn run(mut self) {
+    pub(crate) async fn run(&mut self) {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_report = Instant::now();
         let mut next_events = next_report;
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -29,7 +29,7 @@
     peer_view, request_metrics,
     rollout::{PendingStatus, VerdictChange},
     settings::Settings,
-    stored_blocks,
+    stored_blocks, supervisor,
     view_sync::ViewSync,
 };
 
@@ -143,22 +143,17 @@
         .await
         .map_err(StartError::at(format!("listen for gossip at {}", at.peers)))?;
     state.log_event("started", &state.settings.name, &state.settings.zone, &[]);
-    tokio::spawn(admin::serve_readiness(readiness, state.clone()));
-    tokio::spawn(admin::serve_operators(
-        operators,
-        state.clone(),
-        metrics.clone(),
-    ));
-    tokio::spawn(peer_view::serve(state.clone(), peers));
-    tokio::spawn(Gossip::new(state.clone(), datagrams, gossip_events).run());
-    tokio::spawn(ViewSync::new(state.clone(), store.clone()).run());
-    tokio::spawn(stored_blocks::keep(state.clone(), store.clone()));
-    tokio::spawn(step_rollouts(state.clone(), store));
-    tokio::spawn(sweep(state.clone(), metrics));
-    tokio::spawn(health_tracking::probe_unreachable(state.clone()));
-    tokio::spawn(connectivity::watch(state.clone()));
+    supervisor::report_panics(state.clone());
+    let listeners = Listeners {
+        callers: Arc::new(callers),
+        readiness: Arc::new(readiness),
+        peers: Arc::new(peers),
+        operators: Arc::new(operators),
+    };
     let (ingress, drain) = Ingress::new(state.clone());
-    tokio::spawn(ingress.run(callers));
+    serve_listeners(&state, ingress, listeners, metrics.clone());
+    let gossip = Gossip::new(state.clone(), datagrams, gossip_events);
+    run_controllers(&state, gossip, store, metrics);
     while let Some(signal) = signals.recv().await {
         if signal == Signal::Stop {
             break;
@@ -177,6 +172,82 @@
     Ok(())
 }
 
+/// The listeners of a host.
+struct Listeners {
+    callers: Arc<TcpListener>,
+    readiness: Arc<TcpListener>,
+    peers: Arc<TcpListener>,
+    operators: Arc<TcpListener>,
+}
+
+/// Starts the tasks that accept connections.
+fn serve_listeners(
+    state: &Arc<HostState>,
+    ingress: Ingress,
+    listeners: Listeners,
+    metrics: PrometheusHandle,
+) {
+    let Listeners {
+        callers,
+        readiness,
+        peers,
+        operators,
+    } = listeners;
+    let ingress = Arc::new(ingress);
+    supervisor::spawn(state, "ingress", move || {
+        let (ingress, callers) = (ingress.clone(), callers.clone());
+        async move { ingress.run(&callers).await }
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "readiness", move || {
+        admin::serve_readiness(readiness.clone(), of.clone())
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "operators", move || {
+        admin::serve_operators(operators.clone(), of.clone(), metrics.clone())
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "peers", move || {
+        peer_view::serve(of.clone(), peers.clone())
+    });
+}
+
+/// Starts the tasks that keep the host's state up to date.
+fn run_controllers(
+    state: &Arc<HostState>,
+    gossip: Gossip,
+    store: Arc<dyn KeyStore>,
+    metrics: PrometheusHandle,
+) {
+    let gossip = Arc::new(tokio::sync::Mutex::new(gossip));
+    supervisor::spawn(state, "gossip", move || {
+        let gossip = gossip.clone();
+        async move { gossip.lock().await.run().await }
+    });
+    let (of, from) = (state.clone(), store.clone());
+    supervisor::spawn(state, "view_sync", move || {
+        ViewSync::new(of.clone(), from.clone()).run()
+    });
+    let (of, from) = (state.clone(), store.clone());
+    supervisor::spawn(state, "stored_blocks", move || {
+        stored_blocks::keep(of.clone(), from.clone())
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "rollouts", move || {
+        step_rollouts(of.clone(), store.clone())
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "sweep", move || sweep(of.clone(), metrics.clone()));
+    let of = state.clone();
+    supervisor::spawn(state, "probes", move || {
+        health_tracking::probe_unreachable(of.clone())
+    });
+    let of = state.clone();
+    supervisor::spawn(state, "connectivity", move || {
+        connectivity::watch(of.clone())
+    });
+}
+
 /// Removes outdated state and runs the metrics' upkeep, until the process ends.
 async fn sweep(state: Arc<HostState>, metrics: PrometheusHandle) {
     loop {
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    panic::AssertUnwindSafe,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -10,6 +11,7 @@
 };
 
 use clementinearch_policy::{routes::CallerLimits, time::Millis};
+use futures::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
@@ -44,6 +46,9 @@
 /// Retry delay for callers of a stopping host; the retry reaches another host.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Reason of the refusal of a request whose task has panicked.
+const PANICKED: &str = "internal failure";
+
 /// How often a drain checks whether all connections have closed.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -64,6 +69,22 @@
     close: watch::Sender<bool>,
 }
 
+/// An open connection, counted until it is dropped.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn count(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Drain {
     /// Number of open connections.
     pub(crate) fn open(&self) -> usize {
@@ -101,7 +122,7 @@
     }
 
     /// Accepts connections until the task is aborted or the process ends.
-    pub(crate) async fn run(self, listener: TcpListener) {
+    pub(crate) async fn run(&self, listener: &TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
@@ -123,8 +144,7 @@
                 .header_read_timeout(idle)
                 .max_buf_size(HEAD_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
-            let open = self.open.clone();
-            open.fetch_add(1, Ordering::Relaxed);
+            let open = OpenConnection::count(&self.open);
             let mut closing = self.closing.clone();
             tokio::spawn(async move {
                 let mut connection = std::pin::pin!(connection);
@@ -137,7 +157,7 @@
                         drop(connection.await);
                     }
                 }
-                open.fetch_sub(1, Ordering::Relaxed);
+                drop(open);
             });
         }
     }
@@ -146,11 +166,33 @@
 async fn respond(state: Arc<HostState>, req: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = req.into_parts();
     let parts = Arc::new(parts);
-    let mut response = match read_call(&state, &parts, body).await {
+    let responding = AssertUnwindSafe(try_respond(&state, &parts, body)).catch_unwind();
+    let mut response = responding.await.unwrap_or_else(|_| {
+        // How far the request got is not known.
+        let refusal = Refusal::MayHaveRun { reason: PANICKED };
+        let id = state.dialect.request_id(&parts).unwrap_or_default();
+        let mut response = refuse(&state, &refusal, None, id);
+        close_after(&mut response);
+        response
+    });
+    if state.is_stopping() {
+        close_after(&mut response);
+    }
+    metrics::counter!("clementinearch_answers_total", "status" => response.status().as_str().to_owned())
+        .increment(1);
+    response
+}
+
+async fn try_respond(
+    state: &Arc<HostState>,
+    parts: &Arc<request::Parts>,
+    body: Incoming,
+) -> Response<ResponseBody> {
+    match read_call(state, parts, body).await {
         Ok(call) => serve(state.clone(), call).await,
         Err((refusal, head)) => {
-            let id = state.dialect.request_id(&parts).unwrap_or_default();
-            let mut response = refuse(&state, &refusal, head.as_ref(), id);
+            let id = state.dialect.request_id(parts).unwrap_or_default();
+            let mut response = refuse(state, &refusal, head.as_ref(), id);
             if response.status() != StatusCode::NOT_FOUND
                 && response.status() != StatusCode::UNAUTHORIZED
             {
@@ -158,13 +200,7 @@
             }
             response
         }
-    };
-    if state.is_stopping() {
-        close_after(&mut response);
     }
-    metrics::counter!("clementinearch_answers_total", "status" => response.status().as_str().to_owned())
-        .increment(1);
-    response
 }
 
 /// Serves a request whose body has arrived.
--- a/router/src/internal_http.rs
+++ b/router/src/internal_http.rs
@@ -18,7 +18,7 @@
 
 /// Serves connections until the process ends, calling `respond` with each request. A connection is
 /// closed if its next request does not come within `idle`.
-pub(crate) async fn serve<F, A>(listener: TcpListener, idle: Duration, respond: F)
+pub(crate) async fn serve<F, A>(listener: &TcpListener, idle: Duration, respond: F)
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = InternalResponse> + Send + 'static,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -55,6 +55,7 @@
 mod settings;
 mod store_items;
 mod stored_blocks;
+mod supervisor;
 mod unfinished_attempts;
 #[cfg(test)]
 mod unfinished_attempts_tests;
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -108,7 +108,7 @@
 }
 
 /// Serves peers until the process ends: this host's view, and requests that they forward.
-pub(crate) async fn serve(state: Arc<HostState>, listener: TcpListener) {
+pub(crate) async fn serve(state: Arc<HostState>, listener: Arc<TcpListener>) {
     let cache = Arc::new(ResponseCache::default());
     let respond = move |req: Request<Incoming>| {
         let (state, cache) = (state.clone(), cache.clone());
@@ -119,7 +119,7 @@
             respond(&state, &cache, req.uri().path()).await
         }
     };
-    internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
 }
 
 async fn respond(state: &HostState, cache: &ResponseCache, path: &str) -> InternalResponse {
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 
 use crate::{
-    call::{Prompt, hash_bytes},
+    call::{Prompt, PromptPart, hash_bytes},
     connections::Connection,
 };
 
@@ -428,16 +428,12 @@
     /// size.
     pub(crate) fn cached_tokens(&self, prompt: &Prompt, size: usize, now: Millis) -> f64 {
         let observed = self.observed.lock();
-        let mut tokens = 0.0;
-        for part in &prompt.parts {
-            match observed.parts.get(&(part.id, size)) {
-                Some(at) if now.since(*at) <= PREFIX_CACHE_LIFETIME => {
-                    tokens += f64::from(part.tokens);
-                }
-                _ => break,
-            }
-        }
-        tokens
+        let is_cached = |part: &&PromptPart| {
+            let used_at = observed.parts.get(&(part.id, size));
+            used_at.is_some_and(|at| now.since(*at) <= PREFIX_CACHE_LIFETIME)
+        };
+        let cached = prompt.parts.iter().take_while(is_cached);
+        cached.map(|part| f64::from(part.tokens)).sum()
     }
 
     /// Records that the server caches the parts of a prompt for a model size.
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -3,6 +3,7 @@
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
+use clementinearch_policy::names::FastSet;
 use clementinearch_storage::UnreadableItem;
 use hyper::body::Bytes;
 
@@ -21,6 +22,20 @@
         }
     }
 
+    /// Drops the servers that have no entry among all items of the view.
+    pub(crate) fn drop_unlisted_servers(&self, items: &[Update]) {
+        let keys = items.iter().map(Update::key);
+        let listed: FastSet<&str> = keys
+            .filter_map(|key| self.schema.server_name(key))
+            .collect();
+        let mut gone = self.servers.names();
+        gone.retain(|name| !listed.contains(&**name));
+        for name in gone {
+            self.servers.remove(&name);
+            self.log_event("server_gone", &name, "no entry", &[]);
+        }
+    }
+
     /// Applies one update. Returns whether it is relevant to peers.
     fn apply_update(&self, update: Update) -> bool {
         match update {
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -179,6 +179,15 @@
         updates
     }
 
+    /// Returns all items.
+    pub(crate) fn all(&self) -> Vec<Update> {
+        let written = |(key, entry): (&String, &Entry)| Update::Written {
+            key: key.clone(),
+            value: entry.value.clone(),
+        };
+        self.items.iter().map(written).collect()
+    }
+
     /// Applies changes; `grace_from` is as in [`Self::replace`].
     pub(crate) fn apply(
         &mut self,
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -76,8 +76,11 @@
         }
     }
 
-    /// Keeps the view up to date until the process ends.
+    /// Keeps the view up to date until the process ends. What the view holds from a run that has
+    /// panicked takes effect once more with the next read, as its last changes may not have.
     pub(crate) async fn run(mut self) {
+        self.unconfirmed = self.state.view.lock().all();
+        self.state.drop_unlisted_servers(&self.unconfirmed);
         loop {
             if !self.follow_relay().await {
                 self.read_store().await;
