--- a/standins/src/memory_store.rs
+++ b/standins/src/memory_store.rs
@@ -44,6 +44,8 @@
     /// Last version of each expired key, so that no version is reused.
     versions: FastMap<String, u64>,
     hosts: Option<HostList>,
+    /// Text that the service gives instead of the host list.
+    hosts_text: Option<String>,
     faults: Faults,
     counts: CallCounts,
 }
@@ -72,9 +74,21 @@
         self.state.lock().faults.clone()
     }
 
+    /// Makes the service give this text instead of the host list, until the list is set again.
+    pub fn set_hosts_text(&self, text: String) {
+        self.state.lock().hosts_text = Some(text);
+    }
+
+    /// Returns the text that the service gives instead of the host list.
+    pub(crate) fn hosts_text(&self) -> Option<String> {
+        self.state.lock().hosts_text.clone()
+    }
+
     /// Replaces the host list.
     pub fn set_hosts(&self, hosts: HostList) {
-        self.state.lock().hosts = Some(hosts);
+        let mut state = self.state.lock();
+        state.hosts = Some(hosts);
+        state.hosts_text = None;
     }
 
     /// Counts a call; a watch counts as one call, however long it waits.
--- a/standins/src/store_server.rs
+++ b/standins/src/store_server.rs
@@ -133,10 +133,10 @@
         };
     }
     match store.hosts() {
-        Ok(hosts) => status(
-            StatusCode::OK,
-            &serde_json::to_string(&hosts).unwrap_or_default(),
-        ),
+        Ok(hosts) => {
+            let list = serde_json::to_string(&hosts).unwrap_or_default();
+            status(StatusCode::OK, &store.hosts_text().unwrap_or(list))
+        }
         Err(e) => failure(&e),
     }
 }
