Read the entries of the host list one by one

A host in front of the product's own interface did not learn of servers any more, and a fresh one never served, while one entry of the list could not be read; the only line about it was one of debugging. A head with a revision of 2^64-1 was followed, and no later one exceeded it.

Change: entries are read one by one; those that cannot be read, or whose address nobody can listen at, are left out with a warning when they come up. Heads with a revision above 2^53 are findings, for hosts and for the operators' command. Sums of numbers of servers and peers saturate.

--- a/host/src/backends/host_list.rs
+++ b/host/src/backends/host_list.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_border::HostRole;
 use clementinearch_policy::names::Name;
-use clementinearch_storage::HostSource;
+use clementinearch_storage::{HostSource, UnreadableItem};
 
 use crate::{clock, host_state::HostState};
 
@@ -17,11 +17,27 @@
 /// Polling interval after a failure, and while no server is known.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Entries that cannot be read, as of the last poll.
+#[derive(Default)]
+struct Findings(Vec<UnreadableItem>);
+
+impl Findings {
+    /// Logs the entries that were readable or absent before.
+    fn replace(&mut self, unreadable: &[UnreadableItem]) {
+        for item in unreadable.iter().filter(|item| !self.0.contains(item)) {
+            log::warn!("host list: entry {} is left out: {}", item.key, item.why);
+        }
+        self.0 = unreadable.to_vec();
+    }
+}
+
 /// Polls the list and updates servers and members until graceful shutdown begins.
 pub(crate) fn run(state: &HostState, source: &dyn HostSource) {
+    let mut findings = Findings::default();
     while !state.is_stopping() {
         let pause = match source.hosts() {
             Ok(list) => {
+                findings.replace(&list.unreadable);
                 let now = clock::now();
                 state.servers.set_listed(&list.hosts, now);
                 let mut members = state.members.lock();
--- a/host/src/backends/servers.rs
+++ b/host/src/backends/servers.rs
@@ -262,7 +262,7 @@
         let (changed, is_newly_leaving) = {
             let mut state = server.state.lock();
             state.load = LoadView {
-                reported: report.running + report.queued,
+                reported: report.running.saturating_add(report.queued),
                 slots: report.slots,
                 reported_at: now,
                 own_in_flight: 0,
--- a/host/src/controllers/config_sync.rs
+++ b/host/src/controllers/config_sync.rs
@@ -8,7 +8,7 @@
     catalogue::{Bodies, Catalogue},
     config_head::{HEAD_KEY, body_key},
 };
-use clementinearch_storage::{Purpose, Store, StoreError};
+use clementinearch_storage::{Purpose, Store, StoreError, check_revision};
 
 use crate::{clock, host_state::HostState};
 
@@ -70,6 +70,10 @@
             return Ok(found.version);
         }
     };
+    if let Err(e) = check_revision(head.revision) {
+        state.set_store_finding(Some(format!("{HEAD_KEY}: {e}")));
+        return Ok(found.version);
+    }
     // The edits serve only the writers of the head.
     head.edits.clear();
     let current = state.config_in_force();
--- a/host/src/requests/request_head.rs
+++ b/host/src/requests/request_head.rs
@@ -130,6 +130,8 @@
 
 /// Returns the position of the first token that an attempt has to generate, counted from zero.
 pub(crate) fn next_position(attempt: &AttemptContext<'_>) -> u32 {
-    let next = attempt.resume_after.map_or(0, |last| last + 1);
+    let next = attempt
+        .resume_after
+        .map_or(0, |last| last.saturating_add(1));
     u32::try_from(next).unwrap_or(u32::MAX)
 }
--- a/policy/src/cascade.rs
+++ b/policy/src/cascade.rs
@@ -46,7 +46,7 @@
     fn update(&mut self, counts: Counts) {
         self.latest = self.latest.later(counts);
         let in_newer = self.latest.since(self.middle);
-        if in_newer.good + in_newer.bad >= WINDOW_RATINGS {
+        if in_newer.total() >= WINDOW_RATINGS {
             self.from = self.middle;
             self.middle = self.latest;
         }
@@ -73,7 +73,7 @@
 impl Kind {
     fn is_known(&self) -> bool {
         let cheap = self.cheap.recent();
-        cheap.good + cheap.bad >= MIN_RATINGS
+        cheap.total() >= MIN_RATINGS
     }
 
     fn loss(&self) -> f64 {
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -161,7 +161,7 @@
             && row.refutation >= self.local.refutation
             && is_suspected
         {
-            self.local.refutation = row.refutation + 1;
+            self.local.refutation = row.refutation.saturating_add(1);
             return true;
         }
         false
--- a/standins/src/memory_store.rs
+++ b/standins/src/memory_store.rs
@@ -7,7 +7,9 @@
 
 use clementinearch_border::HostList;
 use clementinearch_policy::names::FastMap;
-use clementinearch_storage::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
+use clementinearch_storage::{
+    HostSource, ListedHosts, Purpose, PutOutcome, Store, StoreError, Versioned,
+};
 use parking_lot::{Condvar, Mutex};
 
 /// Maximum size of a value, bytes.
@@ -256,9 +258,12 @@
 }
 
 impl HostSource for MemoryStore {
-    fn hosts(&self) -> Result<HostList, StoreError> {
+    fn hosts(&self) -> Result<ListedHosts, StoreError> {
         self.check_faults()?;
         let hosts = self.state.lock().hosts.clone();
-        Ok(hosts.unwrap_or(HostList { hosts: Vec::new() }))
+        Ok(ListedHosts {
+            hosts: hosts.map(|list| list.hosts).unwrap_or_default(),
+            unreadable: Vec::new(),
+        })
     }
 }
--- a/standins/src/store_server.rs
+++ b/standins/src/store_server.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use clementinearch_border::HostList;
 use clementinearch_storage::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
 use oxhttp::{
     ListeningServer, Server,
@@ -134,7 +135,8 @@
     }
     match store.hosts() {
         Ok(hosts) => {
-            let list = serde_json::to_string(&hosts).unwrap_or_default();
+            let list = HostList { hosts: hosts.hosts };
+            let list = serde_json::to_string(&list).unwrap_or_default();
             status(StatusCode::OK, &store.hosts_text().unwrap_or(list))
         }
         Err(e) => failure(&e),
--- a/storage/src/edits.rs
+++ b/storage/src/edits.rs
@@ -9,7 +9,10 @@
 };
 use derive_more::{Display, Error, From};
 
-use crate::store::{Purpose, PutOutcome, Store, StoreError};
+use crate::{
+    key_store::check_revision,
+    store::{Purpose, PutOutcome, Store, StoreError},
+};
 
 /// An operator's change to one configuration item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,8 +80,9 @@
     match store.get(HEAD_KEY, Purpose::Operator)? {
         None => Ok((config_head::empty_head(), 0)),
         Some(found) => {
-            let head = serde_json::from_str(&found.value)
+            let head: Head = serde_json::from_str(&found.value)
                 .map_err(|e| EditError::BadHead(e.to_string()))?;
+            check_revision(head.revision).map_err(EditError::BadHead)?;
             Ok((head, found.version))
         }
     }
--- a/storage/src/http.rs
+++ b/storage/src/http.rs
@@ -2,13 +2,19 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use clementinearch_border::HostList;
+use clementinearch_border::HostEntry;
+use clementinearch_policy::addresses::check_address;
 use oxhttp::{
     Client,
     model::{Body, Method, Request, Response, StatusCode, header::HeaderValue},
 };
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
-use crate::store::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
+use crate::{
+    key_store::UnreadableItem,
+    store::{HostSource, ListedHosts, Purpose, PutOutcome, Store, StoreError, Versioned},
+};
 
 /// Header that carries the version of a key.
 const VERSION_HEADER: &str = "x-version";
@@ -159,8 +165,46 @@
     }
 }
 
+/// The host list, whose entries are read one by one, so that one that cannot be read leaves the
+/// others.
+#[derive(Deserialize)]
+struct RawHostList<'a> {
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+/// What is needed of an entry that cannot be read.
+#[derive(Deserialize)]
+struct NamedEntry {
+    name: String,
+}
+
+fn read_hosts(text: &str) -> serde_json::Result<ListedHosts> {
+    let list: RawHostList<'_> = serde_json::from_str(text)?;
+    let mut listed = ListedHosts::default();
+    for entry in list.hosts {
+        match read_host(entry) {
+            Ok(host) => listed.hosts.push(host),
+            Err(why) => {
+                let named = serde_json::from_str(entry.get());
+                let key = named.map_or_else(|_| String::new(), |entry: NamedEntry| entry.name);
+                listed.unreadable.push(UnreadableItem { key, why });
+            }
+        }
+    }
+    Ok(listed)
+}
+
+fn read_host(entry: &RawValue) -> Result<HostEntry, String> {
+    let host: HostEntry = serde_json::from_str(entry.get()).map_err(|e| e.to_string())?;
+    let address = host.address.parse();
+    let address = address.map_err(|_| format!("address {} is not one", host.address))?;
+    check_address(address)?;
+    Ok(host)
+}
+
 impl HostSource for HttpStore {
-    fn hosts(&self) -> Result<HostList, StoreError> {
+    fn hosts(&self) -> Result<ListedHosts, StoreError> {
         let response = self.call(
             Method::GET,
             "/hosts",
@@ -175,7 +219,7 @@
             .into_body()
             .to_string()
             .map_err(|e| transport_error(&e))?;
-        serde_json::from_str(&text).map_err(|e| StoreError::Refused {
+        read_hosts(&text).map_err(|e| StoreError::Refused {
             reason: format!("malformed host list: {e}"),
         })
     }
--- a/storage/src/lib.rs
+++ b/storage/src/lib.rs
@@ -23,4 +23,4 @@
 };
 pub use leases::{HeldLease, Lease};
 pub use ledger::{PageWriteOutcome, write_ledger_page};
-pub use store::{HostSource, Purpose, PutOutcome, Store, StoreError, Versioned};
+pub use store::{HostSource, ListedHosts, Purpose, PutOutcome, Store, StoreError, Versioned};
--- a/storage/src/store.rs
+++ b/storage/src/store.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use clementinearch_border::HostList;
+use clementinearch_border::HostEntry;
 use derive_more::{Display, Error};
 
+use crate::key_store::UnreadableItem;
+
 /// A value and its version, for compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Versioned {
@@ -108,6 +110,15 @@
     ) -> Result<PutOutcome, StoreError>;
 }
 
+/// Entries of the platform's host list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListedHosts {
+    /// Entries that can be read.
+    pub hosts: Vec<HostEntry>,
+    /// The others, by their names.
+    pub unreadable: Vec<UnreadableItem>,
+}
+
 /// Source of the platform's host list, which lags behind the actual state.
 pub trait HostSource: Send + Sync {
     /// Reads the current list.
@@ -115,5 +126,5 @@
     /// # Errors
     ///
     /// Returns a [`StoreError`] if there is no usable response.
-    fn hosts(&self) -> Result<HostList, StoreError>;
+    fn hosts(&self) -> Result<ListedHosts, StoreError>;
 }
