Start threads and tasks of the product's own interface that panic again

A thread or task that panicked was gone, and the host went on without it: without the configuration's changes, the host list, the ledger, orders, gossip or probes.

Change: each is started again after a pause, with an error in the log and the metric that hosts in front of the users' platform have.

The task that announces changes to peers keeps its queue and is not started again.

--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -38,6 +38,7 @@
     shared::sessions::{self, Sessions},
     shared::state::SharedState,
     shared::trials::Trials,
+    supervisor::{run_task, spawn_thread},
     telemetry::Telemetry,
 };
 
@@ -83,9 +84,9 @@
     let state = Arc::new(HostState::new(settings, clock::now()));
     let clients = Arc::new(PeerClients::new(state.clone()));
     let sync = (state.clone(), store.clone());
-    spawn("keeper", move || config_sync::run(&sync.0, &*sync.1))?;
+    spawn_thread("keeper", move || config_sync::run(&sync.0, &*sync.1))?;
     let listed = state.clone();
-    spawn("listing", move || host_list::run(&listed, &*hosts))?;
+    spawn_thread("listing", move || host_list::run(&listed, &*hosts))?;
     let (announcements, requests) = Announcements::new();
     let trials = Trials::new(state.clone(), clients.clone(), announcements);
     let shared = Arc::new(SharedState {
@@ -110,9 +111,9 @@
     let stop = stop_signal()?;
     let ledger = Arc::new(Ledger::new(state.clone(), clients.clone()));
     let writer = (ledger.clone(), store.clone(), runtime.handle().clone());
-    spawn("ledger", move || writer.0.run(&*writer.1, &writer.2))?;
+    spawn_thread("ledger", move || writer.0.run(&*writer.1, &writer.2))?;
     let orders = (state.clone(), store.clone(), runtime.handle().clone());
-    spawn("orders", move || {
+    spawn_thread("orders", move || {
         orders::run(&orders.0, &*orders.1, &orders.2)
     })?;
     let app = Arc::new(App {
@@ -136,21 +137,18 @@
     Ok(())
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
-    let spawned = thread::Builder::new().name(name.to_owned()).spawn(run);
-    spawned
-        .map(drop)
-        .map_err(Error::io(format!("start the {name} thread")))
-}
-
 /// Returns a receiver that resolves on SIGTERM or SIGINT.
 fn stop_signal() -> Result<oneshot::Receiver<()>, Error> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::io("wait for signals"))?;
     let (tx, rx) = oneshot::channel();
-    spawn("signals", move || {
+    let wait = move || {
         signals.forever().next();
         let _ = tx.send(());
-    })?;
+    };
+    let spawned = thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(wait);
+    spawned.map_err(Error::io("start the signals thread"))?;
     Ok(rx)
 }
 
@@ -178,10 +176,7 @@
         .await
         .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
     tokio::spawn(peers);
-    tokio::spawn(gossip::run(state.clone(), clients, app.shared.clone()));
-    tokio::spawn(sweep_sessions(app.sessions.clone()));
-    tokio::spawn(refresh_admission_limits(app.admission.clone()));
-    tokio::spawn(probe::run(state.clone()));
+    run_controllers(&app, clients);
     let callers_at = state.settings.callers;
     let bound = TcpListener::bind(callers_at).await;
     let listener = bound.map_err(Error::io(format!("listen for callers at {callers_at}")))?;
@@ -191,7 +186,10 @@
     );
     let path = data_path(&app).map_err(Error::io("start the data path"))?;
     let path = Arc::new(path);
-    tokio::spawn(sweep(state.clone(), path.clone(), metrics));
+    let swept = (state.clone(), path.clone());
+    tokio::spawn(run_task("sweep", move || {
+        sweep(swept.0.clone(), swept.1.clone(), metrics.clone())
+    }));
     let stopping = state.clone();
     let stop = async move {
         let _ = stop.await;
@@ -209,6 +207,24 @@
     Ok(())
 }
 
+/// Starts the tasks that keep the host's state up to date.
+fn run_controllers(app: &Arc<App>, clients: Arc<PeerClients>) {
+    let of = app.clone();
+    tokio::spawn(run_task("gossip", move || {
+        gossip::run(of.state.clone(), clients.clone(), of.shared.clone())
+    }));
+    let of = app.clone();
+    tokio::spawn(run_task("sessions", move || {
+        sweep_sessions(of.sessions.clone())
+    }));
+    let of = app.clone();
+    tokio::spawn(run_task("admission", move || {
+        refresh_admission_limits(of.admission.clone())
+    }));
+    let of = app.state.clone();
+    tokio::spawn(run_task("probes", move || probe::run(of.clone())));
+}
+
 /// Creates the data path that serves this host's callers.
 fn data_path(app: &Arc<App>) -> std::io::Result<DataPath> {
     let settings = &app.state.settings;
--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -14,6 +14,9 @@
 mod settings;
 mod sharded;
 mod shared;
+mod supervisor;
+#[cfg(test)]
+mod supervisor_tests;
 mod telemetry;
 
 use std::process::ExitCode;
