--- a/host/tests/route_odd_items.rs
+++ b/host/tests/route_odd_items.rs
@@ -3,7 +3,7 @@
 mod odd;
 mod route;
 
-use clementinearch_standins::platform_store::PlatformStore;
+use clementinearch_standins::platform_store::{EndpointMode, PlatformStore};
 use odd::{Expected, Met, Variant, deep, play_all};
 use route::{Platform, ok, send_request, wait_until};
 use serde_json::json;
@@ -189,3 +189,39 @@
     });
     assert_eq!(host.status()["servers"], 1);
 }
+
+/// Both are in one answer of the store.
+#[test]
+fn an_entry_that_is_written_again_after_an_odd_one_is_in_force() {
+    let odd = [
+        r#"{"key":"servers/i-1","value":"%%%","revision":3}"#,
+        r#"{"key":"servers/i-1","value":"e30=","revision":-1}"#,
+        r#"{"key":"servers/i-1","value":"%%%"}"#,
+    ];
+    for json in odd {
+        let mut platform = Platform::new();
+        platform.add_backend("orders", "v1", |_, received| ok(received));
+        platform.start_hosts(2);
+        for host in &platform.hosts {
+            wait_until("the hosts know each other", || host.status()["hosts"] == 2);
+            host.store_endpoint.set_mode(EndpointMode::Refusing);
+        }
+        platform.store.put_replaced("servers/i-1", json);
+        let address = platform.address("i-1");
+        platform.write_entry("i-1", "orders", "v2", address, "ready");
+        platform.configure(2, &json!([]));
+        for host in &platform.hosts {
+            host.store_endpoint.set_mode(EndpointMode::Normal);
+        }
+        for host in &platform.hosts {
+            wait_until("the change is in force", || {
+                host.status()["routing_version"] == 2
+            });
+            assert_eq!(host.status()["servers"], 1, "{json}");
+        }
+        wait_until("the odd one is in a finding", || {
+            let mut hosts = platform.hosts.iter();
+            hosts.any(|host| !host.logged("item_unreadable").is_empty())
+        });
+    }
+}
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -47,23 +47,23 @@
     is_rate_limited: bool,
     /// Keys of each lease, by its id.
     leases: BTreeMap<u64, Vec<String>>,
-    /// JSON that responses contain instead of an item, by its key.
-    replaced: BTreeMap<String, String>,
+    /// JSON that responses contain instead of an item, by its key and revision.
+    replaced: BTreeMap<(String, u64), String>,
 }
 
 impl State {
     /// Returns an item in the store's JSON format.
     fn item_json(&self, key: &str, value: &[u8], revision: u64) -> Value {
-        if self.replaced.contains_key(key) {
-            return placeholder(key).into();
+        if self.replaced.contains_key(&(key.to_owned(), revision)) {
+            return placeholder(key, revision).into();
         }
         json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
     }
 }
 
 /// Stands for an item whose JSON is replaced in the text of a response.
-fn placeholder(key: &str) -> String {
-    format!("replaced:{key}")
+fn placeholder(key: &str, revision: u64) -> String {
+    format!("replaced:{revision}:{key}")
 }
 
 /// Values and revisions of items by key.
@@ -87,37 +87,39 @@
 impl PlatformStore {
     /// Writes an item; returns its revision.
     pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) -> u64 {
-        self.change(key, Some(value.into()))
+        self.change(key, Some(value.into()), None)
     }
 
     /// Writes an item that responses contain as `json`, which need not be an item, nor a value that
     /// fits in a [`Value`].
     pub fn put_replaced(&self, key: &str, json: &str) -> u64 {
-        let mut state = self.state.lock();
-        state.replaced.insert(key.to_owned(), json.to_owned());
-        drop(state);
-        self.put(key, "")
+        self.change(key, Some(Vec::new()), Some(json))
     }
 
     /// Returns the text of a response.
     fn render(&self, body: &Value) -> String {
         let mut text = body.to_string();
-        for (key, json) in &self.state.lock().replaced {
-            text = text.replace(&Value::from(placeholder(key)).to_string(), json);
+        for ((key, revision), json) in &self.state.lock().replaced {
+            text = text.replace(&Value::from(placeholder(key, *revision)).to_string(), json);
         }
         text
     }
 
     /// Removes an item; returns the revision of the removal.
     pub fn remove(&self, key: &str) -> u64 {
-        self.change(key, None)
+        self.change(key, None, None)
     }
 
-    /// Writes or removes an item, and wakes up watches.
-    fn change(&self, key: &str, value: Option<Vec<u8>>) -> u64 {
+    /// Writes or removes an item, which responses contain as `json` if there is some, and wakes up
+    /// watches.
+    fn change(&self, key: &str, value: Option<Vec<u8>>, json: Option<&str>) -> u64 {
         let mut state = self.state.lock();
         state.revision += 1;
         let revision = state.revision;
+        if let Some(json) = json {
+            let item = (key.to_owned(), revision);
+            state.replaced.insert(item, json.to_owned());
+        }
         match &value {
             Some(value) => {
                 state
