--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -115,6 +115,16 @@
     },
 }
 
+impl ItemChange {
+    /// Returns the key of the item.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// Response to a request for the changes under a prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Changes {
