--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -54,9 +54,13 @@
 const FIRST_BACKEND_IP: u8 = 120;
 const FIRST_LINK_IP: u8 = 190;
 
-/// An entry host process.
+/// Last octet that is left to tests.
+const SPARE_IP: u8 = 253;
+
+/// An entry host.
 pub struct Host {
-    process: Child,
+    /// Its process; none if the test runs the host itself.
+    process: Option<Child>,
     /// Path of its settings.
     settings: PathBuf,
     pub ip: IpAddr,
@@ -71,18 +75,15 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let address = SocketAddr::new(self.ip, READINESS_PORT);
-        get(address, "/").is_some_and(|answer| answer.status == 200)
+        get(self.readiness(), "/").is_some_and(|answer| answer.status == 200)
     }
 
     pub fn metrics(&self) -> String {
-        let address = SocketAddr::new(self.ip, ADMIN_PORT);
-        get(address, "/metrics").map_or_else(String::new, |answer| answer.body)
+        get(self.admin(), "/metrics").map_or_else(String::new, |answer| answer.body)
     }
 
     pub fn status(&self) -> Value {
-        let address = SocketAddr::new(self.ip, ADMIN_PORT);
-        let answer = get(address, "/status").unwrap();
+        let answer = get(self.admin(), "/status").unwrap();
         serde_json::from_str(&answer.body).unwrap()
     }
 
@@ -90,27 +91,37 @@
         SocketAddr::new(self.ip, PEERS_PORT)
     }
 
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READINESS_PORT)
+    }
+
+    pub fn admin(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, ADMIN_PORT)
+    }
+
     /// Id of the process.
     pub fn id(&self) -> u32 {
-        self.process.id()
+        self.process.as_ref().map_or(std::process::id(), Child::id)
     }
 
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
-            .args([format!("-{name}"), self.process.id().to_string()])
+            .args([format!("-{name}"), self.id().to_string()])
             .status();
         assert!(status.unwrap().success(), "cannot send {name}");
     }
 
     /// Waits until the process exits. Returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
-        self.process.wait().unwrap().success()
+        self.process.as_mut().unwrap().wait().unwrap().success()
     }
 
     /// Kills the process without warning.
     pub fn kill(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        if let Some(process) = &mut self.process {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
     }
 
     /// Replaces a text in the settings and starts the process again with them.
@@ -124,12 +135,13 @@
 
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
-        self.process = spawn_host(&self.settings, &self.log);
+        self.process = Some(spawn_host(&self.settings, &self.log));
     }
 
     /// Whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
-        self.process.try_wait().unwrap().is_some()
+        let process = self.process.as_mut().unwrap();
+        process.try_wait().unwrap().is_some()
     }
 
     /// Log lines with this event.
@@ -380,6 +392,11 @@
         IpAddr::V4(Ipv4Addr::new(127, self.network.0, self.network.1, number))
     }
 
+    /// An IP that no host, server or endpoint has.
+    pub fn spare_ip(&self) -> IpAddr {
+        self.ip(SPARE_IP)
+    }
+
     /// Writes a configuration with a route of each kind and `more` routes.
     pub fn configure(&self, version: u64, more: &Value) {
         let mut routes = vec![
@@ -467,6 +484,14 @@
         store_endpoint: Arc<StoreEndpoint>,
         limits: &str,
     ) {
+        let mut host = self.prepare_host(zone, store_endpoint, limits);
+        host.restart();
+        self.hosts.push(host);
+    }
+
+    /// A host without a process, with its settings and its endpoint of the store. `limits` are more
+    /// lines among its limits.
+    fn prepare_host(&self, zone: &str, store_endpoint: Arc<StoreEndpoint>, limits: &str) -> Host {
         let number = self.hosts.len() as u8;
         let store_address = SocketAddr::new(self.ip(FIRST_ENDPOINT_IP + number), STORE_PORT);
         let bound = self
@@ -484,14 +509,20 @@
             self.network.0, self.network.1
         ));
         fs::write(&path, settings).unwrap();
-        let log = Arc::new(Mutex::new(Vec::new()));
-        self.hosts.push(Host {
-            process: spawn_host(&path, &log),
+        Host {
+            process: None,
             settings: path,
             ip,
             store_endpoint,
-            log,
-        });
+            log: Arc::default(),
+        }
+    }
+
+    /// A host that the test runs itself, and its settings.
+    pub fn host_of_test(&self) -> (Host, String) {
+        let host = self.prepare_host("a", StoreEndpoint::new(self.store.clone()), "");
+        let settings = fs::read_to_string(&host.settings).unwrap();
+        (host, settings)
     }
 
     /// Starts hosts that reach each backend server over a link, and waits until they are ready and
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -6,7 +6,7 @@
 use clementinearch_policy::{
     crash_suspects::ContentStatus,
     sizing::{SizingQuery, first_size},
-    time::Millis,
+    time::{Millis, nearest_span},
 };
 
 use crate::{
@@ -311,7 +311,7 @@
             return STREAM_SLOT_TIME;
         }
         let latency_ms = self.state.latencies_ms.largest(&route.name);
-        Duration::from_secs_f64(latency_ms / 1_000.0).max(MIN_SLOT_TIME)
+        nearest_span(latency_ms / 1_000.0).max(MIN_SLOT_TIME)
     }
 
     fn retry_after(&self) -> Duration {
@@ -380,7 +380,7 @@
 
     /// Time from sending to the first event that was expected of the last attempt.
     pub(crate) fn expected_latency(&self) -> Duration {
-        Duration::from_secs_f64((self.last.pending_ms + self.last.prefill_ms) / 1_000.0)
+        nearest_span((self.last.pending_ms + self.last.prefill_ms) / 1_000.0)
     }
 
     pub(crate) fn model(&self) -> Option<&str> {
@@ -412,9 +412,14 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         if !self.has_ended {
-            // The future was dropped because the caller closed its connection.
+            // The future was dropped because the caller closed its connection, or it panicked.
             self.state.hooks.record_disconnect(&self.call);
-            self.end("caller left", 0);
+            let why = if std::thread::panicking() {
+                "internal failure"
+            } else {
+                "caller left"
+            };
+            self.end(why, 0);
         }
     }
 }
--- a/router/src/data_path.rs
+++ b/router/src/data_path.rs
@@ -56,7 +56,7 @@
     /// period of the settings. Returns the number of connections still open at its end.
     pub async fn serve(&self, callers: TcpListener, stop: impl Future<Output = ()>) -> usize {
         let (ingress, drain) = Ingress::new(self.state.clone());
-        let accepting = tokio::spawn(ingress.run(callers));
+        let accepting = tokio::spawn(async move { ingress.run(&callers).await });
         let watching = tokio::spawn(loop_stalls::watch(self.state.clone()));
         stop.await;
         accepting.abort();
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -6,6 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
+    addresses::check_address,
     crash_evidence::EvidenceRow,
     link_pacer::{GOSSIP_LINK_SHARE, send_time},
     names::{FastSet, Name},
@@ -40,6 +41,9 @@
 /// less frequent.
 const PREFILL_DATAGRAMS_PER_S: u32 = 600;
 
+/// Longest prefill that a peer's word stands for.
+const MAX_PREFILL: Duration = Duration::from_secs(60);
+
 /// Most prefills or sessions in one datagram.
 const ROWS_PER_DATAGRAM: usize = 40;
 
@@ -118,7 +122,7 @@
     }
 
     /// Sends and receives gossip until the process ends.
-    pub(crate) async fn run(mut self) {
+    pub(crate) async fn run(&mut self) {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_report = Instant::now();
         let mut next_events = next_report;
@@ -269,7 +273,7 @@
         Ok(Datagram::Prefills(prefills)) => {
             for prefill in prefills {
                 if let Some(server) = state.servers.by_hash(prefill.server) {
-                    let span = Duration::from_millis(u64::from(prefill.ms));
+                    let span = Duration::from_millis(u64::from(prefill.ms)).min(MAX_PREFILL);
                     server.record_peer_prefill(&prefill.shared, prefill.size, span, now);
                 }
             }
@@ -291,6 +295,10 @@
     if report.from == state.settings.name {
         return Vec::new();
     }
+    if let Err(why) = check_address(report.address) {
+        state.log_event("word_unreadable", &report.from, &why, &[]);
+        return Vec::new();
+    }
     let zone = Some(&report.zone).filter(|zone| **zone != state.settings.zone);
     state
         .rollouts
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -62,10 +62,12 @@
 mod server_selection;
 mod servers;
 mod settings;
+mod store_items;
 mod stored_blocks;
 mod stream_begin;
 mod stream_head;
 mod stream_source;
+mod supervisor;
 mod unfinished_attempts;
 #[cfg(test)]
 mod unfinished_attempts_tests;
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -6,6 +6,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::link_pacer::LinkPacer;
+use clementinearch_storage::MAX_REVISION;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -109,7 +110,7 @@
 }
 
 /// Serves peers until the process ends: this host's view, and requests that they forward.
-pub(crate) async fn serve(state: Arc<HostState>, listener: TcpListener) {
+pub(crate) async fn serve(state: Arc<HostState>, listener: Arc<TcpListener>) {
     let server = Arc::new(ViewServer {
         cache: ResponseCache::default(),
         pacer: Mutex::new(LinkPacer::new(state.settings.limits.link_mbps)),
@@ -124,7 +125,7 @@
             server.respond(req.uri().path()).await
         }
     };
-    internal_http::serve(listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
 }
 
 impl ViewServer {
@@ -227,7 +228,7 @@
         )));
     }
     // Peers of earlier versions send at once and name no time.
-    let due_ms = parse_header(&parts.headers, VIEW_DUE_MS_HEADER).unwrap_or(0);
+    let due_ms = parse_header(&parts.headers, VIEW_DUE_MS_HEADER, u64::MAX).unwrap_or(0);
     let limit = Duration::from_millis(due_ms).min(MAX_VIEW_DUE) + RESPONSE_TIMEOUT;
     let body = timeout(limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
     let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
@@ -235,14 +236,15 @@
     let transfer = began_at.elapsed();
     Ok(PeerView {
         delta: decompress(body).await?,
-        store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER)?,
-        age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER)?),
+        store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER, MAX_REVISION)?,
+        age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER, u64::MAX)?),
         transfer,
     })
 }
 
-fn parse_header(headers: &HeaderMap, name: &str) -> io::Result<u64> {
+fn parse_header(headers: &HeaderMap, name: &str, max: u64) -> io::Result<u64> {
     let text = headers.get(name).and_then(|value| value.to_str().ok());
     text.and_then(|text| text.parse().ok())
+        .filter(|number| *number <= max)
         .ok_or_else(|| io::Error::other(format!("the peer's response has no valid {name} header")))
 }
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -1,8 +1,6 @@
 //! Attempts of a request at backend servers, one after the other.
 
-use std::time::Duration;
-
-use clementinearch_policy::time::Millis;
+use clementinearch_policy::time::{Millis, nearest_span};
 
 use crate::{
     active_request::{ActiveRequest, LastAttempt, Reply},
@@ -73,7 +71,7 @@
                 model: self.model().map(Into::into),
                 resume_after,
                 number: self.sends - 1,
-                pending: Duration::from_secs_f64(self.last.pending_ms / 1_000.0),
+                pending: nearest_span(self.last.pending_ms / 1_000.0),
                 needs_new_connection: !self.holders.is_empty(),
             };
             let got = match attempt.send(in_flight).await {
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -76,8 +76,11 @@
         }
     }
 
-    /// Keeps the view up to date until the process ends.
+    /// Keeps the view up to date until the process ends. What the view holds from a run that has
+    /// panicked takes effect once more with the next read, as its last changes may not have.
     pub(crate) async fn run(mut self) {
+        self.unconfirmed = self.state.view.lock().all();
+        self.state.drop_unlisted_servers(&self.unconfirmed);
         loop {
             if !self.follow_relay().await {
                 self.read_store().await;
@@ -219,7 +222,8 @@
                     .await?;
                 // Pages are not a snapshot: changes are read from the earliest page's revision on.
                 revision = revision.min(page.store_revision);
-                after = page.items.last().map(|item| item.key.clone());
+                after = page.last_key().map(str::to_owned);
+                self.state.log_unreadable(&page.unreadable);
                 items.extend(page.items);
                 if !page.is_truncated || after.is_none() {
                     break;
@@ -252,8 +256,10 @@
                 }
                 Changes::Since {
                     changes,
+                    unreadable,
                     store_revision,
                 } => {
+                    self.state.log_unreadable(&unreadable);
                     let grace = self.grace_from(self.state.now());
                     let mut view = self.state.view.lock();
                     updates.extend(view.apply(changes, store_revision, grace));
@@ -299,14 +305,13 @@
 
     fn merge(&mut self, peer: PeerView) {
         let mut view = self.state.view.lock();
-        let merged = view.merge(peer.delta, peer.store_revision);
+        let (updates, unreadable) = view.merge(peer.delta, peer.store_revision);
         drop(view);
-        match merged {
-            Ok(updates) => self.apply_updates(updates),
-            Err(e) => self
-                .state
-                .log_event("peer_view_unreadable", "", &e.to_string(), &[]),
+        for item in unreadable {
+            self.state
+                .log_event("peer_view_unreadable", &item.key, &item.why, &[]);
         }
+        self.apply_updates(updates);
     }
 
     /// Writes this host's entry to the store, by which other hosts find it.
