--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -57,6 +57,8 @@
 /// An entry host process.
 pub struct Host {
     process: Child,
+    /// Path of its program.
+    binary: PathBuf,
     /// Path of its settings.
     settings: PathBuf,
     pub ip: IpAddr,
@@ -115,7 +117,20 @@
 
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
-        self.process = spawn_host(&self.settings, &self.log);
+        self.process = spawn_host(&self.binary, &self.settings, &self.log);
+    }
+
+    /// Stops the process gracefully and starts another program in its place. Its log goes on.
+    pub fn replace(&mut self, binary: &Path) {
+        self.signal("TERM");
+        self.succeed_with(binary);
+    }
+
+    /// Starts another program in the place of the process once that has stopped.
+    pub fn succeed_with(&mut self, binary: &Path) {
+        assert!(self.wait(), "the host stops cleanly");
+        self.binary = binary.to_owned();
+        self.restart();
     }
 
     /// Whether the process has exited.
@@ -140,8 +155,8 @@
 }
 
 /// Starts the process of an entry host and collects its log lines.
-fn spawn_host(settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
-    let mut process = Command::new(env!("CARGO_BIN_EXE_clementinearch"))
+fn spawn_host(binary: &Path, settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut process = Command::new(binary)
         .args(["route", "--settings"])
         .arg(settings)
         .stdout(Stdio::piped())
@@ -160,6 +175,11 @@
     process
 }
 
+/// Path of the program under test.
+pub fn present_binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_clementinearch"))
+}
+
 /// An HTTP response as a caller sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
@@ -336,6 +356,8 @@
     pub store: Arc<PlatformStore>,
     runtime: tokio::runtime::Runtime,
     pub hosts: Vec<Host>,
+    /// Programs of the hosts that are started next, by number; the program under test for others.
+    pub binaries: Vec<PathBuf>,
     /// Addresses of the backend servers.
     backends: Vec<SocketAddr>,
     /// Links of each host to the backend servers, for hosts that have some.
@@ -354,6 +376,7 @@
             store: Arc::default(),
             runtime: runtime.unwrap(),
             hosts: Vec::new(),
+            binaries: Vec::new(),
             backends: Vec::new(),
             links: Vec::new(),
         };
@@ -455,8 +478,11 @@
         ));
         fs::write(&path, settings).unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
+        let binary = self.binaries.get(usize::from(number)).cloned();
+        let binary = binary.unwrap_or_else(present_binary);
         self.hosts.push(Host {
-            process: spawn_host(&path, &log),
+            process: spawn_host(&binary, &path, &log),
+            binary,
             settings: path,
             ip,
             store_endpoint,
