Forward requests only to hosts that know forwarding, and believe only answers to them

Peers that could serve were not asked any more.

Cause: a peer's answer was believed whatever it was, and every live peer was taken for one that serves forwarded requests.

Change: a host says in its reports that it serves them (serves_forwarded; earlier versions say nothing). Known peers are asked first. An answer without the request's id is not passed on. A host whose peers all know no forwarding is not ready while they reach servers.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event_stream;
 mod eviction;
 pub mod findings;
+pub mod forwarding_support;
 pub mod ledger;
 pub mod load_balancing;
 pub mod membership;
--- a/router/src/connectivity.rs
+++ b/router/src/connectivity.rs
@@ -37,15 +37,18 @@
 
     /// Whether this host reaches no backend server, but a peer does.
     pub(crate) fn is_cut_off(&self, now: Millis) -> bool {
-        self.has_lost_servers() && self.fleet.lock().has_forwarding_peer(now)
+        self.has_lost_servers() && self.fleet.lock().has_peer_with_servers(now)
     }
 
-    /// Whether callers should come to another host: this one reaches no backend server, and no
-    /// peer that does took its last request.
+    /// Whether callers should come to another host: this one reaches no backend server, and of the
+    /// peers that do none took its last request, or none serves forwarded requests.
     pub(crate) fn should_be_avoided(&self, now: Millis) -> bool {
+        if !self.is_cut_off(now) {
+            return false;
+        }
         let failed_at = *self.server_path.forwarding_failed_at.lock();
         failed_at.is_some_and(|at| now.since(at) <= FORWARDING_FAILURE_WINDOW)
-            && self.is_cut_off(now)
+            || self.fleet.lock().forwarding_peers(now).is_empty()
     }
 
     /// Records whether a peer took a request that this host could not send.
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use clementinearch_policy::{
+    forwarding_support::ForwardingSupport,
     names::{FastMap, Name},
     placement::affinity_rank,
     time::Millis,
@@ -39,6 +40,16 @@
     pub(crate) store_revision: u64,
     /// Whether it reaches no backend server.
     pub(crate) has_lost_servers: bool,
+    /// Whether it says that it serves forwarded requests.
+    pub(crate) serves_forwarded: bool,
+}
+
+/// A peer that a request may be forwarded to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ForwardingPeer {
+    pub(crate) address: SocketAddr,
+    /// Whether it is known to serve forwarded requests.
+    pub(crate) is_known: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -50,6 +61,7 @@
     last_report: Option<Millis>,
     store_revision: u64,
     has_lost_servers: bool,
+    forwarding: ForwardingSupport,
 }
 
 /// The entry hosts that this one knows.
@@ -79,6 +91,7 @@
                 last_report: None,
                 store_revision: 0,
                 has_lost_servers: false,
+                forwarding: ForwardingSupport::default(),
             });
             peer.address = address;
         }
@@ -93,6 +106,7 @@
             peer.zone = Some(info.zone);
             peer.store_revision = info.store_revision;
             peer.has_lost_servers = info.has_lost_servers;
+            peer.forwarding.record_report(info.serves_forwarded);
         }
     }
 
@@ -193,21 +207,41 @@
         }
     }
 
+    /// Records whether a peer's answer shows that it serves forwarded requests.
+    pub(crate) fn record_forwarding_support(
+        &mut self,
+        address: SocketAddr,
+        is_shown: bool,
+        now: Millis,
+    ) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.address == address) {
+            peer.forwarding.record_answer(is_shown, now);
+        }
+    }
+
     /// Whether a live peer reaches backend servers.
-    pub(crate) fn has_forwarding_peer(&self, now: Millis) -> bool {
+    pub(crate) fn has_peer_with_servers(&self, now: Millis) -> bool {
         self.live_peers(now).any(|(_, peer)| !peer.has_lost_servers)
     }
 
-    /// Addresses of live peers that reach backend servers, in the order in which they are asked to
-    /// serve a request: at random, beginning with a few of the own zone if as many of them reach
-    /// servers as do not.
-    pub(crate) fn forwarding_peers(&self, now: Millis) -> Vec<SocketAddr> {
+    /// Live peers that reach backend servers and may serve forwarded requests, in the order in
+    /// which they are asked: those that are known to serve them first, at random, beginning with a
+    /// few of the own zone if as many of them reach servers as do not.
+    pub(crate) fn forwarding_peers(&self, now: Millis) -> Vec<ForwardingPeer> {
         let (mut near, mut remote) = (Vec::new(), Vec::new());
         let mut near_lost = 1;
         for (_, peer) in self.live_peers(now) {
+            if !peer.forwarding.is_possible(now) {
+                continue;
+            }
+            let candidate = ForwardingPeer {
+                address: peer.address,
+                is_known: peer.forwarding.is_known(),
+            };
             match (self.is_near(peer), peer.has_lost_servers) {
-                (true, false) => near.push(peer.address),
-                (false, false) => remote.push(peer.address),
+                (true, false) => near.push(candidate),
+                (false, false) => remote.push(candidate),
                 (true, true) => near_lost += 1,
                 (false, true) => {}
             }
@@ -222,6 +256,7 @@
         remote.extend(near.drain(asked_first.min(near.len())..));
         fastrand::shuffle(&mut remote);
         near.extend(remote);
+        near.sort_by_key(|peer| !peer.is_known);
         near
     }
 
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -53,6 +53,7 @@
                 zone: zone(host, zones),
                 store_revision: 1,
                 has_lost_servers: lost.contains(&host),
+                serves_forwarded: true,
             };
             fleets[host_at(target)].record_peer(info, now);
         }
@@ -151,6 +152,7 @@
         for peer in fleet
             .forwarding_peers(now)
             .into_iter()
+            .map(|peer| peer.address)
             .take(MAX_PEERS_ASKED)
         {
             if !lost.contains(&host_at(peer)) {
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -28,6 +28,8 @@
     attempt::SILENCE_BEFORE_CHECK,
     call::Call,
     connections::{Connection, SendOutcome, connect},
+    dialect::Verdict,
+    fleet::ForwardingPeer,
     host_state::HostState,
     ingress,
     internal_http::{InternalResponse, with_status},
@@ -58,6 +60,9 @@
 /// How often a wait for a peer's response checks its time limits and the peer.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
+/// Longest wait for a peer to show whether it knows forwarded requests.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// What became of a request before it was forwarded.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ForwardedState {
@@ -96,6 +101,8 @@
     Unreached,
     /// The peer cannot serve the request: nothing ran.
     Declined,
+    /// The peer knows no forwarded requests: nothing ran.
+    Unsupported,
     /// The peer got the request and did not answer: it may have run.
     Unanswered {
         /// Reason for logs and metrics.
@@ -112,6 +119,7 @@
             Self::Answered(_) => "answered",
             Self::Unreached => "peer not reached",
             Self::Declined => "declined",
+            Self::Unsupported => "peer knows no forwarding",
             Self::Unanswered { why } => why,
             Self::DeadlinePassed => "time limit passed",
         }
@@ -123,14 +131,25 @@
     state: &HostState,
     call: &Call,
     forwarded: &ForwardedState,
-    peer: SocketAddr,
+    peer: ForwardingPeer,
 ) -> Forwarding {
     let Some(req) = request(call, forwarded) else {
         return Forwarding::Declined;
     };
-    let Ok(mut connection) = connect(peer).await else {
+    let Ok(mut connection) = connect(peer.address).await else {
         return Forwarding::Unreached;
     };
+    if !peer.is_known {
+        let wait = PROBE_TIMEOUT.min(call.remaining(state.now()));
+        match knows_forwarding(&mut connection, wait).await {
+            Some(true) => {
+                let mut fleet = state.fleet.lock();
+                fleet.record_forwarding_support(peer.address, true, state.now());
+            }
+            Some(false) => return Forwarding::Unsupported,
+            None => return Forwarding::Unreached,
+        }
+    }
     let sent_at = state.now();
     let sent = {
         let mut sending = std::pin::pin!(connection.send(req));
@@ -143,7 +162,8 @@
             if now >= call.deadline {
                 return Forwarding::DeadlinePassed;
             }
-            if call.head.route.kind.may_retry() && is_unreachable(peer, sent_at, now).await {
+            if call.head.route.kind.may_retry() && is_unreachable(peer.address, sent_at, now).await
+            {
                 return Forwarding::Unanswered { why: "peer silent" };
             }
         }
@@ -154,11 +174,14 @@
             if parts.headers.contains_key(DECLINED) {
                 return Forwarding::Declined;
             }
+            if state.dialect.read_response(&parts, call).verdict != Verdict::Matching {
+                return foreign_answer(parts.status);
+            }
             Forwarding::Answered(Box::new(PeerResponse {
                 parts,
                 body,
                 connection,
-                peer,
+                peer: peer.address,
             }))
         }
         SendOutcome::NotSent => Forwarding::Unreached,
@@ -168,6 +191,31 @@
     }
 }
 
+/// Returns what an answer means that is not one to the request: a host that knows no forwarded
+/// requests has nothing under their paths.
+fn foreign_answer(status: StatusCode) -> Forwarding {
+    if status == StatusCode::NOT_FOUND {
+        return Forwarding::Unsupported;
+    }
+    Forwarding::Unanswered {
+        why: "not an answer to the request",
+    }
+}
+
+/// Asks a peer whether it knows forwarded requests, by one that none can serve. Returns `None`
+/// if it does not answer within `wait`.
+async fn knows_forwarding(connection: &mut Connection, wait: Duration) -> Option<bool> {
+    let mut req = Request::new(Full::default());
+    let headers = req.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("peer"));
+    headers.insert(FORWARDED, HeaderValue::from_static("?"));
+    let sent = tokio::time::timeout(wait, connection.send(req)).await;
+    match sent {
+        Ok(SendOutcome::Response(response)) => Some(response.headers().contains_key(DECLINED)),
+        Ok(SendOutcome::NotSent | SendOutcome::Unknown) | Err(_) => None,
+    }
+}
+
 /// Whether a peer that has been silent for a while accepts no test connection either.
 pub(crate) async fn is_unreachable(peer: SocketAddr, silent_since: Millis, now: Millis) -> bool {
     now.since(silent_since) >= SILENCE_BEFORE_CHECK && connect(peer).await.is_err()
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -69,6 +69,10 @@
     /// Whether the host reaches no backend server.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     has_lost_servers: bool,
+    /// Whether the host serves requests that peers forward to it. Versions that do not, and the
+    /// first one that does, say nothing.
+    #[serde(default)]
+    serves_forwarded: bool,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -191,6 +195,7 @@
             crash_evidence: state.crash_evidence.lock().rows(now),
             part_evidence: state.part_evidence.lock().rows(now),
             has_lost_servers: state.has_lost_servers(),
+            serves_forwarded: true,
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
@@ -262,6 +267,7 @@
         zone: report.zone,
         store_revision: report.store_revision,
         has_lost_servers: report.has_lost_servers,
+        serves_forwarded: report.serves_forwarded,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -34,12 +34,14 @@
     ) -> Result<PeerResponse, Refusal> {
         let now = self.state.now();
         let mut peers = Vec::new();
+        let mut has_peers = false;
         // A request that a peer forwarded goes back to that peer, which knows who else is left.
         if self.call.forwarded.is_none() {
-            peers = self.state.fleet.lock().forwarding_peers(now);
+            let fleet = self.state.fleet.lock();
+            peers = fleet.forwarding_peers(now);
+            has_peers = fleet.has_peer_with_servers(now);
         }
         peers.truncate(MAX_PEERS_ASKED);
-        let has_peers = !peers.is_empty();
         let mut unreached = 0;
         for peer in peers {
             let now = self.state.now();
@@ -50,7 +52,7 @@
             let outcome = forward(&self.state, &self.call, &forwarded, peer).await;
             let now = self.state.now();
             request_metrics::count_forwarding(&outcome);
-            self.log_forwarding(peer, &outcome);
+            self.log_forwarding(peer.address, &outcome);
             match outcome {
                 Forwarding::Answered(response) => {
                     self.state.record_forwarding(true, now);
@@ -59,11 +61,18 @@
                     self.may_have_run = true;
                     return Ok(*response);
                 }
+                Forwarding::Unsupported => {
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_support(peer.address, false, now);
+                }
                 Forwarding::Declined => {
-                    self.state.fleet.lock().record_forwarding_refused(peer);
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_refused(peer.address);
                 }
                 Forwarding::Unreached => {
-                    self.state.fleet.lock().record_forwarding_refused(peer);
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_refused(peer.address);
+                    drop(fleet);
                     unreached += 1;
                     if unreached >= MAX_PEERS_UNREACHED {
                         break;
