--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -258,6 +258,13 @@
         answer
     }
 
+    /// Reads this many bytes of a body.
+    pub fn read_bytes(&mut self, length: usize) -> Vec<u8> {
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).unwrap();
+        body
+    }
+
     fn read_body(&mut self, answer: &mut Answer) {
         if answer.header("transfer-encoding") == "chunked" {
             while let Some(chunk) = self.read_chunk() {
