--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -61,6 +61,8 @@
 pub struct Host {
     /// Its process; none if the test runs the host itself.
     process: Option<Child>,
+    /// Path of its program.
+    binary: PathBuf,
     /// Path of its settings.
     settings: PathBuf,
     pub ip: IpAddr,
@@ -135,7 +137,20 @@
 
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
-        self.process = Some(spawn_host(&self.settings, &self.log));
+        self.process = Some(spawn_host(&self.binary, &self.settings, &self.log));
+    }
+
+    /// Stops the process gracefully and starts another program in its place. Its log goes on.
+    pub fn replace(&mut self, binary: &Path) {
+        self.signal("TERM");
+        self.succeed_with(binary);
+    }
+
+    /// Starts another program in the place of the process once that has stopped.
+    pub fn succeed_with(&mut self, binary: &Path) {
+        assert!(self.wait(), "the host stops cleanly");
+        self.binary = binary.to_owned();
+        self.restart();
     }
 
     /// Whether the process has exited.
@@ -161,8 +176,8 @@
 }
 
 /// Starts the process of an entry host and collects its log lines.
-fn spawn_host(settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
-    let mut process = Command::new(env!("CARGO_BIN_EXE_clementinearch"))
+fn spawn_host(binary: &Path, settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut process = Command::new(binary)
         .args(["route", "--settings"])
         .arg(settings)
         .stdout(Stdio::piped())
@@ -181,6 +196,11 @@
     process
 }
 
+/// Path of the program under test.
+pub fn present_binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_clementinearch"))
+}
+
 /// An HTTP response as a caller sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
@@ -265,6 +285,13 @@
         std::io::copy(&mut body, &mut std::io::sink()).unwrap_or(0) as usize
     }
 
+    /// Reads this many bytes of a body.
+    pub fn read_bytes(&mut self, length: usize) -> Vec<u8> {
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).unwrap();
+        body
+    }
+
     fn read_body(&mut self, answer: &mut Answer) {
         if answer.header("transfer-encoding") == "chunked" {
             while let Some(chunk) = self.read_chunk() {
@@ -363,6 +390,8 @@
     pub store: Arc<PlatformStore>,
     runtime: tokio::runtime::Runtime,
     pub hosts: Vec<Host>,
+    /// Programs of the hosts that are started next, by number; the program under test for others.
+    pub binaries: Vec<PathBuf>,
     /// Addresses of the backend servers.
     backends: Vec<SocketAddr>,
     /// Links of each host to the backend servers, for hosts that have some.
@@ -381,6 +410,7 @@
             store: Arc::default(),
             runtime: runtime.unwrap(),
             hosts: Vec::new(),
+            binaries: Vec::new(),
             backends: Vec::new(),
             links: Vec::new(),
         };
@@ -509,8 +539,10 @@
             self.network.0, self.network.1
         ));
         fs::write(&path, settings).unwrap();
+        let binary = self.binaries.get(usize::from(number)).cloned();
         Host {
             process: None,
+            binary: binary.unwrap_or_else(present_binary),
             settings: path,
             ip,
             store_endpoint,
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod event_stream;
 mod eviction;
 pub mod findings;
+pub mod forwarding_support;
 pub mod handover;
 pub mod ledger;
 pub mod link_pacer;
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -54,6 +54,7 @@
                 store_revision: 1,
                 has_lost_servers: lost.contains(&host),
                 link_mbps: 0,
+                serves_forwarded: true,
             };
             fleets[host_at(target)].record_peer(info, now);
         }
@@ -152,6 +153,7 @@
         for peer in fleet
             .forwarding_peers(now)
             .into_iter()
+            .map(|peer| peer.address)
             .take(MAX_PEERS_ASKED)
         {
             if !lost.contains(&host_at(peer)) {
@@ -255,6 +257,7 @@
                     store_revision: 1,
                     has_lost_servers: false,
                     link_mbps: mbps(peer),
+                    serves_forwarded: true,
                 };
                 fleet.record_peer(info, now);
             }
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use clementinearch_policy::time::Millis;
+use clementinearch_policy::{answer_id::AnswerId, time::Millis};
 use futures::future::{BoxFuture, FutureExt, pending};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -29,6 +29,7 @@
     attempt::SILENCE_BEFORE_CHECK,
     call::Call,
     connections::{Connection, SendOutcome, connect},
+    fleet::ForwardingPeer,
     handover::{Holder, HolderId, Sign, record_peer_left},
     host_state::HostState,
     ingress,
@@ -64,6 +65,9 @@
 /// How often a wait for a peer's response checks its time limits and the peer.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
+/// Longest wait for a peer to show whether it knows forwarded requests.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// What became of a request before it was forwarded.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ForwardedState {
@@ -102,6 +106,8 @@
     Unreached,
     /// The peer cannot serve the request: nothing ran.
     Declined,
+    /// The peer knows no forwarded requests: nothing ran.
+    Unsupported,
     /// The peer got the request and did not answer: it may have run.
     Unanswered {
         /// Reason for logs and metrics.
@@ -118,6 +124,7 @@
             Self::Answered(_) => "answered",
             Self::Unreached => "peer not reached",
             Self::Declined => "declined",
+            Self::Unsupported => "peer knows no forwarding",
             Self::Unanswered { why } => why,
             Self::DeadlinePassed => "time limit passed",
         }
@@ -133,13 +140,24 @@
     state: &HostState,
     call: &Call,
     forwarded: &ForwardedState,
-    peer: SocketAddr,
+    peer: ForwardingPeer,
 ) -> Result<SentForward, Forwarding> {
     let req = request(call, forwarded).ok_or(Forwarding::Declined)?;
-    let connected = connect(peer).await;
-    let connection = connected.map_err(|_| Forwarding::Unreached)?;
+    let connected = connect(peer.address).await;
+    let mut connection = connected.map_err(|_| Forwarding::Unreached)?;
+    if !peer.is_known {
+        let wait = PROBE_TIMEOUT.min(call.remaining(state.now()));
+        match knows_forwarding(&mut connection, wait).await {
+            Some(true) => {
+                let mut fleet = state.fleet.lock();
+                fleet.record_forwarding_support(peer.address, true, state.now());
+            }
+            Some(false) => return Err(Forwarding::Unsupported),
+            None => return Err(Forwarding::Unreached),
+        }
+    }
     Ok(SentForward {
-        peer,
+        peer: peer.address,
         sending: connection.send_owned(req),
         arrived: None,
         sent_at: state.now(),
@@ -196,7 +214,7 @@
     }
 
     /// Reads the outcome, once there is one.
-    pub(crate) async fn read(self) -> Forwarding {
+    pub(crate) async fn read(self, state: &HostState, call: &Call) -> Forwarding {
         let (outcome, connection) = match self.arrived {
             Some(sent) => sent,
             None => self.sending.await,
@@ -207,6 +225,9 @@
                 if parts.headers.contains_key(DECLINED) {
                     return Forwarding::Declined;
                 }
+                if state.dialect.read_response(&parts, call).id != AnswerId::Own {
+                    return foreign_answer(parts.status);
+                }
                 Forwarding::Answered(Box::new(PeerResponse {
                     parts,
                     body,
@@ -259,6 +280,31 @@
     }
 }
 
+/// Returns what an answer means that is not one to the request: a host that knows no forwarded
+/// requests has nothing under their paths.
+fn foreign_answer(status: StatusCode) -> Forwarding {
+    if status == StatusCode::NOT_FOUND {
+        return Forwarding::Unsupported;
+    }
+    Forwarding::Unanswered {
+        why: "not an answer to the request",
+    }
+}
+
+/// Asks a peer whether it knows forwarded requests, by one that none can serve. Returns `None`
+/// if it does not answer within `wait`.
+async fn knows_forwarding(connection: &mut Connection, wait: Duration) -> Option<bool> {
+    let mut req = Request::new(Full::default());
+    let headers = req.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("peer"));
+    headers.insert(FORWARDED, HeaderValue::from_static("?"));
+    let sent = tokio::time::timeout(wait, connection.send(req)).await;
+    match sent {
+        Ok(SendOutcome::Response(response)) => Some(response.headers().contains_key(DECLINED)),
+        Ok(SendOutcome::NotSent | SendOutcome::Unknown) | Err(_) => None,
+    }
+}
+
 /// Whether a peer that has been silent for a while accepts no test connection either.
 pub(crate) async fn is_unreachable(
     state: &HostState,
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -77,6 +77,10 @@
     /// Rate of the host's link, Mbit/s; zero if it is not known.
     #[serde(default)]
     link_mbps: u32,
+    /// Whether the host serves requests that peers forward to it. Versions that do not, and the
+    /// first one that does, say nothing.
+    #[serde(default)]
+    serves_forwarded: bool,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -218,6 +222,7 @@
             part_evidence: state.part_evidence.lock().rows(now),
             has_lost_servers: state.has_lost_servers(),
             link_mbps: state.fleet.lock().link_mbps(),
+            serves_forwarded: true,
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
@@ -320,6 +325,7 @@
         store_revision: report.store_revision,
         has_lost_servers: report.has_lost_servers,
         link_mbps: report.link_mbps,
+        serves_forwarded: report.serves_forwarded,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -42,13 +42,15 @@
     ) -> Result<Reply, Refusal> {
         let now = self.state.now();
         let mut peers = Vec::new();
+        let mut has_peers = false;
         // A request that a peer forwarded goes back to that peer, which knows who else is left.
         if self.call.forwarded.is_none() {
-            peers = self.state.fleet.lock().forwarding_peers(now);
+            let fleet = self.state.fleet.lock();
+            peers = fleet.forwarding_peers(now);
+            has_peers = fleet.has_peer_with_servers(now);
         }
-        peers.retain(|peer| !self.holders.contains(&HolderId::Peer(*peer)));
+        peers.retain(|peer| !self.holders.contains(&HolderId::Peer(peer.address)));
         peers.truncate(MAX_PEERS_ASKED);
-        let has_peers = !peers.is_empty();
         let mut unreached = 0;
         for peer in peers {
             let now = self.state.now();
@@ -65,19 +67,27 @@
             };
             let now = self.state.now();
             request_metrics::count_forwarding(&outcome);
-            self.log_forwarding(peer, &outcome);
+            self.log_forwarding(peer.address, &outcome);
             match outcome {
                 Forwarding::Answered(response) => {
                     self.state.record_forwarding(true, now);
                     return Ok(Reply::Peer(*response));
                 }
+                Forwarding::Unsupported => {
+                    self.sent.clear();
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_support(peer.address, false, now);
+                }
                 Forwarding::Declined => {
                     self.sent.clear();
-                    self.state.fleet.lock().record_forwarding_refused(peer);
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_refused(peer.address);
                 }
                 Forwarding::Unreached => {
                     self.sent.clear();
-                    self.state.fleet.lock().record_forwarding_refused(peer);
+                    let mut fleet = self.state.fleet.lock();
+                    fleet.record_forwarding_refused(peer.address);
+                    drop(fleet);
                     unreached += 1;
                     if unreached >= MAX_PEERS_UNREACHED {
                         break;
@@ -122,7 +132,7 @@
         loop {
             let may_leave = |now| self.may_hand_over(now);
             let outcome = match sent.wait(&state, &call, &may_leave).await {
-                Waited::Arrived => sent.read().await,
+                Waited::Arrived => sent.read(&state, &call).await,
                 Waited::GivenUp(why) => Forwarding::Unanswered { why },
                 Waited::DeadlinePassed => Forwarding::DeadlinePassed,
                 Waited::Stalled(why) => {
