Mend what the review of the hand-over and the hop found

An attempt that broke is no longer taken for one that took the request over while the cause of the break is looked for. Attempts that reached no server during a hand-over in vain don't use up those that the request has left. A late answer to another request on a kept connection is no sign of life of a silent server. An answer of a peer must bear the request's id and, if it is a success, the server's seal; a peer that answered something else is asked again after the others. Answers of 2 to 8 KB take turns on the link as well: 45 followers of one at once are 350 KB.

The rate of the link comes from the environment in front of the platform: hosts of earlier versions refuse a settings file with a field that they don't know, and pass a variable over.

--- a/host/src/cmd/route.rs
+++ b/host/src/cmd/route.rs
@@ -1,6 +1,6 @@
 //! `clementinearch route`.
 
-use std::{fs, sync::Arc};
+use std::{env, fs, sync::Arc};
 
 use clementinearch_platform::{PlatformDialect, PlatformStore, PlatformStoreSchema};
 use clementinearch_router::Settings;
@@ -8,6 +8,10 @@
 use super::Route;
 use crate::error::Error;
 
+/// Variable with the rate of the host's link, Mbit/s. Hosts of earlier versions, which do not know
+/// the setting, refuse a file with it and pass the variable over.
+const LINK_RATE_VARIABLE: &str = "CLEMENTINEARCH_LINK_MBPS";
+
 impl Route {
     /// Runs the entry host until its graceful shutdown is complete; with `--check`, only checks its
     /// settings.
@@ -22,6 +26,13 @@
         })?;
         let source = self.settings.display().to_string();
         let settings = Settings::parse(&source, &text).map_err(Error::Settings)?;
+        let link_rate = env::var(LINK_RATE_VARIABLE).unwrap_or_default();
+        let settings = settings
+            .with_link_rate(&link_rate)
+            .map_err(|reason| Error::Variable {
+                name: LINK_RATE_VARIABLE,
+                reason,
+            })?;
         if self.check {
             println!(
                 "{source}: settings of entry host {} are valid",
--- a/host/src/error.rs
+++ b/host/src/error.rs
@@ -23,6 +23,14 @@
     /// The settings have findings.
     #[display("invalid settings:\n{_0}")]
     Settings(Findings),
+    /// An environment variable has a value that cannot be used.
+    #[display("{name}: {reason}")]
+    Variable {
+        /// Name of the variable.
+        name: &'static str,
+        /// What is wrong with its value.
+        reason: String,
+    },
     /// An address could not be bound, or a thread could not be started.
     #[display("cannot {action}: {source}")]
     Io {
@@ -52,7 +60,7 @@
     /// Returns the exit code: 2 for findings, 1 for all other errors.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Settings(_) => ExitCode::from(EXIT_FINDINGS),
+            Self::Settings(_) | Self::Variable { .. } => ExitCode::from(EXIT_FINDINGS),
             _ => ExitCode::FAILURE,
         }
     }
--- a/host/tests/route_relay.rs
+++ b/host/tests/route_relay.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use clementinearch_router::Settings;
 use route::{Connection, Platform, ok, wait_until};
 use serde_json::{Value, json};
 
@@ -109,3 +110,24 @@
     };
     assert!(platform.hosts.iter().any(declined));
 }
+
+#[test]
+fn the_rate_of_the_link_comes_from_the_file_or_else_from_the_environment() {
+    let parse = |limits: &str| {
+        let text = format!(
+            "name = \"host\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\n[store]\naddress = \"127.0.0.1:5\"\n[limits]\n{limits}[bounds]\n"
+        );
+        Settings::parse("test", &text).unwrap()
+    };
+    let rate = |limits: &str, variable: &str| {
+        let settings = parse(limits).with_link_rate(variable);
+        settings.map(|settings| settings.limits.link_mbps)
+    };
+    assert_eq!(rate("", "10.0"), Ok(Some(10.0)));
+    assert_eq!(rate("", "200"), Ok(Some(200.0)));
+    assert_eq!(rate("", ""), Ok(None));
+    assert_eq!(rate(LINK, "10.0"), Ok(Some(2.0)));
+    for odd in ["0", "-1", "fast", "NaN", "inf"] {
+        assert!(rate("", odd).is_err(), "{odd}");
+    }
+}
--- a/policy/src/link_pacer.rs
+++ b/policy/src/link_pacer.rs
@@ -10,9 +10,11 @@
 use crate::time::Millis;
 
 /// Largest piece of an answer that is sent at once, bytes. On a link of 10 Mbit/s it takes 7 ms.
-/// Answers up to this size do not wait for a turn.
 pub const PIECE_BYTES: usize = 8 << 10;
 
+/// Largest answer that does not wait for a turn, bytes: all peers of a zone may want it at once.
+pub const SMALL_ANSWER_BYTES: usize = 2 << 10;
+
 /// Part of the link's rate that large answers take.
 pub const LINK_SHARE: f64 = 0.5;
 
@@ -74,7 +76,7 @@
             });
         };
         let free_at_ms = self.free_at_ms.max(now_ms);
-        let begin_ms = if bytes <= PIECE_BYTES {
+        let begin_ms = if bytes <= SMALL_ANSWER_BYTES {
             now_ms
         } else {
             free_at_ms
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -68,6 +68,8 @@
     pub(crate) executions: u32,
     /// Number of attempts.
     pub(crate) sends: u32,
+    /// Number of attempts during the current hand-over that were not sent.
+    pub(crate) unsent: u32,
     /// Whether an attempt arrived at a server, so that the next one is a retry.
     pub(crate) has_arrived: bool,
     /// Whether the request is counted in the retry budget of this or the forwarding host.
@@ -127,6 +129,7 @@
             call: Arc::new(call),
             tried: Vec::new(),
             sends: 0,
+            unsent: 0,
             has_ended: false,
             permit: None,
             first_sent_at: None,
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -34,7 +34,7 @@
     host_state::HostState,
     ingress,
     internal_http::{InternalResponse, with_status},
-    response_body::ResponseBody,
+    response_body::{ResponseBody, copied_parts},
     sent_attempt::Waited,
 };
 
@@ -56,6 +56,9 @@
     UPGRADE,
 ];
 
+/// Reason of a forwarded request that a peer answered with something else than its answer.
+pub(crate) const NO_ANSWER_TO_REQUEST: &str = "not an answer to the request";
+
 /// Most forwarded requests that a host serves at a time, which bounds their memory.
 const MAX_FORWARDED: usize = 256;
 
@@ -137,8 +140,8 @@
 ///
 /// Returns why nothing was sent.
 pub(crate) async fn forward(
-    state: &HostState,
-    call: &Call,
+    state: &Arc<HostState>,
+    call: &Arc<Call>,
     forwarded: &ForwardedState,
     peer: ForwardingPeer,
 ) -> Result<SentForward, Forwarding> {
@@ -157,6 +160,8 @@
         }
     }
     Ok(SentForward {
+        state: state.clone(),
+        call: call.clone(),
         peer: peer.address,
         sending: connection.send_owned(req),
         arrived: None,
@@ -166,6 +171,8 @@
 
 /// A request that was forwarded and waits for the head of the peer's response.
 pub(crate) struct SentForward {
+    state: Arc<HostState>,
+    call: Arc<Call>,
     peer: SocketAddr,
     sending: BoxFuture<'static, (SendOutcome, Connection)>,
     /// The outcome, until it is read.
@@ -214,7 +221,7 @@
     }
 
     /// Reads the outcome, once there is one.
-    pub(crate) async fn read(self, state: &HostState, call: &Call) -> Forwarding {
+    pub(crate) async fn read(self) -> Forwarding {
         let (outcome, connection) = match self.arrived {
             Some(sent) => sent,
             None => self.sending.await,
@@ -225,7 +232,7 @@
                 if parts.headers.contains_key(DECLINED) {
                     return Forwarding::Declined;
                 }
-                if state.dialect.read_response(&parts, call).id != AnswerId::Own {
+                if !is_answer(&self.state, &self.call, &parts) {
                     return foreign_answer(parts.status);
                 }
                 Forwarding::Answered(Box::new(PeerResponse {
@@ -263,7 +270,8 @@
             }
             match &self.arrived {
                 Some((SendOutcome::Response(response), _))
-                    if !response.status().is_server_error() =>
+                    if !response.status().is_server_error()
+                        && is_answer(&self.state, &self.call, &copied_parts(response)) =>
                 {
                     Sign::GoesOn
                 }
@@ -280,6 +288,13 @@
     }
 }
 
+/// Whether the head of a peer's response answers the request. A success must be a server's own.
+fn is_answer(state: &HostState, call: &Call, parts: &response::Parts) -> bool {
+    let head = state.dialect.read_response(parts, call);
+    let is_usable = !parts.status.is_success() || head.is_signed && !head.is_encoded;
+    head.id == AnswerId::Own && is_usable
+}
+
 /// Returns what an answer means that is not one to the request: a host that knows no forwarded
 /// requests has nothing under their paths.
 fn foreign_answer(status: StatusCode) -> Forwarding {
@@ -287,7 +302,7 @@
         return Forwarding::Unsupported;
     }
     Forwarding::Unanswered {
-        why: "not an answer to the request",
+        why: NO_ANSWER_TO_REQUEST,
     }
 }
 
--- a/router/src/handover.rs
+++ b/router/src/handover.rs
@@ -152,6 +152,7 @@
             last: self.last.clone(),
         };
         self.holders.push(holder.id());
+        self.unsent = 0;
         let mut is_left = false;
         let mut is_gone = false;
         let found = {
@@ -212,6 +213,8 @@
         let now = self.state.now();
         self.sent = earlier.sent;
         self.last = earlier.last;
+        // Attempts that reached no server leave as many for when the first one breaks off.
+        self.sends -= std::mem::take(&mut self.unsent);
         self.no_handover_before = now.after(HANDOVER_PAUSE);
         let inputs = [
             ("events", holder.events() as f64),
--- a/router/src/paced_body.rs
+++ b/router/src/paced_body.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc};
 
-use clementinearch_policy::link_pacer::{PIECE_BYTES, Turn};
+use clementinearch_policy::link_pacer::{PIECE_BYTES, SMALL_ANSWER_BYTES, Turn};
 use futures::Stream;
 use http_body_util::StreamBody;
 use hyper::body::{Bytes, Frame};
@@ -14,7 +14,7 @@
 
 /// Wraps bytes as a body that is sent in its `turn`.
 pub(crate) fn paced_body(state: Arc<HostState>, bytes: Bytes, turn: Turn) -> ResponseBody {
-    if bytes.len() <= PIECE_BYTES {
+    if bytes.len() <= SMALL_ANSWER_BYTES {
         return full_body(bytes);
     }
     ResponseBody::new(StreamBody::new(paced_frames(state, bytes, turn)))
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -1,13 +1,13 @@
 //! Attempts of a request at other entry hosts, while this one reaches no backend server.
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use clementinearch_policy::{connectivity::CHECK_PERIOD, time::Millis};
 
 use crate::{
     active_request::{ActiveRequest, Reply},
     decision_log::Severity,
-    forwarding::{ForwardedState, Forwarding, SentForward, forward},
+    forwarding::{ForwardedState, Forwarding, NO_ANSWER_TO_REQUEST, SentForward, forward},
     handover::{Handover, HolderId},
     refusal::Refusal,
     request_metrics,
@@ -51,8 +51,9 @@
         }
         peers.retain(|peer| !self.holders.contains(&HolderId::Peer(peer.address)));
         peers.truncate(MAX_PEERS_ASKED);
+        let mut peers = VecDeque::from(peers);
         let mut unreached = 0;
-        for peer in peers {
+        while let Some(peer) = peers.pop_front() {
             let now = self.state.now();
             if !self.has_attempt_left(now) {
                 return Err(self.refusal_after_attempts("no attempt left"));
@@ -98,6 +99,10 @@
                     if !self.call.head.route.kind.may_retry() {
                         return Err(Refusal::MayHaveRun { reason: why });
                     }
+                    if why == NO_ANSWER_TO_REQUEST {
+                        // The peer is in reach and may do better, once the others were asked.
+                        peers.push_back(peer);
+                    }
                 }
                 Forwarding::DeadlinePassed => {
                     self.may_have_run = true;
@@ -132,7 +137,7 @@
         loop {
             let may_leave = |now| self.may_hand_over(now);
             let outcome = match sent.wait(&state, &call, &may_leave).await {
-                Waited::Arrived => sent.read(&state, &call).await,
+                Waited::Arrived => sent.read().await,
                 Waited::GivenUp(why) => Forwarding::Unanswered { why },
                 Waited::DeadlinePassed => Forwarding::DeadlinePassed,
                 Waited::Stalled(why) => {
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -93,8 +93,11 @@
                     request_metrics::count_attempt(why);
                     if !matches!(why, NOT_REACHED | SERVER_LEAVES | SERVER_RESTS) {
                         self.has_arrived = true;
-                    } else if is_retry {
-                        self.return_retry(now);
+                    } else {
+                        self.unsent += 1;
+                        if is_retry {
+                            self.return_retry(now);
+                        }
                     }
                     self.record_attempt(target, AttemptEnd::NotRun);
                     self.log_step("attempt_not_run", &server.entry.name, why, &[]);
@@ -168,7 +171,16 @@
             let needed = u32::from(!is_counted);
             let may_leave = |now| self.attempts_left() > needed && self.may_abandon_attempt(now);
             let result = match sent.wait(&may_leave).await {
-                Waited::Arrived => sent.read().await,
+                Waited::Arrived => {
+                    if sent.has_broken() {
+                        // Nobody has the request while the cause of the break is looked for.
+                        if !std::mem::replace(&mut is_counted, true) {
+                            self.count_execution();
+                        }
+                        self.sent.clear();
+                    }
+                    sent.read().await
+                }
                 Waited::GivenUp(why) => {
                     sent.record_stall(why).await;
                     AttemptResult::Lost { why }
--- a/router/src/sent_attempt.rs
+++ b/router/src/sent_attempt.rs
@@ -4,6 +4,7 @@
 
 use clementinearch_policy::time::Millis;
 use futures::future::{BoxFuture, FutureExt, pending};
+use hyper::{Response, body::Incoming};
 
 use crate::{
     attempt::{
@@ -16,6 +17,7 @@
     host_state::HostState,
     in_flight::InFlight,
     request_metrics,
+    response_body::copied_parts,
     server::Server,
 };
 
@@ -141,6 +143,22 @@
         read.await
     }
 
+    /// Whether the caller can use a response: a late answer to another request is not the server's
+    /// sign of life.
+    fn is_usable(&self, response: &Response<Incoming>) -> bool {
+        let Attempt { state, call, .. } = &self.attempt;
+        let status = response.status();
+        let head = state.dialect.read_response(&copied_parts(response), call);
+        head.id.is_believed(self.was_idle)
+            && !status.is_server_error()
+            && !state.dialect.promises_not_run(status)
+    }
+
+    /// Whether the request may have run without a response that can be read.
+    pub(crate) fn has_broken(&self) -> bool {
+        matches!(&self.arrived, Some((SendOutcome::Unknown, _)))
+    }
+
     fn server(&self) -> &Arc<Server> {
         self.in_flight.server()
     }
@@ -164,12 +182,8 @@
             if self.arrived.is_none() {
                 self.arrived = Some((&mut self.sending).await);
             }
-            let state = &self.attempt.state;
             match &self.arrived {
-                Some((SendOutcome::Response(response), _))
-                    if !response.status().is_server_error()
-                        && !state.dialect.promises_not_run(response.status()) =>
-                {
+                Some((SendOutcome::Response(response), _)) if self.is_usable(response) => {
                     Sign::GoesOn
                 }
                 _ => Sign::Gone,
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -77,6 +77,18 @@
 }
 
 impl Settings {
+    /// Sets the rate of the host's link, Mbit/s, unless the file names one. An empty text names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the text.
+    pub fn with_link_rate(mut self, text: &str) -> Result<Self, String> {
+        if self.limits.link_mbps.is_none() && !text.is_empty() {
+            self.limits.link_mbps = Some(parse_rate(text)?);
+        }
+        Ok(self)
+    }
+
     /// Parses and checks settings in TOML; `source` names the file in findings.
     ///
     /// # Errors
