--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -123,6 +123,14 @@
             Self::Removed { key, .. } => key,
         }
     }
+
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// Response to a request for the changes under a prefix.
