Test servers and peers that break off inside their response's head

An operator of a similar system saw clients get a 200 with an empty or short body after a server had stopped in the middle of its head.

A peer that breaks off inside the head of a continuation is not asked again; with no other peer the stream is visibly broken.

--- a/host/tests/resumed/mod.rs
+++ b/host/tests/resumed/mod.rs
@@ -80,6 +80,40 @@
     pub const ALL: [Self; 3] = [Self::Length, Self::Chunks, Self::Connection];
 }
 
+/// Bytes of the longest head of [`response`] that is cut.
+const HEAD_BYTES: usize = 160;
+
+/// What is sent of a complete response whose server closes or resets the connection after `length`
+/// bytes of the head; of a shorter head, one byte less than all.
+pub fn broken_head(response: &[Step], length: usize, end: Step) -> Vec<Step> {
+    let Some(Step::Send(text)) = response.first() else {
+        unreachable!("a response begins with its head")
+    };
+    let head = text.find("\r\n\r\n").map_or(text.len(), |at| at + 4);
+    vec![Step::Send(text[..length.min(head - 1)].to_owned()), end]
+}
+
+/// The rest of a stream in each framing, cut at each byte of its head.
+pub fn broken_heads() -> Vec<Variant> {
+    let mut variants = Vec::new();
+    for framing in Framing::ALL {
+        for length in 1..=HEAD_BYTES {
+            let end = if length % 2 == 0 {
+                Step::Close
+            } else {
+                Step::Reset
+            };
+            let name = format!("{framing:?} cut after {length} bytes, {end:?}");
+            variants.push(Variant::new(name, move |received| {
+                let body = events(last_id(received) + 1..=EVENTS);
+                let whole = response(received, "200 OK", SEAL, framing, &body);
+                broken_head(&whole, length, end.clone())
+            }));
+        }
+    }
+    variants
+}
+
 /// A complete response with the id of its attempt; `extra` holds more header lines, each ending in
 /// `\r\n`.
 pub fn response(
--- a/host/tests/route_resumed_heads.rs
+++ b/host/tests/route_resumed_heads.rs
@@ -3,7 +3,9 @@
 mod resumed;
 mod route;
 
-use resumed::{Break, Cases, Framing, Outcome, SEAL, Spoiled, Variant, last_id, response};
+use resumed::{
+    Break, Cases, Framing, Outcome, SEAL, Spoiled, Variant, broken_heads, last_id, response,
+};
 
 /// Numbers of events before the break.
 const EVENTS_BEFORE: [u64; 3] = [0, 1, 3];
@@ -103,3 +105,13 @@
     }
     cases.check(Outcome::is_whole_or_broken);
 }
+
+#[test]
+fn a_head_that_breaks_off_does_not_end_a_stream_as_whole() {
+    let mut cases = Cases::new();
+    cases.add(&broken_heads(), 2, Break::Close, Spoiled::Once);
+    cases.check(Outcome::is_whole_stream);
+    let mut cases = Cases::new();
+    cases.add(&broken_heads(), 2, Break::Close, Spoiled::Always);
+    cases.check(Outcome::is_whole_or_broken);
+}
--- a/host/tests/route_resumed_peers.rs
+++ b/host/tests/route_resumed_peers.rs
@@ -19,7 +19,8 @@
     scripted_server::{ScriptedServer, Step},
 };
 use resumed::{
-    Break, Cases, EVENTS, Framing, Outcome, SEAL, Spoiled, Variant, events, last_id, response,
+    Break, Cases, EVENTS, Framing, Outcome, SEAL, Spoiled, Variant, broken_heads, events, last_id,
+    response,
 };
 use route::{Host, Platform, send_request, wait_until};
 use serde_json::json;
@@ -223,3 +224,15 @@
     cases.add(&variants, 0, Break::Close, Spoiled::Always);
     check(&cases, Outcome::is_whole_stream);
 }
+
+#[test]
+fn a_head_of_a_peer_that_breaks_off_does_not_end_a_stream_as_whole() {
+    let mut cases = Cases::new();
+    for spoiled in [Spoiled::Once, Spoiled::Always] {
+        cases.add(&broken_heads(), 2, Break::Close, spoiled);
+    }
+    // A peer that does not answer is not asked again, and there is no other one.
+    check(&cases, |outcome| {
+        outcome.is_whole_stream() || outcome.is_visibly_broken()
+    });
+}
