Answer what is under way at the end of a planned stop, and take what ends in time

Cause: a call was refused from the time at which its route's time limit no longer fitted into the grace, whatever limit the caller had set: with a grace of 4 s and a limit of 3 s, 0.5 s after the signal. And requests that still ran when the process ended were cut without an answer.

Half a second before the process ends, each request without a response is answered 502, which promises nothing.

--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -13,6 +13,7 @@
     crash_evidence::CrashEvidence,
     names::{FastMap, Name},
     part_evidence::PartEvidence,
+    planned_stop::PlannedStop,
     prefill_time::PrefillTime,
     retry_budget::{RetryBudget, RetryLimit},
     rollout_evidence::Outcome,
@@ -22,7 +23,7 @@
     time::Millis,
 };
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
     call::{Call, hash_bytes},
@@ -44,13 +45,6 @@
     view::View,
 };
 
-/// Time from the start of a graceful shutdown during which streams are still accepted. The load
-/// balancer has stopped sending by its end.
-const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_700);
-
-/// Time before the end of a graceful shutdown by which every request must have got its response.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
 /// Weight of the latest response in the mean latency of a route.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -99,8 +93,8 @@
     /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
     /// first.
     last_store_contact_ms: AtomicU64,
-    /// Start of the graceful shutdown, milliseconds of the host's clock; zero before.
-    stopping_since_ms: AtomicU64,
+    /// The planned stop, once it has begun.
+    planned_stop: watch::Sender<Option<PlannedStop>>,
 }
 
 impl HostState {
@@ -148,7 +142,7 @@
             table_changed: Notify::new(),
             placements: AtomicUsize::new(0),
             last_store_contact_ms: AtomicU64::new(0),
-            stopping_since_ms: AtomicU64::new(0),
+            planned_stop: watch::Sender::new(None),
         }
     }
 
@@ -208,28 +202,38 @@
         others.map(|server| server.local_running()).sum()
     }
 
-    /// Marks the start of the graceful shutdown.
+    /// Begins the planned stop.
     pub(crate) fn stop(&self) {
-        self.stopping_since_ms
-            .store(self.now().0, Ordering::Relaxed);
+        let stop = PlannedStop::new(self.now(), self.settings.limits.grace);
+        self.planned_stop.send_replace(Some(stop));
     }
 
-    /// Whether a request that starts at `now` might still run when a graceful shutdown ends.
-    pub(crate) fn might_outlast_stop(&self, route: &Route, now: Millis) -> bool {
-        let since = self.stopping_since_ms.load(Ordering::Relaxed);
-        if since == 0 {
-            return false;
-        }
-        let spent = now.since(Millis(since));
-        if route.kind.is_stream() {
-            return spent >= STREAM_ACCEPT_TIME;
-        }
-        spent + route.timeout + SHUTDOWN_MARGIN >= self.settings.limits.grace
+    /// Whether a request that comes at `now` with `time_limit` left is taken, as far as a planned
+    /// stop is concerned.
+    pub(crate) fn takes_during_stop(
+        &self,
+        route: &Route,
+        time_limit: Duration,
+        now: Millis,
+    ) -> bool {
+        let stop = *self.planned_stop.borrow();
+        stop.is_none_or(|stop| stop.takes(route.kind, time_limit, now))
+    }
+
+    /// Waits until a planned stop requires that every request has its response; forever without
+    /// one.
+    pub(crate) async fn wait_for_stop_responses(&self) {
+        let mut stops = self.planned_stop.subscribe();
+        let stop = stops.wait_for(Option::is_some).await.map(|stop| *stop);
+        let Ok(Some(stop)) = stop else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(stop.responses_due().since(self.now())).await;
     }
 
-    /// Whether the graceful shutdown has started.
+    /// Whether the planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping_since_ms.load(Ordering::Relaxed) != 0
+        self.planned_stop.borrow().is_some()
     }
 
     /// Records that the store answered at `now`.
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -49,6 +49,9 @@
 /// Reason of the refusal of a request whose task has panicked.
 const PANICKED: &str = "internal failure";
 
+/// Reason of the refusal of a request that comes or is under way during a planned stop.
+const PLANNED_STOP: &str = "planned stop";
+
 /// How often a drain checks whether all connections have closed.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -167,9 +170,13 @@
     let (parts, body) = req.into_parts();
     let parts = Arc::new(parts);
     let responding = AssertUnwindSafe(try_respond(&state, &parts, body)).catch_unwind();
-    let mut response = responding.await.unwrap_or_else(|_| {
+    let response = tokio::select! {
+        response = responding => response.map_err(|_| PANICKED),
+        () = state.wait_for_stop_responses() => Err(PLANNED_STOP),
+    };
+    let mut response = response.unwrap_or_else(|reason| {
         // How far the request got is not known.
-        let refusal = Refusal::MayHaveRun { reason: PANICKED };
+        let refusal = Refusal::MayHaveRun { reason };
         let id = state.dialect.request_id(&parts).unwrap_or_default();
         let mut response = refuse(&state, &refusal, None, id);
         close_after(&mut response);
@@ -251,9 +258,14 @@
         .dialect
         .read_call(parts, &table)
         .map_err(|refusal| (refusal, None))?;
-    if state.might_outlast_stop(&head.route, arrived) {
+    let route = &head.route;
+    let caller_timeout = head
+        .caller_timeout
+        .unwrap_or(route.timeout)
+        .min(route.timeout);
+    if !state.takes_during_stop(route, caller_timeout, arrived) {
         // The caller is sent to another host, since this one might stop before the response ends.
-        let refusal = Refusal::not_run("planned stop", STOPPING_RETRY_AFTER);
+        let refusal = Refusal::not_run(PLANNED_STOP, STOPPING_RETRY_AFTER);
         return Err((refusal, Some(head)));
     }
     let body = match read_body(body, &table.limits).await {
@@ -262,10 +274,6 @@
     };
     let account = head.account.as_ref().map_or("", |account| &account.name);
     let route = &head.route;
-    let caller_timeout = head
-        .caller_timeout
-        .unwrap_or(route.timeout)
-        .min(route.timeout);
     let hash = hash_bytes(head.id.as_bytes());
     let service = route.service_at(hash).cloned().unwrap_or_default();
     let target = origin_form(&parts.uri);
