Let one host of each zone read the store, however many hosts it has

Change: the host that reads for its zone reports to all hosts there, and to up to 128 peers of an unknown zone; newly met hosts of the own zone get the next report. policy::view_age bounds pause and wait together by 1 s. A relay answers before its view is too old (1.25 s) instead of 0.7 s later, so that followers of a relay without the store notice it sooner than before (1.6 s). A follower that read the store itself pauses like a reader.

--- a/host/tests/route_relay.rs
+++ b/host/tests/route_relay.rs
@@ -3,11 +3,15 @@
 mod route;
 
 use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     thread,
     time::{Duration, Instant},
 };
 
 use clementinearch_router::Settings;
+use flate2::{Compression, write::ZlibEncoder};
 use route::{Connection, Platform, ok, wait_until};
 use serde_json::{Value, json};
 
@@ -152,3 +156,72 @@
         assert!(rate("", odd).is_err(), "{odd}");
     }
 }
+
+/// Number of answers of the relay during which its follower should not read the store.
+const ANSWERS: usize = 5;
+
+/// Age of a relay's view once an idle store has let it wait for the longest time.
+const IDLE_STORE_AGE_MS: u64 = 1_000;
+
+/// Serves views of `age_ms` without changes, as the relay of zone `a`, for the host at `follower`.
+fn serve_as_relay(
+    listener: &TcpListener,
+    follower: SocketAddr,
+    age_ms: u64,
+    answers: &AtomicUsize,
+) {
+    let report = json!({"Word": {"from": "relay", "zone": "a", "address": listener.local_addr().unwrap(), "store_revision": 1, "rollouts": [], "suspects": [], "link_mbps": 1_000, "serves_forwarded": true}});
+    let reports = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let delta = json!({"is_whole": false, "items": [], "removed": []}).to_string();
+    let mut body = ZlibEncoder::new(Vec::new(), Compression::fast());
+    body.write_all(delta.as_bytes()).unwrap();
+    let body = body.finish().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    while answers.load(Ordering::Relaxed) < ANSWERS {
+        reports
+            .send_to(report.to_string().as_bytes(), follower)
+            .unwrap();
+        thread::sleep(Duration::from_millis(20));
+        let Ok((mut stream, _)) = listener.accept() else {
+            continue;
+        };
+        stream.set_nonblocking(false).unwrap();
+        let mut buf = [0; 4_096];
+        let length = stream.read(&mut buf).unwrap();
+        let line = String::from_utf8_lossy(&buf[..length]).into_owned();
+        let after = line.split(['/', ' ']).nth(3).unwrap_or_default().to_owned();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nstore-revision: {after}\r\nstore-age-ms: {age_ms}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&body).unwrap();
+        answers.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+#[test]
+fn a_follower_leaves_an_idle_store_to_its_relay() {
+    let mut platform = Platform::new();
+    platform.add_backend("orders", "v1", |_, received| ok(received));
+    platform.start_hosts(1);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let answers = AtomicUsize::new(0);
+    let reads = AtomicU64::new(0);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            serve_as_relay(
+                &listener,
+                platform.hosts[0].peers(),
+                IDLE_STORE_AGE_MS,
+                &answers,
+            );
+        });
+        wait_until("the host follows the relay", || {
+            reads.store(platform.store.calls("/v1/kv-watch"), Ordering::Relaxed);
+            answers.load(Ordering::Relaxed) > 0
+        });
+    });
+    let since = platform.store.calls("/v1/kv-watch") - reads.load(Ordering::Relaxed);
+    assert_eq!(since, 0, "reads of the store beside {ANSWERS} answers");
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -51,3 +51,4 @@
 pub mod time;
 pub mod toml_reader;
 pub mod version_selection;
+pub mod view_age;
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -22,6 +22,10 @@
 /// Least number of peers in other zones that one report is sent to, if there are as many.
 pub(crate) const REMOTE_PEERS_PER_PERIOD: usize = 6;
 
+/// Largest number of peers of an unknown zone that one report is sent to. Entries of hosts that are
+/// gone stay in the store.
+const UNKNOWN_PEERS_PER_PERIOD: usize = 128;
+
 /// Silence after which a peer is not used as the relay of its zone.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,6 +80,9 @@
     /// Rate of this host's link, Mbit/s; zero if it is not known.
     link_mbps: u32,
     peers: FastMap<Name, Peer>,
+    /// Peers in the own zone whose first report has come since the last report to all recipients:
+    /// they may not know that this host is in their zone.
+    newly_met: Vec<SocketAddr>,
 }
 
 impl Fleet {
@@ -86,6 +93,7 @@
             zone,
             link_mbps: 0,
             peers: FastMap::default(),
+            newly_met: Vec::new(),
         }
     }
 
@@ -122,7 +130,9 @@
         self.add_host(info.name.clone(), info.address);
         if let Some(peer) = self.peers.get_mut(&info.name) {
             peer.last_report = Some(now);
-            peer.zone = Some(info.zone);
+            if peer.zone.replace(info.zone).is_none() && peer.zone.as_ref() == Some(&self.zone) {
+                self.newly_met.push(info.address);
+            }
             peer.store_revision = info.store_revision;
             peer.has_lost_servers = info.has_lost_servers;
             peer.link_mbps = info.link_mbps;
@@ -197,6 +207,26 @@
         targets
     }
 
+    /// Addresses to send the next report to, in random order: those of [`Self::report_targets`],
+    /// peers that were newly met in the own zone and, if this host reads the store for the zone,
+    /// all others there, which would otherwise not always know that it does. Peers of an unknown
+    /// zone may be there too.
+    pub(crate) fn report_recipients(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let mut recipients = self.report_targets(now);
+        recipients.append(&mut self.newly_met);
+        if self.relay(now).is_none() {
+            let (near, _) = self.targets_by_zone(now);
+            let unknown = self.peers.values().filter(|peer| peer.zone.is_none());
+            let unknown: Vec<SocketAddr> = unknown.map(|peer| peer.address).collect();
+            recipients.extend(near);
+            recipients.extend(fastrand::choose_multiple(unknown, UNKNOWN_PEERS_PER_PERIOD));
+        }
+        recipients.sort_unstable();
+        recipients.dedup();
+        fastrand::shuffle(&mut recipients);
+        recipients
+    }
+
     /// Addresses of the peers in the own and in other zones, each in random order. Most silent
     /// peers are left out.
     fn targets_by_zone(&self, now: Millis) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -46,7 +46,7 @@
 /// Lets each host send one report. Those in `lost` say that they reach no server.
 fn exchange_reports(fleets: &mut [Fleet], zones: usize, lost: &BTreeSet<usize>, now: Millis) {
     for host in 0..fleets.len() {
-        for target in fleets[host].report_targets(now) {
+        for target in fleets[host].report_recipients(now) {
             let info = PeerInfo {
                 name: host.to_string().into(),
                 address: address(host),
@@ -89,6 +89,30 @@
     }
 }
 
+/// More than one reader a zone costs the store a call for each of them in every period.
+#[test]
+fn one_host_of_each_zone_reads_the_store_however_many_hosts_the_zone_has() {
+    for (hosts, zones) in [(7, 3), (79, 5), (295, 5)] {
+        let (fleets, now) = gossip(hosts, zones, 16);
+        for zone in 0..zones {
+            let in_zone = || (zone..hosts).step_by(zones);
+            let readers: Vec<usize> = in_zone()
+                .filter(|host| fleets[*host].relay(now).is_none())
+                .collect();
+            assert_eq!(readers.len(), 1, "{hosts} hosts, zone {zone}: {readers:?}");
+            let relays: BTreeSet<usize> = in_zone()
+                .filter_map(|host| fleets[host].relay(now))
+                .map(host_at)
+                .collect();
+            assert_eq!(
+                Vec::from_iter(relays),
+                readers,
+                "{hosts} hosts, zone {zone}"
+            );
+        }
+    }
+}
+
 /// Each host takes its part of the fleet's slack by the number of live hosts that it counts.
 #[test]
 fn the_hosts_parts_of_the_retry_slack_add_up_to_no_more_than_the_slack() {
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -226,7 +226,7 @@
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
-        let targets = state.fleet.lock().report_targets(now);
+        let targets = state.fleet.lock().report_recipients(now);
         match serde_json::to_vec(&Datagram::Report(Box::new(report))) {
             Ok(bytes) => {
                 self.report = bytes;
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -5,7 +5,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use clementinearch_policy::link_pacer::LinkPacer;
+use clementinearch_policy::{link_pacer::LinkPacer, view_age::MAX_VIEW_AGE};
 use clementinearch_storage::MAX_REVISION;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -136,13 +136,28 @@
         let Some(after) = after else {
             return with_status(StatusCode::NOT_FOUND, Bytes::new());
         };
-        self.state.wait_for_change(after, CHANGES_WAIT).await;
+        self.wait_for_change(after).await;
         match self.cache.after(&self.state, after).await {
             Ok((body, store_revision)) => self.paced_response(body, store_revision),
             Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
         }
     }
 
+    /// Waits up to [`CHANGES_WAIT`] for a change after a revision, but no longer than this host's
+    /// view is recent enough for peers, which then read the store.
+    async fn wait_for_change(&self, after: u64) {
+        let state = &self.state;
+        let end = state.now().after(CHANGES_WAIT);
+        loop {
+            let now = state.now();
+            let until = end.min(state.last_store_contact().after(MAX_VIEW_AGE));
+            if now >= until || state.view.lock().has_relevant_change(after) {
+                return;
+            }
+            state.wait_for_change(after, until.since(now)).await;
+        }
+    }
+
     /// Builds the response with a view that is complete up to `store_revision`, unless too many
     /// others wait for this host's link.
     fn paced_response(&self, body: Bytes, store_revision: u64) -> InternalResponse {
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -7,7 +7,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::{names::FastSet, time::Millis};
+use clementinearch_policy::{
+    names::FastSet,
+    time::Millis,
+    view_age::{MAX_VIEW_AGE, watch_wait},
+};
 use clementinearch_storage::{
     Changes, Freshness, KeyStore, KeyStorePurpose, StoreError, StoredItem, Transaction,
 };
@@ -19,10 +23,6 @@
     view::Update,
 };
 
-/// Longest that the store is asked to wait for changes; a store that stopped answering is noticed
-/// after it.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-
 /// Pause after the first failed read; each further failure doubles it.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -30,9 +30,6 @@
 /// return.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Age of a relay's view above which the store is asked directly: a working relay reads more often.
-const MAX_RELAY_AGE: Duration = Duration::from_millis(900);
-
 /// Time without an answer of the store after which entries may have lapsed there.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
 
@@ -98,7 +95,7 @@
         let Ok(view) = self.peer_client.changes(relay, revision).await else {
             return false;
         };
-        if view.age > MAX_RELAY_AGE {
+        if view.age > MAX_VIEW_AGE {
             return false;
         }
         let age = view.age + view.transfer;
@@ -126,10 +123,10 @@
                 self.apply_updates(updates);
                 self.expire(now);
                 self.write_own_entry(now).await;
-                if self.state.fleet.lock().relay(now).is_none() {
-                    let spent = self.state.now().since(started_at);
-                    tokio::time::sleep(self.jittered_period().saturating_sub(spent)).await;
-                }
+                // Also if there is a relay: all its followers would else read on and on while it
+                // cannot answer.
+                let spent = self.state.now().since(started_at);
+                tokio::time::sleep(self.jittered_period().saturating_sub(spent)).await;
             }
             Err(e) => self.handle_failure(&e).await,
         }
@@ -239,7 +236,7 @@
     async fn read_changes(&self, revision: u64) -> Result<Vec<Update>, StoreError> {
         // Unconfirmed items take effect with this read, which therefore does not wait for changes.
         let wait = if self.unconfirmed.is_empty() {
-            WATCH_WAIT
+            watch_wait(self.state.now().since(self.state.last_store_contact()))
         } else {
             Duration::ZERO
         };
