Tell peers of prefills at once in large fleets

Cause: the time between two batches of events grew with all peers that a host knows (0.49 s at 295 hosts, 0.12 s at 75), though prefills go to 16 of them. What another host is sending to a server was mostly over by then.

Change: the time grows with the datagrams that were sent.

a_host_of_a_large_fleet_tells_of_prefills_at_once failed before: 10 prefills in 3 datagrams.

--- a/policy/src/link_pacer.rs
+++ b/policy/src/link_pacer.rs
@@ -21,6 +21,9 @@
 /// Part of the link's rate that reports to peers take.
 pub const GOSSIP_LINK_SHARE: f64 = 0.3;
 
+/// Most datagrams about events that a host sends in a second, averaged over batches.
+const EVENT_DATAGRAMS_PER_S: u32 = 600;
+
 /// Bytes per millisecond in one Mbit/s.
 const BYTES_PER_MS_AND_MBPS: f64 = 125.0;
 
@@ -37,6 +40,11 @@
     Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(MAX_TURN_WAIT)
 }
 
+/// Returns the time from a batch of events to the next one, by the datagrams that were sent.
+pub fn event_batch_time(datagrams: usize) -> Duration {
+    Duration::from_secs(1) * datagrams as u32 / EVENT_DATAGRAMS_PER_S
+}
+
 /// Gives out turns on a link.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkPacer {
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -8,7 +8,7 @@
 use clementinearch_policy::{
     addresses::check_address,
     crash_evidence::EvidenceRow,
-    link_pacer::{GOSSIP_LINK_SHARE, send_time},
+    link_pacer::{GOSSIP_LINK_SHARE, event_batch_time, send_time},
     names::{FastSet, Name},
     part_evidence::PartRow,
     time::Millis,
@@ -37,10 +37,6 @@
 /// Shortest time for which events are gathered into a batch.
 const EVENT_BATCH_PERIOD: Duration = Duration::from_millis(25);
 
-/// Most datagrams about prefills that a host sends in a second: with more peers, batches become
-/// less frequent.
-const PREFILL_DATAGRAMS_PER_S: u32 = 600;
-
 /// Longest prefill that a peer's word stands for.
 const MAX_PREFILL: Duration = Duration::from_secs(60);
 
@@ -178,17 +174,18 @@
             self.send_part_evidence(now).await;
         }
         let mut peers = self.state.fleet.lock().gossip_targets(now);
+        let mut datagrams = 0;
         for chunk in std::mem::take(&mut self.sessions).chunks(ROWS_PER_DATAGRAM) {
             // Sessions go to all peers: any of them may get the next request.
             self.send(&Datagram::Sessions(chunk.to_vec()), &peers).await;
+            datagrams += peers.len();
         }
-        let period = EVENT_BATCH_PERIOD
-            .max(Duration::from_secs(1) * peers.len() as u32 / PREFILL_DATAGRAMS_PER_S);
         peers.truncate(PEERS_PER_PERIOD);
         for chunk in std::mem::take(&mut self.prefills).chunks(ROWS_PER_DATAGRAM) {
             self.send(&Datagram::Prefills(chunk.to_vec()), &peers).await;
+            datagrams += peers.len();
         }
-        period
+        EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
     }
 
     /// Sends the evidence on prompt parts of which there is news, to peers in all zones.
