Keep the reason of what is refused at once at the end of a planned stop

Found when reading the change again: the answer at the end of a stop and the refusal of a new request raced in one select, so that a request that had not run could have got 502 instead of 503. The refusal comes first now.

--- a/host/tests/route_planned_stop.rs
+++ b/host/tests/route_planned_stop.rs
@@ -30,6 +30,9 @@
 
 const LINES: [&str; 3] = ["POST /pay/1", "GET /look/1", "POST /draft/1"];
 
+/// A stream that is under way during the whole stop, so that the host does not exit before its end.
+const LONG_STREAM: &str = "POST /draft/long";
+
 fn start(
     grace: &str,
     script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + Clone + 'static,
@@ -46,7 +49,9 @@
 }
 
 fn work(received: &ReceivedRequest) -> Vec<Step> {
-    if received.request_line.starts_with("POST /draft") {
+    if received.request_line == LONG_STREAM {
+        paced_stream(received, 600, Duration::from_millis(100))
+    } else if received.request_line.starts_with("POST /draft") {
         paced_stream(received, 3, Duration::from_millis(20))
     } else {
         ok(received)
@@ -107,6 +112,9 @@
 fn late_requests_in_the_grace_are_served_if_they_surely_end_and_refused_truly_otherwise() {
     let (mut platform, servers) = start("grace_s = 4\n", work);
     let host = &mut platform.hosts[0];
+    let mut long = Connection::open(host.callers());
+    long.send(&request(LONG_STREAM, "long", "Model: small\r\n", ""));
+    assert_eq!(long.read_head().status, 200);
     let kept = (0..12).map(|_| Connection::open(host.callers())).collect();
     let late = send_until_exit(host, kept);
     let has_run = |id: &str| {
@@ -127,6 +135,11 @@
             let answer = request.answer.as_ref().unwrap();
             assert!(answer.status != 0 && answer.is_whole, "cut: {what}");
             assert!(answer.status != 503, "refused though it ran: {what}");
+        } else {
+            assert!(
+                [0, 503].contains(&status),
+                "{status} though it did not run: {what}"
+            );
         }
         if request.is_short && *sent_after < SURE {
             assert_eq!(status, 200, "{what}");
--- a/policy/src/planned_stop.rs
+++ b/policy/src/planned_stop.rs
@@ -14,9 +14,8 @@
 /// Longest time that a load balancer needs to notice that a host is not ready.
 const MAX_NOTICE_TIME: Duration = Duration::from_millis(2_700);
 
-/// A planned stop is at least this many times as long as a request that is taken without a time
-/// limit within it may wait before it starts.
-const NOTICE_PART: u32 = 3;
+/// Divides a short grace: after one part, the rest is left to the requests taken so far.
+const GRACE_PARTS: u32 = 3;
 
 /// A planned stop of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,9 +40,8 @@
     /// time, or it may be repeated elsewhere if it does not and callers cannot know of the stop yet.
     pub fn takes(&self, kind: RouteKind, time_limit: Duration, now: Millis) -> bool {
         let ends_in_time = now.after(time_limit) < self.responses_due();
-        let notice_time = MAX_NOTICE_TIME.min(self.grace / NOTICE_PART);
+        let notice_time = MAX_NOTICE_TIME.min(self.grace / GRACE_PARTS);
         let is_unnoticed = now.since(self.began_at) < notice_time;
-        let is_bound_to_run_once = kind == RouteKind::NonIdempotent;
-        ends_in_time || (is_unnoticed && !is_bound_to_run_once)
+        ends_in_time || (is_unnoticed && kind != RouteKind::NonIdempotent)
     }
 }
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -171,6 +171,8 @@
     let parts = Arc::new(parts);
     let responding = AssertUnwindSafe(try_respond(&state, &parts, body)).catch_unwind();
     let response = tokio::select! {
+        // What is refused at once keeps its reason.
+        biased;
         response = responding => response.map_err(|_| PANICKED),
         () = state.wait_for_stop_responses() => Err(PLANNED_STOP),
     };
