Show a configuration that is lost after a drill of the store

Cause: no host reads Store-Era. After the store has come back from a copy, a full read with a lower revision is dropped, and changes with revisions that are given out again are never read.

Change: a review case, its stand-ins and a script that fails; no change of the product.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,25 @@
+//! Runs one of the review's scripts: the name of the script, then the folder of its case.
+
+#![allow(dead_code, reason = "the scripts use parts of the kit")]
+
+mod drill;
+mod kit;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let (name, folder) = match &args[..] {
+        [_, name, folder] => (name.as_str(), folder.as_str()),
+        _ => {
+            eprintln!("usage: standins SCRIPT FOLDER");
+            std::process::exit(2);
+        }
+    };
+    let code = match name {
+        "drill" => drill::run(folder),
+        _ => {
+            eprintln!("no script is named {name}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
