Show hosts that are killed for memory by one faulty runner

Cause: a body is collected chunk by chunk under a limit that counts its content only, so that a body in chunks of one byte takes thirty times its size in memory.

No change of the product.

--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -1049,6 +1049,13 @@
         host
     }
 
+    /// Changes the settings file, as the platform does when the settings change.
+    pub fn set(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.settings).expect("the settings can be read");
+        assert!(text.contains(from), "the settings have no {from}");
+        fs::write(&self.settings, text.replace(from, to)).expect("the settings can be written");
+    }
+
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "the scripts use parts of the kit")]
 
 mod drill;
+mod endless;
 mod kit;
 
 fn main() {
@@ -16,6 +17,7 @@
     };
     let code = match name {
         "drill" => drill::run(folder),
+        "endless" => endless::run(folder),
         _ => {
             eprintln!("no script is named {name}");
             2
