Show half an answer that reaches a client as a whole one

Cause: the end of a channel is taken for the end of an answer without a length, also when the process of its server has just ended.

No change of the product.

--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -13,7 +13,13 @@
 const CONFIG_APPLY_MS: u64 = 2_000;
 const STABLE_WINDOW_MS: u64 = 3_000;
 
-fn config(version: u64, status_service: &str, has_dropped: bool, has_added: bool, keys: &str) -> String {
+fn config(
+    version: u64,
+    status_service: &str,
+    has_dropped: bool,
+    has_added: bool,
+    keys: &str,
+) -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST_NAME}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"{service}\",\"maxAttempts\":3,\"anonymous\":false}}"
@@ -30,7 +36,9 @@
         routes.push(route("new-reads", "/new/", "idempotent", "verkrod"));
     }
     let service = |name: &str| {
-        format!("{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}}")
+        format!(
+            "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}}"
+        )
     };
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"one\",\"apiKeys\":[\"key-one\"],\"priority\":1}},{{\"name\":\"two\",\"apiKeys\":[{keys}],\"priority\":1}}]}}",
@@ -43,7 +51,14 @@
 pub fn run(folder_of_case: &str) -> i32 {
     let record = Record::new(&format!("{folder_of_case}/record.txt"));
     let trouble = has_trouble();
-    record.say(&format!("disruption: {}", if trouble { "a drill of the store" } else { "none" }));
+    record.say(&format!(
+        "disruption: {}",
+        if trouble {
+            "a drill of the store"
+        } else {
+            "none"
+        }
+    ));
     let (network, listener) = Network::reserve();
     let store_address = network.at(1, 2380);
     let store = Store::start(listener);
@@ -60,10 +75,15 @@
         let address = network.at(100 + number, 8080);
         let place = (id.as_str(), service, "v1", zone);
         let work = plain_work(Duration::from_millis(20));
-        runners.push(Runner::start(&store, &record, &runs, place, 6, address, work));
+        runners.push(Runner::start(
+            &store, &record, &runs, place, 6, address, work,
+        ));
         sleep_ms(20);
     }
-    store.put("op/config", &config(7, "verkrod", true, false, "\"key-two\",\"key-gone\""));
+    store.put(
+        "op/config",
+        &config(7, "verkrod", true, false, "\"key-two\",\"key-gone\""),
+    );
 
     let mut hosts: Vec<Host> = Vec::new();
     for number in 0..4u8 {
@@ -83,13 +103,23 @@
     // The copy is taken 5 s before the store goes away for 1 s.
     if trouble {
         store.take_copy();
-        record.line(&format!("store    copy taken at revision {}", store.revision()));
+        record.line(&format!(
+            "store    copy taken at revision {}",
+            store.revision()
+        ));
         sleep_ms(5_000);
-        record.line(&format!("store    goes away at revision {}", store.revision()));
+        record.line(&format!(
+            "store    goes away at revision {}",
+            store.revision()
+        ));
         store.go_away();
         sleep_ms(1_000);
         store.come_back_from_copy();
-        record.line(&format!("store    is back from the copy, era {}, revision {}", store.era(), store.revision()));
+        record.line(&format!(
+            "store    is back from the copy, era {}, revision {}",
+            store.era(),
+            store.revision()
+        ));
     } else {
         sleep_ms(6_000);
     }
@@ -97,9 +127,14 @@
     // Runners write their entries again with their next heartbeat. The operator's configuration is in
     // the copy; a second later the next one comes.
     sleep_ms(1_000);
-    let revision = store.put("op/config", &config(12, "verkrod-b", false, true, "\"key-two\""));
+    let revision = store.put(
+        "op/config",
+        &config(12, "verkrod-b", false, true, "\"key-two\""),
+    );
     let ack_ms = record.ms();
-    record.line(&format!("operator configuration 12 acknowledged at revision {revision:?}"));
+    record.line(&format!(
+        "operator configuration 12 acknowledged at revision {revision:?}"
+    ));
 
     // Requests from the time at which the rule holds again, with a second to spare.
     let check_ms = (ack_ms + CONFIG_APPLY_MS).max(back_ms + STABLE_WINDOW_MS) + 1_000;
@@ -112,14 +147,35 @@
         for host in &hosts {
             let probes = [
                 ("new", "GET", "/new/a", "key-one", "a route that was added"),
-                ("old", "GET", "/old/a", "key-one", "a route that was dropped"),
-                ("key", "GET", "/status/a", "key-gone", "a key that was removed"),
-                ("move", "GET", "/status/b", "key-one", "a route that was moved"),
+                (
+                    "old",
+                    "GET",
+                    "/old/a",
+                    "key-one",
+                    "a route that was dropped",
+                ),
+                (
+                    "key",
+                    "GET",
+                    "/status/a",
+                    "key-gone",
+                    "a key that was removed",
+                ),
+                (
+                    "move",
+                    "GET",
+                    "/status/b",
+                    "key-one",
+                    "a route that was moved",
+                ),
             ];
             for (kind, method, path, key, what) in probes {
                 let id = format!("{kind}-{}-{round}", host.name);
                 let bytes = request_bytes(method, HOST_NAME, path, &id, key, 1_500, "", "");
-                record.line(&format!("send     {id} {path} with {key} to {} ({what})", host.name));
+                record.line(&format!(
+                    "send     {id} {path} with {key} to {} ({what})",
+                    host.name
+                ));
                 let answer = ask(host.front, &bytes, Duration::from_secs(3));
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
                 record.line(&format!("answer   {id} {} {}", answer.status, body.trim()));
@@ -142,6 +198,10 @@
         "{broken} of {asked} requests sent from {} ms to {after_s} s after the ack were handled as only the older configuration allows",
         check_ms - ack_ms
     ));
-    record.say(if broken > 0 { "CONFIG is broken" } else { "CONFIG held" });
+    record.say(if broken > 0 {
+        "CONFIG is broken"
+    } else {
+        "CONFIG held"
+    });
     i32::from(broken > 0)
 }
--- a/review/standins/endless.rs
+++ b/review/standins/endless.rs
@@ -47,7 +47,9 @@
     runner.begin(request);
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
     let head = runner.head(request, "200 OK");
-    let head = format!("{head}Content-Type: text/event-stream\r\nConfidence: 90\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let head = format!(
+        "{head}Content-Type: text/event-stream\r\nConfidence: 90\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
     let mut is_kept = out.write_all(head.as_bytes()).is_ok();
     for id in after + 1..=EVENTS {
         thread::sleep(EVENT_PAUSE);
@@ -144,31 +146,61 @@
     fn request(&self, id: &str, round: usize) -> Vec<u8> {
         let body = format!("request {id}");
         if !self.is_stream {
-            return request_bytes("POST", HOST_NAME, "/commit/a", id, "key-one", 1_500, "", &body);
+            return request_bytes(
+                "POST",
+                HOST_NAME,
+                "/commit/a",
+                id,
+                "key-one",
+                1_500,
+                "",
+                &body,
+            );
         }
-        let parts = format!("{:x}:800,{:x}:1192", 0x5c1e_0000 + round % 40, self.number * 1_000 + round);
-        let extra = format!("Model: daka510000\r\nToken-Usage: 1992,380\r\nPrompt-Prefix: {parts}\r\n");
-        request_bytes("POST", HOST_NAME, "/review/a", id, "key-one", 25_000, &extra, &body)
+        let parts = format!(
+            "{:x}:800,{:x}:1192",
+            0x5c1e_0000 + round % 40,
+            self.number * 1_000 + round
+        );
+        let extra =
+            format!("Model: daka510000\r\nToken-Usage: 1992,380\r\nPrompt-Prefix: {parts}\r\n");
+        request_bytes(
+            "POST",
+            HOST_NAME,
+            "/review/a",
+            id,
+            "key-one",
+            25_000,
+            &extra,
+            &body,
+        )
     }
 
     /// Sends request after request on a kept channel, and opens another one when it has ended.
     fn run(&self) {
         let mut round = 0;
         while !self.is_over.load(Ordering::Relaxed) {
-            let Ok(mut channel) = TcpStream::connect_timeout(&self.front, Duration::from_secs(1)) else {
+            let Ok(mut channel) = TcpStream::connect_timeout(&self.front, Duration::from_secs(1))
+            else {
                 thread::sleep(Duration::from_millis(300));
                 continue;
             };
             let _ = channel.set_nodelay(true);
             let _ = channel.set_read_timeout(Some(Duration::from_secs(26)));
-            let Ok(reading) = channel.try_clone() else { continue };
+            let Ok(reading) = channel.try_clone() else {
+                continue;
+            };
             let mut reader = BufReader::new(reading);
             let mut is_kept = true;
             let mut on_channel = 0;
             while is_kept && !self.is_over.load(Ordering::Relaxed) {
                 round += 1;
                 on_channel += 1;
-                let id = format!("{}{}-{round}", if self.is_stream { "review-" } else { "commit-" }, self.number);
+                let id = format!(
+                    "{}{}-{round}",
+                    if self.is_stream { "review-" } else { "commit-" },
+                    self.number
+                );
                 self.record.line(&format!("send     {id}"));
                 self.counts.sent.fetch_add(1, Ordering::Relaxed);
                 let answer = if channel.write_all(&self.request(&id, round)).is_ok() {
@@ -186,7 +218,11 @@
 
     fn note(&self, id: &str, answer: &Answer, is_kept_channel: bool) {
         let runs = self.runs.lock().unwrap();
-        let at: Vec<String> = runs.iter().filter(|run| run.id == id).map(|run| run.runner.clone()).collect();
+        let at: Vec<String> = runs
+            .iter()
+            .filter(|run| run.id == id)
+            .map(|run| run.runner.clone())
+            .collect();
         drop(runs);
         let counts = &self.counts;
         let (what, count) = match (answer.is_whole, answer.status) {
@@ -200,14 +236,25 @@
         if !answer.is_whole && answer.status == 0 && is_at_sound && is_kept_channel {
             counts.lost.fetch_add(1, Ordering::Relaxed);
         }
-        self.record.line(&format!("answer   {id} {} {what}, run at {}", answer.status, at.join(" then ")));
+        self.record.line(&format!(
+            "answer   {id} {} {what}, run at {}",
+            answer.status,
+            at.join(" then ")
+        ));
     }
 }
 
 pub fn run(folder_of_case: &str) -> i32 {
     let record = Record::new(&format!("{folder_of_case}/record.txt"));
     let trouble = has_trouble();
-    record.say(&format!("disruption: {}", if trouble { "a body without end" } else { "none" }));
+    record.say(&format!(
+        "disruption: {}",
+        if trouble {
+            "a body without end"
+        } else {
+            "none"
+        }
+    ));
     let (network, listener) = Network::reserve();
     let store_address = network.at(1, 2380);
     let store = Store::start(listener);
@@ -228,19 +275,42 @@
                 stream(runner, request, out)
             }
         };
-        runners.push(Runner::start(&store, &record, &runs, place, 64, network.at(100 + number, 8080), work));
+        runners.push(Runner::start(
+            &store,
+            &record,
+            &runs,
+            place,
+            64,
+            network.at(100 + number, 8080),
+            work,
+        ));
     }
     for number in 0..3u8 {
         let id = format!("i-02d9e{number:02}");
         let place = (id.as_str(), "verkrod", "v1", zones[usize::from(number) % 3]);
         let work = plain_work(COMMIT_WORK);
-        runners.push(Runner::start(&store, &record, &runs, place, 6, network.at(120 + number, 8080), work));
+        runners.push(Runner::start(
+            &store,
+            &record,
+            &runs,
+            place,
+            6,
+            network.at(120 + number, 8080),
+            work,
+        ));
     }
     store.put("op/config", &config());
     let mut hosts: Vec<Host> = Vec::new();
     for number in 0..2u8 {
         let name = format!("edge-{}-1", zones[usize::from(number)]);
-        let mut host = Host::new(&folder, network, number, &name, zones[usize::from(number)], store_address);
+        let mut host = Host::new(
+            &folder,
+            network,
+            number,
+            &name,
+            zones[usize::from(number)],
+            store_address,
+        );
         host.start();
         hosts.push(host);
     }
@@ -259,7 +329,11 @@
             front: hosts[number % hosts.len()].front,
             record: record.clone(),
             runs: runs.clone(),
-            counts: if is_stream { streams.clone() } else { commits.clone() },
+            counts: if is_stream {
+                streams.clone()
+            } else {
+                commits.clone()
+            },
             is_over: is_over.clone(),
         };
         thread::spawn(move || client.run());
@@ -270,7 +344,10 @@
     let mut peak = vec![0; hosts.len()];
     let mut restart_at: Vec<Option<Instant>> = vec![None; hosts.len()];
     while began.elapsed() < PLAYED {
-        if trouble && began.elapsed() > Duration::from_secs(12) && !is_faulty.load(Ordering::Relaxed) {
+        if trouble
+            && began.elapsed() > Duration::from_secs(12)
+            && !is_faulty.load(Ordering::Relaxed)
+        {
             record.line(&format!("runner   {FAULTY} turns faulty"));
             is_faulty.store(true, Ordering::Relaxed);
         }
@@ -302,9 +379,14 @@
     sleep_ms(500);
     record.say(&format!("album-review: {}", streams.tell()));
     record.say(&format!("master-commit: {}", commits.tell()));
-    record.say(&format!("ends of the hosts' processes: {ends:?}; most memory, kB: {peak:?}"));
+    record.say(&format!(
+        "ends of the hosts' processes: {ends:?}; most memory, kB: {peak:?}"
+    ));
     let lost = streams.lost.load(Ordering::Relaxed) + commits.lost.load(Ordering::Relaxed);
     let has_faults = ends.iter().filter(|ends| **ends >= 3).count() >= 2;
-    record.say(&format!("LOST {}; two hosts ended three times: {has_faults}", if lost > 3 { "is broken" } else { "held" }));
+    record.say(&format!(
+        "LOST {}; two hosts ended three times: {has_faults}",
+        if lost > 3 { "is broken" } else { "held" }
+    ));
     i32::from(lost > 3)
 }
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -100,7 +100,9 @@
 }
 
 fn skip(bytes: &[u8], at: &mut usize) {
-    while *at < bytes.len() && (bytes[*at].is_ascii_whitespace() || matches!(bytes[*at], b',' | b':')) {
+    while *at < bytes.len()
+        && (bytes[*at].is_ascii_whitespace() || matches!(bytes[*at], b',' | b':'))
+    {
         *at += 1;
     }
 }
@@ -145,7 +147,9 @@
             while *at < bytes.len() && !matches!(bytes[*at], b',' | b'}' | b']') {
                 *at += 1;
             }
-            let word = String::from_utf8_lossy(&bytes[begin..*at]).trim().to_owned();
+            let word = String::from_utf8_lossy(&bytes[begin..*at])
+                .trim()
+                .to_owned();
             match word.as_str() {
                 "true" => Json::Bool(true),
                 "false" => Json::Bool(false),
@@ -369,7 +373,11 @@
     let Ok((first, headers)) = read_headers(reader) else {
         return answer;
     };
-    answer.status = first.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
+    answer.status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
     answer.headers = headers;
     if let Ok(body) = read_body(reader, &answer.headers) {
         answer.body = body;
@@ -391,7 +399,10 @@
         return answer;
     }
     let answer = read_answer(&mut BufReader::new(stream));
-    Answer { is_connected: true, ..answer }
+    Answer {
+        is_connected: true,
+        ..answer
+    }
 }
 
 /// The bytes of a client's request.
@@ -424,7 +435,10 @@
 
 impl Network {
     pub fn reserve() -> (Self, TcpListener) {
-        let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64
+        let seed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_nanos() as u64
             ^ (u64::from(std::process::id()) << 20);
         for attempt in 0..200u64 {
             let mixed = (seed + attempt).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
@@ -585,7 +599,13 @@
             return;
         }
         let now = Instant::now();
-        let ended: Vec<u64> = state.content.leases.iter().filter(|it| it.1.1 <= now).map(|it| *it.0).collect();
+        let ended: Vec<u64> = state
+            .content
+            .leases
+            .iter()
+            .filter(|it| it.1.1 <= now)
+            .map(|it| *it.0)
+            .collect();
         for lease in ended {
             state.content.leases.remove(&lease);
             let keys: Vec<String> = state
@@ -617,7 +637,11 @@
                 body.len()
             );
             let mut out = stream;
-            if out.write_all(head.as_bytes()).and_then(|()| out.write_all(body.as_bytes())).is_err() {
+            if out
+                .write_all(head.as_bytes())
+                .and_then(|()| out.write_all(body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -631,14 +655,17 @@
         let path = request.path();
         match (request.method.as_str(), path) {
             ("GET", "/v1/kv-key") => Some(self.read_key(&request.query("key"))),
-            ("GET", "/v1/kv-range") => Some(self.read_range(
-                &request.query("pathPrefix"),
-                &request.query("after"),
-            )),
+            ("GET", "/v1/kv-range") => {
+                Some(self.read_range(&request.query("pathPrefix"), &request.query("after")))
+            }
             ("GET", "/v1/kv-watch") => {
                 let after = request.query("after").parse().unwrap_or(0);
                 let wait = request.query("waitMs").parse().unwrap_or(0);
-                self.watch(&request.query("pathPrefix"), after, Duration::from_millis(wait))
+                self.watch(
+                    &request.query("pathPrefix"),
+                    after,
+                    Duration::from_millis(wait),
+                )
             }
             ("POST", "/v1/kv-txn") => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
@@ -646,12 +673,18 @@
             }
             ("POST", "/v1/kv-lease") => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
-                let ttl_ms = Json::parse(&body).get("ttlMs").number().clamp(1_000, 600_000);
+                let ttl_ms = Json::parse(&body)
+                    .get("ttlMs")
+                    .number()
+                    .clamp(1_000, 600_000);
                 let ttl = Duration::from_millis(ttl_ms);
                 let mut state = self.state.lock().unwrap();
                 state.next_lease += 1;
                 let lease = 70_000 + state.next_lease;
-                state.content.leases.insert(lease, (ttl, Instant::now() + ttl));
+                state
+                    .content
+                    .leases
+                    .insert(lease, (ttl, Instant::now() + ttl));
                 Some((200, format!("{{\"lease\":{lease},\"ttlMs\":{ttl_ms}}}")))
             }
             ("POST", _) if path.starts_with("/v1/kv-keep/") => {
@@ -675,7 +708,10 @@
             Some(item) => {
                 let row = item_row(key, item);
                 let row = row.trim_end_matches('}');
-                (200, format!("{row},\"storeRevision\":{}}}", state.content.revision))
+                (
+                    200,
+                    format!("{row},\"storeRevision\":{}}}", state.content.revision),
+                )
             }
             None => (404, "{}".to_owned()),
         }
@@ -684,12 +720,24 @@
     fn read_range(&self, prefix: &str, after: &str) -> (u16, String) {
         const PAGE: usize = 500;
         let state = self.state.lock().unwrap();
-        let wanted = state.content.items.iter().filter(|it| it.0.starts_with(prefix) && it.0.as_str() > after);
-        let rows: Vec<String> = wanted.take(PAGE + 1).map(|it| item_row(it.0, it.1)).collect();
+        let wanted = state
+            .content
+            .items
+            .iter()
+            .filter(|it| it.0.starts_with(prefix) && it.0.as_str() > after);
+        let rows: Vec<String> = wanted
+            .take(PAGE + 1)
+            .map(|it| item_row(it.0, it.1))
+            .collect();
         let is_truncated = rows.len() > PAGE;
         let rows = rows[..rows.len().min(PAGE)].join(",");
         let revision = state.content.revision;
-        (200, format!("{{\"items\":[{rows}],\"truncated\":{is_truncated},\"storeRevision\":{revision}}}"))
+        (
+            200,
+            format!(
+                "{{\"items\":[{rows}],\"truncated\":{is_truncated},\"storeRevision\":{revision}}}"
+            ),
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<(u16, String)> {
@@ -703,13 +751,25 @@
                 // History that is no longer there, or a revision that the store doesn't have.
                 return Some((410, "{}".to_owned()));
             }
-            let of_prefix = |event: &&Event| event.revision > after && event.key.starts_with(prefix);
-            let events: Vec<String> =
-                state.content.history.iter().filter(of_prefix).map(event_row).collect();
+            let of_prefix =
+                |event: &&Event| event.revision > after && event.key.starts_with(prefix);
+            let events: Vec<String> = state
+                .content
+                .history
+                .iter()
+                .filter(of_prefix)
+                .map(event_row)
+                .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
                 let revision = state.content.revision;
-                return Some((200, format!("{{\"events\":[{}],\"storeRevision\":{revision}}}", events.join(","))));
+                return Some((
+                    200,
+                    format!(
+                        "{{\"events\":[{}],\"storeRevision\":{revision}}}",
+                        events.join(",")
+                    ),
+                ));
             }
             state = self.changed.wait_timeout(state, end - now).unwrap().0;
         }
@@ -745,7 +805,12 @@
         }
         for row in body.get("writes").list() {
             let value = from_base64(row.get("value").text());
-            write(&mut state.content, row.get("key").text(), value, row.get("lease").number());
+            write(
+                &mut state.content,
+                row.get("key").text(),
+                value,
+                row.get("lease").number(),
+            );
         }
         for key in body.get("remove").list() {
             delete(&mut state.content, key.text());
@@ -769,7 +834,11 @@
 fn event_row(event: &Event) -> String {
     match &event.item {
         Some(item) => item_row(&event.key, item),
-        None => format!("{{\"key\":{},\"revision\":{},\"tombstone\":true}}", quote(&event.key), event.revision),
+        None => format!(
+            "{{\"key\":{},\"revision\":{},\"tombstone\":true}}",
+            quote(&event.key),
+            event.revision
+        ),
     }
 }
 
@@ -786,9 +855,21 @@
     content.revision += 1;
     let revision = content.revision;
     let created = content.items.get(key).map_or(revision, |item| item.created);
-    let item = Item { value, revision, created, lease };
+    let item = Item {
+        value,
+        revision,
+        created,
+        lease,
+    };
     content.items.insert(key.to_owned(), item.clone());
-    record(content, Event { key: key.to_owned(), item: Some(item), revision });
+    record(
+        content,
+        Event {
+            key: key.to_owned(),
+            item: Some(item),
+            revision,
+        },
+    );
     revision
 }
 
@@ -796,7 +877,14 @@
     if content.items.remove(key).is_some() {
         content.revision += 1;
         let revision = content.revision;
-        record(content, Event { key: key.to_owned(), item: None, revision });
+        record(
+            content,
+            Event {
+                key: key.to_owned(),
+                item: None,
+                revision,
+            },
+        );
     }
 }
 
@@ -835,7 +923,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -903,7 +994,10 @@
         let mut reader = BufReader::new(stream);
         while let Ok(request) = read_request(&mut reader) {
             if request.path() == "/health" {
-                let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
                 let mut out = stream;
                 if out.write_all(head.as_bytes()).is_err() {
                     return;
@@ -996,7 +1090,8 @@
 
 impl Folder {
     pub fn new() -> Self {
-        let path = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
+        let path =
+            std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&path).expect("a temporary folder");
         Self(path)
     }
@@ -1012,7 +1107,14 @@
 
 impl Host {
     /// Fills in the project's template of a host's settings. The bounds are those of the small sites.
-    pub fn new(folder: &Folder, network: Network, number: u8, name: &str, zone: &str, store: SocketAddr) -> Self {
+    pub fn new(
+        folder: &Folder,
+        network: Network,
+        number: u8,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> Self {
         let ip = network.ip(10 + number);
         let host = Self {
             name: name.to_owned(),
@@ -1058,7 +1160,11 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new("target/release/clementinearch")
             .args(["route", "--settings"])
@@ -1086,13 +1192,19 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.pid().to_string()]).status();
+        let _ = Command::new("kill")
+            .args([format!("-{name}"), self.pid().to_string()])
+            .status();
     }
 
     /// Whether the process has ended, and with what.
     pub fn has_ended(&mut self) -> Option<String> {
         let child = self.child.as_mut()?;
-        child.try_wait().ok().flatten().map(|status| status.to_string())
+        child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.to_string())
     }
 
     pub fn kill(&mut self) {
@@ -1121,8 +1233,14 @@
     /// Resident memory of the process, kB.
     pub fn resident_kb(&self) -> u64 {
         let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
-        line.split_whitespace().nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("VmRSS:"))
+            .unwrap_or("");
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0)
     }
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,9 +5,15 @@
 mod drill;
 mod endless;
 mod kit;
+mod unframed;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, name, address, id] = &args[..]
+        && name == "runner"
+    {
+        std::process::exit(unframed::runner(address, id));
+    }
     let (name, folder) = match &args[..] {
         [_, name, folder] => (name.as_str(), folder.as_str()),
         _ => {
@@ -18,6 +24,7 @@
     let code = match name {
         "drill" => drill::run(folder),
         "endless" => endless::run(folder),
+        "unframed" => unframed::run(folder),
         _ => {
             eprintln!("no script is named {name}");
             2
