Show streams of leaving servers that end as complete too early

Cause: whether a server has ended is not asked of one that drains, so that the end of its channel passes for the end of a stream without a length.

Change: a review case with a script that fails, in the third place; no change of the product.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod drill;
 mod endless;
 mod kit;
+mod leaving;
 mod unframed;
 
 fn main() {
@@ -24,6 +25,7 @@
     let code = match name {
         "drill" => drill::run(folder),
         "endless" => endless::run(folder),
+        "leaving" => leaving::run(folder),
         "unframed" => unframed::run(folder),
         _ => {
             eprintln!("no script is named {name}");
