Show hosts that stand still under interim heads without end

Cause: nothing bounds the interim heads of an answer, which are read one after the other in the thread that serves all requests.

No change of the product.

--- a/review/standins/endless.rs
+++ b/review/standins/endless.rs
@@ -1,5 +1,5 @@
-//! A faulty runner of one service answers with a failure whose body comes in small chunks and without
-//! end. Another service, whose runners are sound, takes calls that may run once.
+//! A faulty runner of one service answers with bytes without end: a failure whose body comes in small
+//! chunks, or interim heads. Another service, whose runners are sound, takes calls that may run once.
 
 use std::{
     io::{BufReader, Write},
@@ -34,7 +34,45 @@
 /// The runner that turns faulty.
 const FAULTY: &str = "i-7f3a903";
 
-const PLAYED: Duration = Duration::from_secs(75);
+/// Time limit of the calls that may run once, by their route, and the time after it by which they
+/// need an answer.
+const COMMIT_TIMEOUT_MS: u64 = 1_500;
+const LATE_MS: u64 = 500;
+
+/// What has no end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// The body of a failure.
+    Body,
+    /// The head, on hosts whose use of the processor is capped.
+    Head,
+}
+
+impl Endless {
+    fn played(self) -> Duration {
+        match self {
+            Self::Body => Duration::from_secs(75),
+            Self::Head => Duration::from_secs(50),
+        }
+    }
+
+    /// What begins the answer, and what follows again and again.
+    fn bytes(self, runner: &Runner, request: &Request) -> (String, Vec<u8>) {
+        match self {
+            Self::Body => {
+                let head = runner.head(request, "500 Internal Server Error");
+                (
+                    format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
+                    b"1\r\n.\r\n".repeat(4_096),
+                )
+            }
+            Self::Head => (
+                String::new(),
+                b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1_024),
+            ),
+        }
+    }
+}
 
 fn config() -> String {
     format!(
@@ -76,12 +114,15 @@
     thread::sleep(turn - now);
 }
 
-/// A failure whose body has no end: one character a chunk, at the rate of the link.
-fn fail_without_end(runner: &Runner, request: &Request, mut out: &TcpStream) -> bool {
+/// An answer without end, at the rate of the link.
+fn answer_without_end(
+    kind: Endless,
+    runner: &Runner,
+    request: &Request,
+    mut out: &TcpStream,
+) -> bool {
     runner.begin(request);
-    let head = runner.head(request, "500 Internal Server Error");
-    let head = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
-    let piece = b"1\r\n.\r\n".repeat(4_096);
+    let (head, piece) = kind.bytes(runner, request);
     let mut sent = head.len();
     let began = Instant::now();
     let mut is_open = out.write_all(head.as_bytes()).is_ok();
@@ -115,6 +156,9 @@
     cut: AtomicUsize,
     /// Of these, on a kept channel and passed on to a sound runner.
     lost: AtomicUsize,
+    /// Without an answer at the time limit of `COMMIT_TIMEOUT_MS`, and `LATE_MS` later.
+    unanswered: AtomicUsize,
+    unanswered_late: AtomicUsize,
 }
 
 impl Counts {
@@ -203,12 +247,18 @@
                 );
                 self.record.line(&format!("send     {id}"));
                 self.counts.sent.fetch_add(1, Ordering::Relaxed);
+                let sent_at = Instant::now();
                 let answer = if channel.write_all(&self.request(&id, round)).is_ok() {
                     read_answer(&mut reader)
                 } else {
                     Answer::default()
                 };
-                self.note(&id, &answer, on_channel > 1);
+                self.note(
+                    &id,
+                    &answer,
+                    on_channel > 1,
+                    sent_at.elapsed().as_millis() as u64,
+                );
                 is_kept = answer.is_whole && answer.header("connection") != "close";
                 thread::sleep(Duration::from_millis(20));
             }
@@ -216,7 +266,7 @@
         }
     }
 
-    fn note(&self, id: &str, answer: &Answer, is_kept_channel: bool) {
+    fn note(&self, id: &str, answer: &Answer, is_kept_channel: bool, took_ms: u64) {
         let runs = self.runs.lock().unwrap();
         let at: Vec<String> = runs
             .iter()
@@ -236,21 +286,27 @@
         if !answer.is_whole && answer.status == 0 && is_at_sound && is_kept_channel {
             counts.lost.fetch_add(1, Ordering::Relaxed);
         }
+        if took_ms > COMMIT_TIMEOUT_MS {
+            counts.unanswered.fetch_add(1, Ordering::Relaxed);
+        }
+        if took_ms > COMMIT_TIMEOUT_MS + LATE_MS {
+            counts.unanswered_late.fetch_add(1, Ordering::Relaxed);
+        }
         self.record.line(&format!(
-            "answer   {id} {} {what}, run at {}",
+            "answer   {id} {} {what} after {took_ms} ms, run at {}",
             answer.status,
             at.join(" then ")
         ));
     }
 }
 
-pub fn run(folder_of_case: &str) -> i32 {
+pub fn run(folder_of_case: &str, kind: Endless) -> i32 {
     let record = Record::new(&format!("{folder_of_case}/record.txt"));
     let trouble = has_trouble();
     record.say(&format!(
         "disruption: {}",
         if trouble {
-            "a body without end"
+            "an answer without end"
         } else {
             "none"
         }
@@ -270,7 +326,7 @@
         let is_faulty = is_faulty.clone();
         let work = move |runner: &Runner, request: &Request, out: &TcpStream| {
             if is_it && is_faulty.load(Ordering::Relaxed) {
-                fail_without_end(runner, request, out)
+                answer_without_end(kind, runner, request, out)
             } else {
                 stream(runner, request, out)
             }
@@ -339,11 +395,16 @@
         thread::spawn(move || client.run());
         sleep_ms(50);
     }
+    if kind == Endless::Head {
+        for host in &hosts {
+            cap_processor(host.pid());
+        }
+    }
     let began = Instant::now();
     let mut ends = vec![0; hosts.len()];
     let mut peak = vec![0; hosts.len()];
     let mut restart_at: Vec<Option<Instant>> = vec![None; hosts.len()];
-    while began.elapsed() < PLAYED {
+    while began.elapsed() < kind.played() {
         if trouble
             && began.elapsed() > Duration::from_secs(12)
             && !is_faulty.load(Ordering::Relaxed)
@@ -382,7 +443,22 @@
     record.say(&format!(
         "ends of the hosts' processes: {ends:?}; most memory, kB: {peak:?}"
     ));
-    let lost = streams.lost.load(Ordering::Relaxed) + commits.lost.load(Ordering::Relaxed);
+    let get = |count: &AtomicUsize| count.load(Ordering::Relaxed);
+    if kind == Endless::Head {
+        let (late, very_late) = (get(&commits.unanswered), get(&commits.unanswered_late));
+        record.say(&format!(
+            "master-commit: {late} of {} unanswered after {COMMIT_TIMEOUT_MS} ms, {very_late} of these {LATE_MS} ms later",
+            get(&commits.sent)
+        ));
+        let is_broken = late >= 8 && very_late * 2 > late;
+        record.say(if is_broken {
+            "CONFIG is broken"
+        } else {
+            "CONFIG held"
+        });
+        return i32::from(is_broken);
+    }
+    let lost = get(&streams.lost) + get(&commits.lost);
     let has_faults = ends.iter().filter(|ends| **ends >= 3).count() >= 2;
     record.say(&format!(
         "LOST {}; two hosts ended three times: {has_faults}",
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -1250,6 +1250,52 @@
     }
 }
 
+/// Part of a core that a machine of the small sites has, and the time in which it is counted.
+const PROCESSOR_SHARE: f64 = 0.25;
+const CAP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Caps a process's use of the processor for as long as it runs: it runs at full speed until its share
+/// of a tenth of a second is used up, and then not at all for the rest of it.
+pub fn cap_processor(pid: u32) {
+    let signal = move |name: &str| {
+        let _ = Command::new("kill")
+            .args([format!("-{name}"), pid.to_string()])
+            .stderr(Stdio::null())
+            .status();
+    };
+    let share = CAP_PERIOD.mul_f64(PROCESSOR_SHARE).as_nanos() as u64;
+    thread::spawn(move || {
+        while fs::metadata(format!("/proc/{pid}")).is_ok() {
+            let began = Instant::now();
+            let before = processor_ns(pid);
+            let mut is_stopped = false;
+            while began.elapsed() < CAP_PERIOD {
+                if !is_stopped && processor_ns(pid).saturating_sub(before) > share {
+                    signal("STOP");
+                    is_stopped = true;
+                }
+                sleep_ms(2);
+            }
+            if is_stopped {
+                signal("CONT");
+            }
+        }
+    });
+}
+
+/// Processor time that the threads of a process have used, nanoseconds.
+fn processor_ns(pid: u32) -> u64 {
+    let threads = fs::read_dir(format!("/proc/{pid}/task"))
+        .into_iter()
+        .flatten()
+        .flatten();
+    let used = threads.filter_map(|thread| {
+        let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    });
+    used.sum()
+}
+
 /// Waits until `is_done`; returns whether that was in time.
 pub fn wait_until(limit: Duration, mut is_done: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + limit;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -24,7 +24,8 @@
     };
     let code = match name {
         "drill" => drill::run(folder),
-        "endless" => endless::run(folder),
+        "endless" => endless::run(folder, endless::Endless::Body),
+        "heads" => endless::run(folder, endless::Endless::Head),
         "leaving" => leaving::run(folder),
         "unframed" => unframed::run(folder),
         _ => {
