Bound the memory of all bodies that a host holds at once

Cause: each piece of a body was kept as a buffer of its own, some 30 bytes for one, and the limit of 8 MB held for one body only. Unfinished answers of 2 MB and ordinary pieces take 145 MB if there are 48 of them.

Change: bodies are copied into one buffer, and a piece counts as 64 bytes at least. Bodies and large events draw on a third of the host's memory by dynamic thresholds: a service and the callers may hold what is free, a server a third of that, so that others always find room. A request without room is refused as not run; an answer without room is given up, and its server is not blamed. A failure may have 256 KB. An answer that is not the server's own is given up at its head. Load reports, orders, collected streams and the own store had no limit and get one. Log lines, a gauge and the status say whose bodies take the memory.

--- a/host/src/backends/http_client.rs
+++ b/host/src/backends/http_client.rs
@@ -2,14 +2,17 @@
 
 use std::{io, net::SocketAddr};
 
-use clementinearch_router::{Connection, SendOutcome, connect};
-use http_body_util::{BodyExt, Full};
+use clementinearch_router::{BodyLimit, Connection, SendOutcome, connect, read_body};
+use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
     body::Bytes,
     header::{CONTENT_TYPE, HOST, HeaderValue},
 };
 
+/// Largest load report, or answer to an order, that is read, bytes.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
+
 /// Connection to one server, reused for further requests.
 pub(crate) struct PersistentConnection {
     address: SocketAddr,
@@ -43,7 +46,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the connection breaks before the response is complete. The server may have
+/// Returns an error if the response is too large or the connection breaks before it is complete. The server may have
 /// received the request all the same.
 pub(crate) async fn send(
     connection: &mut Connection,
@@ -53,8 +56,9 @@
         return Err(io::ErrorKind::ConnectionReset.into());
     };
     let status = response.status();
-    let body = response.into_body().collect().await;
-    Ok((status, body.map_err(io::Error::other)?.to_bytes()))
+    let limit = BodyLimit::of_response(MAX_RESPONSE_BYTES);
+    let body = read_body(response.into_body(), limit).await;
+    Ok((status, body.map_err(io::Error::other)?))
 }
 
 impl PersistentConnection {
--- a/host/src/cmd/route.rs
+++ b/host/src/cmd/route.rs
@@ -12,6 +12,9 @@
 /// the setting, refuse a file with it and pass the variable over.
 const LINK_RATE_VARIABLE: &str = "CLEMENTINEARCH_LINK_MBPS";
 
+/// Variable with the memory of the process, MB; see [`LINK_RATE_VARIABLE`].
+const MEMORY_VARIABLE: &str = "CLEMENTINEARCH_MEMORY_MB";
+
 impl Route {
     /// Runs the entry host until its graceful shutdown is complete; with `--check`, only checks its
     /// settings.
@@ -26,13 +29,12 @@
         })?;
         let source = self.settings.display().to_string();
         let settings = Settings::parse(&source, &text).map_err(Error::Settings)?;
-        let link_rate = env::var(LINK_RATE_VARIABLE).unwrap_or_default();
+        let variable = |name| env::var(name).unwrap_or_default();
         let settings = settings
-            .with_link_rate(&link_rate)
-            .map_err(|reason| Error::Variable {
-                name: LINK_RATE_VARIABLE,
-                reason,
-            })?;
+            .with_link_rate(&variable(LINK_RATE_VARIABLE))
+            .map_err(invalid(LINK_RATE_VARIABLE))?
+            .with_memory(&variable(MEMORY_VARIABLE))
+            .map_err(invalid(MEMORY_VARIABLE))?;
         if self.check {
             println!(
                 "{source}: settings of entry host {} are valid",
@@ -46,3 +48,8 @@
             .map_err(Error::Route)
     }
 }
+
+/// Returns how what is wrong with the variable `name` becomes an error.
+fn invalid(name: &'static str) -> impl FnOnce(String) -> Error {
+    move |reason| Error::Variable { name, reason }
+}
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -48,6 +48,9 @@
 /// Largest head of a request.
 const MAX_HEADER_BYTES: usize = 64 << 10;
 
+/// Bytes of a megabyte.
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Log lines per second above which details of successful requests are left out.
 const LOG_LINES_PER_S: u64 = 200;
 
@@ -261,6 +264,7 @@
             view_period: settings.gossip_period,
             gossip_period: settings.gossip_period,
             link_mbps: None,
+            memory_bytes: settings.memory_mb * BYTES_PER_MB,
         },
         bounds: Bounds {
             retries: RETRY_LIMIT,
--- a/host/src/settings.rs
+++ b/host/src/settings.rs
@@ -62,6 +62,8 @@
     pub(crate) drain_limit: Duration,
     /// Largest request body, bytes.
     pub(crate) max_body_bytes: u64,
+    /// Memory of the process, MB.
+    pub(crate) memory_mb: u64,
     /// Time limit for a caller to send the head of its request, to send the body, and to resume
     /// reading a stalled stream.
     pub(crate) caller_timeout: Duration,
@@ -75,6 +77,9 @@
     pub(crate) export_traces: bool,
 }
 
+/// Memory that a process is taken to have unless its settings say otherwise, MB.
+const DEFAULT_MEMORY_MB: u64 = 512;
+
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
 impl Settings {
@@ -152,6 +157,7 @@
                 drain_notice: limits.drain_notice,
                 drain_limit: limits.drain_limit,
                 max_body_bytes: limits.max_body_bytes,
+                memory_mb: limits.memory_mb,
                 caller_timeout: limits.caller_timeout,
                 token_timeout: limits.token_timeout,
                 default_deadline: limits.default_deadline,
@@ -171,6 +177,7 @@
     drain_notice: Duration,
     drain_limit: Duration,
     max_body_bytes: u64,
+    memory_mb: u64,
     caller_timeout: Duration,
     token_timeout: Duration,
     default_deadline: Duration,
@@ -186,6 +193,7 @@
             drain_notice: table.millis("drain_notice_ms", 0..=600_000, Duration::from_secs(5)),
             drain_limit: table.millis("drain_limit_ms", 0..=DAY_MS, Duration::from_secs(600)),
             max_body_bytes: table.number("max_body_bytes", 1..=1 << 30, 1 << 20),
+            memory_mb: table.number("memory_mb", 1..=1 << 20, DEFAULT_MEMORY_MB),
             caller_timeout: table.millis(
                 "caller_timeout_ms",
                 10..=600_000,
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod link_pacer;
 pub mod load_balancing;
 pub mod membership;
+pub mod memory_shares;
 pub mod model;
 pub mod names;
 pub mod orders;
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::{future::ready, sync::Arc, time::Duration};
 
-use clementinearch_policy::time::Millis;
+use clementinearch_policy::{memory_shares::BodyOwner, time::Millis};
 use hyper::{
     Request, StatusCode,
     body::{Bytes, Incoming},
@@ -19,6 +19,9 @@
 /// Time that an idle connection of a probe or an operator is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Number of servers that the status lists by what is held for them.
+const LISTED_HOLDERS: usize = 5;
+
 /// Response to operators at `/status`.
 #[derive(Debug, Serialize)]
 struct Status {
@@ -45,6 +48,32 @@
     suspect_parts: usize,
     /// Prompt parts that are refused because they crash servers.
     blocked_parts: usize,
+    /// Bytes of bodies that are held until they are complete or written.
+    held_bytes: usize,
+    /// Who holds most of them.
+    largest_holders: Vec<HolderStatus>,
+}
+
+/// Bytes that are held for the bodies of one server, or of callers if it has no name.
+#[derive(Debug, Serialize)]
+struct HolderStatus {
+    service: String,
+    server: String,
+    bytes: usize,
+}
+
+impl HolderStatus {
+    fn new((owner, bytes): (BodyOwner, usize)) -> Self {
+        let (service, server) = match owner {
+            BodyOwner::Callers => Default::default(),
+            BodyOwner::Server { service, server } => (service.to_string(), server.to_string()),
+        };
+        Self {
+            service,
+            server,
+            bytes,
+        }
+    }
 }
 
 /// Serves readiness probes: 200 if the host is ready and 503 otherwise, at any path.
@@ -93,6 +122,7 @@
     let now = state.now();
     let (suspect_contents, blocked_contents) = state.crash_evidence.lock().counts(now);
     let (suspect_parts, blocked_parts) = state.part_evidence.lock().counts(now);
+    let largest = state.body_memory.largest(LISTED_HOLDERS);
     Status {
         name: state.settings.name.to_string(),
         is_ready: state.is_ready(),
@@ -108,6 +138,8 @@
         blocked_contents,
         suspect_parts,
         blocked_parts,
+        held_bytes: state.body_memory.held(),
+        largest_holders: largest.into_iter().map(HolderStatus::new).collect(),
     }
 }
 
@@ -117,6 +149,7 @@
     let running: u32 = servers.iter().map(|server| server.local_running()).sum();
     let ejected = servers.iter().filter(|server| server.is_ejected(now));
     metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
+    metrics::gauge!("clementinearch_held_bytes").set(state.body_memory.held() as f64);
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -412,7 +412,11 @@
     if check_crash(state, call, in_flight, now).await {
         return;
     }
-    let server = in_flight.server();
+    record_failure(state, call, in_flight.server(), now);
+}
+
+/// Records a failure of the server, for its health and for its version.
+pub(crate) fn record_failure(state: &HostState, call: &Call, server: &Server, now: Millis) {
     record_server_outcome(state, server, AttemptOutcome::Failed, now);
     state.count_outcome(call, server, Outcome::Failure, now);
 }
--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -16,6 +16,9 @@
 
 use crate::checked_stream::CheckedStream;
 
+/// Largest read buffer of a connection, bytes; it also bounds the head of a response.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Time limit for connecting: many round trips within a region, but short compared with any latency
 /// objective. Waiting longer would not help, since TCP sends a lost SYN again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -110,7 +113,10 @@
     set_options(&stream)?;
     let stream = CheckedStream::new(stream);
     let io = TokioIo::new(stream.clone());
-    let handshake = http1::Builder::new().handshake(io).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(io)
+        .await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = Driver(tokio::spawn(async move {
         // The sender that waits for a response sees the error as well.
--- a/router/src/event_source.rs
+++ b/router/src/event_source.rs
@@ -1,8 +1,8 @@
 //! The event stream of one attempt, split into complete events and watched for silence.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::{routes::RouteKind, time::Millis};
+use clementinearch_policy::{memory_shares::BodyOwner, routes::RouteKind, time::Millis};
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::BodyExt;
 use hyper::{
@@ -17,6 +17,8 @@
         SERVER_SILENT, attempt_timeout, exceeds_idle_timeout, is_framed, record_abandoned,
         record_break, unreachable_reason,
     },
+    body_buffer::BodyError,
+    body_memory::BodyMemory,
     call::Call,
     connections::Connection,
     crash_check::has_ended,
@@ -25,6 +27,7 @@
     hooks::AttemptEnd,
     host_state::HostState,
     in_flight::InFlight,
+    pending_events::PendingEvents,
 };
 
 /// How often a waiting stream checks its time limits and the server.
@@ -55,6 +58,7 @@
     connection: Option<Connection>,
     in_flight: InFlight,
     head: ResponseHead,
+    pending: PendingEvents,
     /// Whether the stream continues after events of an earlier attempt.
     is_resumed: bool,
     /// Whether the end of the body is told by its framing rather than by that of the connection.
@@ -71,8 +75,18 @@
 
 impl EventSource {
     /// Splits a response into its status and headers and its event stream.
-    pub(crate) fn new(response: AttemptResponse, is_resumed: bool) -> (response::Parts, Self) {
+    pub(crate) fn new(
+        response: AttemptResponse,
+        memory: &Arc<BodyMemory>,
+        is_resumed: bool,
+    ) -> (response::Parts, Self) {
+        let entry = &response.in_flight.server().entry;
+        let owner = BodyOwner::Server {
+            service: entry.service.clone(),
+            server: entry.name.clone(),
+        };
         let source = Self {
+            pending: PendingEvents::new(memory, owner),
             body: response.body,
             reader: response.reader,
             connection: Some(response.connection),
@@ -140,6 +154,9 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    if let Err(why) = self.pending.push(data.len()) {
+                        return self.end_or_broken(request, why);
+                    }
                     let events = match self.reader.push(&data) {
                         Ok(events) => events,
                         Err(e) => return self.end_or_broken(request, e.reason()),
@@ -153,7 +170,7 @@
                             state.record_part_answer(call, began_at);
                         }
                         self.in_flight.finish_prefill();
-                        return StreamStep::Events(events);
+                        return StreamStep::Events(self.pending.complete(events));
                     }
                 }
                 Ok(Some(Err(_))) => return self.end_or_broken(request, "stream broke off"),
@@ -331,6 +348,7 @@
             | NEXT_EVENT_OVERDUE => {
                 record_abandoned(&self.state, &self.call, in_flight, why, now).await;
             }
+            _ if why == BodyError::NoMemory.reason() => {}
             _ => record_break(&self.state, &self.call, in_flight, now).await,
         }
     }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -11,6 +11,7 @@
 use clementinearch_policy::{
     connections::max_idle_connections,
     crash_evidence::CrashEvidence,
+    memory_shares::body_memory,
     names::{FastMap, Name},
     part_evidence::PartEvidence,
     planned_stop::PlannedStop,
@@ -26,6 +27,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
+    body_memory::BodyMemory,
     call::{Call, hash_bytes},
     clock::Clock,
     connectivity::ServerPath,
@@ -60,6 +62,7 @@
     pub(crate) clock: Clock,
     pub(crate) running_clock: Mutex<RunningClock>,
     pub(crate) log: DecisionLog,
+    pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) servers: Servers,
     pub(crate) server_path: ServerPath,
     /// Number of requests that peers forwarded to this host and that it serves.
@@ -123,6 +126,7 @@
             clock: Clock::new(),
             running_clock: Mutex::default(),
             log,
+            body_memory: BodyMemory::new(body_memory(settings.limits.memory_bytes)),
             servers: Servers::default(),
             server_path: ServerPath::default(),
             forwarded_requests: AtomicUsize::new(0),
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -10,9 +10,8 @@
     time::Duration,
 };
 
-use clementinearch_policy::{routes::CallerLimits, time::Millis};
+use clementinearch_policy::{memory_shares::BodyOwner, routes::CallerLimits, time::Millis};
 use futures::FutureExt;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -25,6 +24,7 @@
 use tokio::{net::TcpListener, sync::watch, time::timeout};
 
 use crate::{
+    body_buffer::{BodyError, BodyLimit, read_held_body},
     call::{Call, CallHead, hash_bytes, origin_form},
     host_state::HostState,
     pipeline,
@@ -46,6 +46,13 @@
 /// Retry delay for callers of a stopping host; the retry reaches another host.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Reason of the refusal of a request whose body finds no memory.
+const NO_MEMORY: &str = "no memory for its body";
+
+/// Retry delay for callers whose requests find no memory. What holds it is given back within the time
+/// limits of other requests; the retry may reach a host that has more.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Reason of the refusal of a request whose task has panicked.
 const PANICKED: &str = "internal failure";
 
@@ -270,7 +277,7 @@
         let refusal = Refusal::not_run(PLANNED_STOP, STOPPING_RETRY_AFTER);
         return Err((refusal, Some(head)));
     }
-    let body = match read_body(body, &table.limits).await {
+    let body = match read_request_body(state, body, &table.limits).await {
         Ok(body) => body,
         Err(refusal) => return Err((refusal, Some(head))),
     };
@@ -300,13 +307,19 @@
     })
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, limits.max_body_bytes);
-    match timeout(limits.body_timeout, limited.collect()).await {
+async fn read_request_body(
+    state: &HostState,
+    body: Incoming,
+    limits: &CallerLimits,
+) -> Result<Bytes, Refusal> {
+    let limit = BodyLimit::of_request(limits.max_body_bytes);
+    let read = read_held_body(body, limit, &state.body_memory, BodyOwner::Callers);
+    match timeout(limits.body_timeout, read).await {
         Err(_) => Err(Refusal::SlowBody),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(Refusal::BodyTooLarge),
+        Ok(Err(BodyError::NoMemory)) => Err(Refusal::not_run(NO_MEMORY, NO_MEMORY_RETRY_AFTER)),
+        Ok(Err(BodyError::BrokeOff)) => Err(Refusal::BadRequest {
             reason: "the body broke off",
         }),
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -8,6 +8,8 @@
 mod active_request;
 mod admin;
 mod attempt;
+mod body_buffer;
+mod body_memory;
 mod call;
 mod checked_stream;
 mod clock;
@@ -42,6 +44,7 @@
 mod peer_attempts;
 mod peer_source;
 mod peer_view;
+mod pending_events;
 mod pipeline;
 mod refusal;
 mod relay;
@@ -75,6 +78,7 @@
 mod view_codec;
 mod view_sync;
 
+pub use body_buffer::{BodyError, BodyLimit, read_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
 pub use connections::{Connection, SendOutcome, connect};
 pub use data_path::DataPath;
--- a/router/src/peer_source.rs
+++ b/router/src/peer_source.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use clementinearch_policy::{event_stream::EventSplitter, time::Millis};
+use clementinearch_policy::{event_stream::EventSplitter, memory_shares::BodyOwner, time::Millis};
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Frame, Incoming};
@@ -16,6 +16,7 @@
     forwarding::{PEER_SILENT, PeerResponse, is_unreachable},
     handover::{Holder, HolderId, Sign},
     host_state::HostState,
+    pending_events::PendingEvents,
 };
 
 /// How often a waiting stream checks its time limits and the peer.
@@ -25,6 +26,7 @@
 pub(crate) struct PeerSource {
     body: Incoming,
     reader: EventSplitter,
+    pending: PendingEvents,
     /// Connection on which the body arrives; dropping it cancels the request at the peer.
     connection: Option<Connection>,
     peer: SocketAddr,
@@ -37,9 +39,18 @@
 }
 
 impl PeerSource {
-    /// Reads the stream of a response that goes on after the event `resume_after`.
-    pub(crate) fn new(response: PeerResponse, resume_after: Option<u64>) -> Self {
+    /// Reads the stream of a response to `request` that goes on after the event `resume_after`.
+    pub(crate) fn new(
+        response: PeerResponse,
+        request: &ActiveRequest,
+        resume_after: Option<u64>,
+    ) -> Self {
+        let owner = BodyOwner::Server {
+            service: request.call.service.clone(),
+            server: response.peer.to_string().into(),
+        };
         Self {
+            pending: PendingEvents::new(&request.state.body_memory, owner),
             body: response.body,
             reader: EventSplitter::new(resume_after),
             connection: Some(response.connection),
@@ -94,9 +105,14 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    if let Err(why) = self.pending.push(data.len()) {
+                        return StreamStep::Broken(why);
+                    }
                     match self.reader.push(&data) {
                         Ok(events) if events.is_empty() => {}
-                        Ok(events) => return StreamStep::Events(events.into()),
+                        Ok(events) => {
+                            return StreamStep::Events(self.pending.complete(events.into()));
+                        }
                         Err(e) => return StreamStep::Broken(e.reason()),
                     }
                 }
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -7,7 +7,7 @@
 
 use clementinearch_policy::{link_pacer::LinkPacer, view_age::MAX_VIEW_AGE};
 use clementinearch_storage::MAX_REVISION;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    body_buffer::{BodyLimit, read_body},
     connections::{Connection, SendOutcome, connect},
     forwarding,
     host_state::HostState,
@@ -245,9 +246,10 @@
     // Peers of earlier versions send at once and name no time.
     let due_ms = parse_header(&parts.headers, VIEW_DUE_MS_HEADER, u64::MAX).unwrap_or(0);
     let limit = Duration::from_millis(due_ms).min(MAX_VIEW_DUE) + RESPONSE_TIMEOUT;
-    let body = timeout(limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
+    let body = read_body(body, BodyLimit::of_response(MAX_RESPONSE_BYTES));
+    let body = timeout(limit, body).await;
     let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-    let body = body.map_err(io::Error::other)?.to_bytes();
+    let body = body.map_err(io::Error::other)?;
     let transfer = began_at.elapsed();
     Ok(PeerView {
         delta: decompress(body).await?,
--- a/router/src/pipeline.rs
+++ b/router/src/pipeline.rs
@@ -3,13 +3,18 @@
 
 use std::sync::Arc;
 
-use clementinearch_policy::server_health::AttemptOutcome;
-use http_body_util::{BodyExt, Limited, StreamBody};
-use hyper::{Response, StatusCode, body::Bytes, http::response};
+use clementinearch_policy::{memory_shares::BodyOwner, server_health::AttemptOutcome};
+use http_body_util::StreamBody;
+use hyper::{
+    Response, StatusCode,
+    body::{Bytes, Incoming},
+    http::response,
+};
 
 use crate::{
     active_request::{ActiveRequest, Reply},
-    attempt::{AttemptResponse, is_framed, record_break},
+    attempt::{AttemptResponse, is_framed, record_break, record_failure},
+    body_buffer::{BodyError, BodyLimit, read_held_body},
     call::Call,
     event_source::EventSource,
     forwarding::PeerResponse,
@@ -26,7 +31,10 @@
 };
 
 /// Maximum size of a response that is buffered until it is complete, bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
+/// Maximum size of a response that reports a failure, bytes. It holds a message at most.
+const MAX_FAILURE_BYTES: usize = 256 << 10;
 
 /// A response that was received to its end.
 struct CompleteResponse {
@@ -111,22 +119,22 @@
     }
 
     /// Reads the response of a peer to its end, for the caller to get as it is. Returns `None` if it
-    /// breaks off, exceeds [`MAX_RESPONSE_BYTES`] or is incomplete at the deadline.
+    /// breaks off, is too large or is incomplete at the deadline.
     async fn read_peer_response(
         &mut self,
         response: PeerResponse,
     ) -> Option<Response<ResponseBody>> {
-        let body = Limited::new(response.body, MAX_RESPONSE_BYTES);
-        let remaining = self.call.remaining(self.state.now());
-        let read = tokio::time::timeout(remaining, body.collect()).await;
-        let Ok(Ok(body)) = read else {
-            let peer = response.peer.to_string();
-            self.log_step("answer_broken", &peer, "broke off", &[]);
-            return None;
-        };
         let parts = response.parts;
+        let peer = response.peer.to_string();
+        let body = match self.read_body(&parts, response.body, &peer).await {
+            Ok(body) => body,
+            Err(e) => {
+                let why = e.map_or("time limit passed", BodyError::reason);
+                self.log_step("answer_broken", &peer, why, &[]);
+                return None;
+            }
+        };
         let is_success = parts.status.is_success();
-        let body = body.to_bytes();
         let forwarded = self.forward(CompleteResponse { parts, body }).await;
         let why = if is_success {
             "complete"
@@ -168,18 +176,53 @@
         response
     }
 
-    /// Reads a response to its end. Returns `None` if it breaks off, exceeds
-    /// [`MAX_RESPONSE_BYTES`], is not the server's own or is incomplete at the deadline.
+    /// Reads the body of a response from the server or peer `server` within the limits of its size.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no complete body, or nothing if it is incomplete at the deadline.
+    async fn read_body(
+        &self,
+        parts: &response::Parts,
+        body: Incoming,
+        server: &str,
+    ) -> Result<Bytes, Option<BodyError>> {
+        let max_bytes = if parts.status.is_success() {
+            MAX_RESPONSE_BYTES
+        } else {
+            MAX_FAILURE_BYTES
+        };
+        let owner = BodyOwner::Server {
+            service: self.call.service.clone(),
+            server: server.into(),
+        };
+        let limit = BodyLimit::of_response(max_bytes);
+        let read = read_held_body(body, limit, &self.state.body_memory, owner);
+        let remaining = self.call.remaining(self.state.now());
+        match tokio::time::timeout(remaining, read).await {
+            Ok(read) => read.map_err(Some),
+            Err(_) => Err(None),
+        }
+    }
+
+    /// Reads a response to its end. Returns `None` if it breaks off, is too large, is not the
+    /// server's own or is incomplete at the deadline.
     async fn read_complete(&mut self, mut response: AttemptResponse) -> Option<CompleteResponse> {
         let server = response.in_flight.server().clone();
-        let parts = response.parts;
-        let body = Limited::new(response.body, MAX_RESPONSE_BYTES);
-        let remaining = self.call.remaining(self.state.now());
-        let read = tokio::time::timeout(remaining, body.collect()).await;
         let now = self.state.now();
+        let parts = response.parts;
         let is_own = !parts.status.is_success() || response.head.is_signed;
+        if !is_own || response.head.is_encoded {
+            self.log_step("answer_spoiled", &server.entry.name, "not its own", &[]);
+            record_server_outcome(&self.state, &server, AttemptOutcome::Failed, now);
+            return None;
+        }
+        let read = self
+            .read_body(&parts, response.body, &server.entry.name)
+            .await;
+        let now = self.state.now();
         match read {
-            Ok(Ok(body)) if is_own && !response.head.is_encoded => {
+            Ok(body) => {
                 server.record_contact(now);
                 self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Whole);
                 // The end of a connection alone does not show that the server has survived.
@@ -190,23 +233,24 @@
                     }
                 }
                 self.keep_connection(&server, response.connection, &response.head, now);
-                Some(CompleteResponse {
-                    parts,
-                    body: body.to_bytes(),
-                })
-            }
-            Ok(Ok(_)) => {
-                self.log_step("answer_spoiled", &server.entry.name, "not its own", &[]);
-                record_server_outcome(&self.state, &server, AttemptOutcome::Failed, now);
-                None
+                Some(CompleteResponse { parts, body })
             }
-            Ok(Err(_)) => {
-                self.log_step("answer_broken", &server.entry.name, "broke off", &[]);
+            Err(Some(e)) => {
+                let held = self.state.body_memory.held() as f64;
+                let inputs = [("held_bytes", held)];
+                self.log_step("answer_broken", &server.entry.name, e.reason(), &inputs);
+                metrics::counter!("clementinearch_answers_broken_total", "service" => self.call.service.to_string(), "why" => e.reason()).increment(1);
                 self.record_attempt(response.in_flight.attempt_target(), AttemptEnd::Broken);
-                record_break(&self.state, &self.call, &response.in_flight, now).await;
+                match e {
+                    BodyError::BrokeOff => {
+                        record_break(&self.state, &self.call, &response.in_flight, now).await;
+                    }
+                    BodyError::TooLarge => record_failure(&self.state, &self.call, &server, now),
+                    BodyError::NoMemory => {}
+                }
                 None
             }
-            Err(_) => None,
+            Err(None) => None,
         }
     }
 
@@ -224,7 +268,7 @@
                 Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if self.is_usable_peer_head(&response) => {
                     let parts = response.parts.clone();
-                    let source = PeerSource::new(response, resume_after);
+                    let source = PeerSource::new(response, &self, resume_after);
                     let source = Source::Peer(Box::new(source));
                     match self.begin_stream(source, resume_after).await {
                         Begin::Stream(source, first) => {
@@ -264,7 +308,8 @@
                 self.tried.clear();
                 continue;
             }
-            let (parts, source) = EventSource::new(response, resume_after.is_some());
+            let (parts, source) =
+                EventSource::new(response, &self.state.body_memory, resume_after.is_some());
             let source = Source::Server(Box::new(source));
             match self.begin_stream(source, resume_after).await {
                 Begin::Stream(source, first) => return self.relay(parts, source, first).await,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -3,17 +3,20 @@
 
 use std::{io, time::Duration};
 
-use clementinearch_policy::routes::RouteKind;
+use clementinearch_policy::{memory_shares::BodyOwner, routes::RouteKind};
 use futures::{Stream, StreamExt};
 use hyper::body::{Bytes, Frame};
 use tokio::sync::mpsc;
 
 use crate::{
     active_request::{ActiveRequest, Reply},
+    body_buffer::BodyError,
+    body_memory::HeldBytes,
     event_source::{EventSource, StreamStep},
     handover::Handover,
     hooks::CallEnd,
     peer_source::PeerSource,
+    pipeline::MAX_RESPONSE_BYTES,
     refusal::Refusal,
     stream_head::is_usable_stream_head,
     stream_source::Source,
@@ -30,6 +33,24 @@
     refusal: Refusal,
 }
 
+impl StreamFailure {
+    fn may_have_run(why: &'static str) -> Self {
+        let refusal = Refusal::MayHaveRun { reason: why };
+        Self { why, refusal }
+    }
+}
+
+/// Checks that there is room for all events of a response so far.
+fn check_size(events: &Vec<u8>, held: &mut HeldBytes) -> Result<(), BodyError> {
+    if events.len() > MAX_RESPONSE_BYTES {
+        return Err(BodyError::TooLarge);
+    }
+    if !held.resize(events.capacity()) {
+        return Err(BodyError::NoMemory);
+    }
+    Ok(())
+}
+
 /// A stream that is being forwarded to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
@@ -104,20 +125,30 @@
     ///
     /// Returns a refusal if the stream cannot be completed.
     pub(crate) async fn collect(mut self) -> Result<Bytes, Refusal> {
+        let (state, service) = (&self.request.state, self.request.call.service.clone());
+        let mut held = state.body_memory.begin(BodyOwner::Server {
+            service,
+            server: "".into(),
+        });
         let mut all = Vec::new();
         loop {
-            match self.next().await {
-                Ok(Some(events)) => all.extend_from_slice(&events),
+            let failure = match self.next().await {
+                Ok(Some(events)) => {
+                    all.extend_from_slice(&events);
+                    match check_size(&all, &mut held) {
+                        Ok(()) => continue,
+                        Err(e) => StreamFailure::may_have_run(e.reason()),
+                    }
+                }
                 Ok(None) => {
                     self.request.end("complete", self.source.event_count());
-                    return Ok(all.into());
-                }
-                Err(failure) => {
-                    let refusal = failure.refusal.clone();
-                    self.finish_failed(failure).await;
-                    return Err(refusal);
+                    return Ok(held.into_bytes(all));
                 }
-            }
+                Err(failure) => failure,
+            };
+            let refusal = failure.refusal.clone();
+            self.finish_failed(failure).await;
+            return Err(refusal);
         }
     }
 
@@ -191,11 +222,12 @@
                 self.request.is_pace_due = false;
                 let source = match reply {
                     Reply::Server(response) => {
-                        let (_, source) = EventSource::new(*response, true);
+                        let memory = &self.request.state.body_memory;
+                        let (_, source) = EventSource::new(*response, memory, true);
                         Source::Server(Box::new(source))
                     }
                     Reply::Peer(response) => {
-                        Source::Peer(Box::new(PeerSource::new(response, after)))
+                        Source::Peer(Box::new(PeerSource::new(response, &self.request, after)))
                     }
                 };
                 let left = std::mem::replace(&mut self.source, source);
@@ -225,24 +257,21 @@
         self.request.is_pace_due = false;
         self.request.record_broken_source(&self.source, why).await;
         if self.request.call.head.route.kind != (RouteKind::Stream { resumable: true }) {
-            let refusal = Refusal::MayHaveRun { reason: why };
-            return Err(StreamFailure { why, refusal });
+            return Err(StreamFailure::may_have_run(why));
         }
         loop {
             let response = match self.request.next_response(after).await {
                 Ok(Reply::Server(response)) => *response,
                 Ok(Reply::Peer(response)) if self.request.is_usable_peer_head(&response) => {
-                    self.source = Source::Peer(Box::new(PeerSource::new(response, after)));
+                    let source = PeerSource::new(response, &self.request, after);
+                    self.source = Source::Peer(Box::new(source));
                     return Ok(());
                 }
                 Ok(Reply::Peer(response)) if response.parts.status.is_success() => {
                     self.request.reject_peer_head(&response);
                     continue;
                 }
-                Ok(Reply::Peer(_)) => {
-                    let refusal = Refusal::MayHaveRun { reason: why };
-                    return Err(StreamFailure { why, refusal });
-                }
+                Ok(Reply::Peer(_)) => return Err(StreamFailure::may_have_run(why)),
                 Err(refusal) => return Err(StreamFailure { why, refusal }),
             };
             if !is_usable_stream_head(&response) {
@@ -250,7 +279,7 @@
                 continue;
             }
             // Dropping the old source closes its connection and so cancels the old attempt.
-            let (_, source) = EventSource::new(response, true);
+            let (_, source) = EventSource::new(response, &self.request.state.body_memory, true);
             self.source = Source::Server(Box::new(source));
             return Ok(());
         }
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -10,6 +10,12 @@
     toml_reader::{Table, read_document},
 };
 
+/// Bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
+/// Memory that a process is taken to have unless it is told, bytes.
+const DEFAULT_MEMORY_BYTES: u64 = 128_000_000;
+
 /// Addresses that the host listens on.
 #[derive(Clone, Debug)]
 pub struct Listen {
@@ -43,6 +49,8 @@
     pub gossip_period: Duration,
     /// Rate of the host's link, Mbit/s, if it is known.
     pub link_mbps: Option<f64>,
+    /// Memory of the process, bytes.
+    pub memory_bytes: u64,
 }
 
 /// Bounds that hold for the whole fleet.
@@ -89,6 +97,19 @@
         Ok(self)
     }
 
+    /// Sets the memory of the process from a text in MB. An empty text leaves the file's setting, or
+    /// the default.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the text.
+    pub fn with_memory(mut self, text: &str) -> Result<Self, String> {
+        if !text.is_empty() {
+            self.limits.memory_bytes = parse_memory(text)?;
+        }
+        Ok(self)
+    }
+
     /// Parses and checks settings in TOML; `source` names the file in findings.
     ///
     /// # Errors
@@ -124,6 +145,9 @@
         view_period: table.millis("view_period_ms", 10..=60_000, Duration::from_millis(700)),
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
         link_mbps: table.parsed("link_mbps", parse_rate),
+        memory_bytes: table
+            .parsed("memory_mb", parse_memory)
+            .unwrap_or(DEFAULT_MEMORY_BYTES),
     }
 }
 
@@ -164,6 +188,13 @@
     }
 }
 
+fn parse_memory(text: &str) -> Result<u64, String> {
+    match parse_non_negative(text) {
+        Ok(mb) if mb > 0.0 => Ok((mb * BYTES_PER_MB) as u64),
+        _ => Err(format!("`{text}` is not a number of MB above 0")),
+    }
+}
+
 fn parse_share(text: &str) -> Result<f64, String> {
     match parse_non_negative(text) {
         Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
--- a/storage/src/http.rs
+++ b/storage/src/http.rs
@@ -1,6 +1,10 @@
 //! HTTP client of the platform's key-value service and host list.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use clementinearch_border::HostEntry;
 use clementinearch_policy::addresses::check_address;
@@ -19,6 +23,9 @@
 /// Header that carries the version of a key.
 const VERSION_HEADER: &str = "x-version";
 
+/// Largest response that is read, bytes.
+const MAX_RESPONSE_BYTES: u64 = 16 << 20;
+
 /// Time allowed for the response to a watch after its waiting time has passed.
 const WATCH_GRACE: Duration = Duration::from_secs(1);
 
@@ -84,6 +91,17 @@
     }
 }
 
+/// Reads the body of a response as text.
+fn read_text(response: Response<Body>) -> io::Result<String> {
+    let mut text = String::new();
+    let mut body = response.into_body().take(MAX_RESPONSE_BYTES + 1);
+    body.read_to_string(&mut text)?;
+    if text.len() as u64 > MAX_RESPONSE_BYTES {
+        return Err(io::Error::other("response too large"));
+    }
+    Ok(text)
+}
+
 /// Reads the value and the version of a response.
 fn read_value(response: Response<Body>) -> Result<Versioned, StoreError> {
     let version = response
@@ -93,17 +111,14 @@
     let version = version.ok_or_else(|| StoreError::Unknown {
         reason: "response has no valid version header".to_owned(),
     })?;
-    let value = response
-        .into_body()
-        .to_string()
-        .map_err(|e| transport_error(&e))?;
+    let value = read_text(response).map_err(|e| transport_error(&e))?;
     Ok(Versioned { version, value })
 }
 
 /// Converts a response with an unexpected status into an error.
 fn status_error(response: Response<Body>) -> StoreError {
     let status = response.status();
-    let text = response.into_body().to_string().unwrap_or_default();
+    let text = read_text(response).unwrap_or_default();
     let reason = format!("{status}: {text}");
     match status {
         StatusCode::SERVICE_UNAVAILABLE => StoreError::NotReached { reason },
@@ -215,10 +230,7 @@
         if response.status() != StatusCode::OK {
             return Err(status_error(response));
         }
-        let text = response
-            .into_body()
-            .to_string()
-            .map_err(|e| transport_error(&e))?;
+        let text = read_text(response).map_err(|e| transport_error(&e))?;
         read_hosts(&text).map_err(|e| StoreError::Refused {
             reason: format!("malformed host list: {e}"),
         })
