Order what hosts know of the store by era before revision

Cause: hosts ordered the store's states by revision alone, and nothing read Store-Era. A full read below the known revision was dropped, as were items written at revisions that had been given out before, and relays and reports passed the old revisions on.

Change: a state of the store is (era, revision), in views, full reads, changes, views for peers, reports and the cache of packed views. A new era replaces all items. A compare-and-swap counts as done only in the era of its revision. What has been in force stays: routing by the operators' version, rollouts that have ended, servers that drain or are gone by the number of their heartbeats. Entries of hosts, statuses and blocks that the store has lost are written again. Followers ask the zone's relay first.

--- a/host/src/backends/servers.rs
+++ b/host/src/backends/servers.rs
@@ -109,6 +109,7 @@
         version: "".into(),
         slots: 0,
         state: RouterServerState::Ready,
+        sequence: 0,
         incarnation: 0,
     })
 }
--- a/host/tests/route_crashes.rs
+++ b/host/tests/route_crashes.rs
@@ -227,6 +227,36 @@
     });
 }
 
+/// Guards against a block that ends for all hosts because the store came back from an older copy.
+#[test]
+fn a_block_that_the_store_has_lost_is_written_again() {
+    let mut platform = Platform::new();
+    let servers = add_servers(&mut platform, 8, |_| vec![Step::Crash]);
+    platform.store.set_era("1");
+    platform.start_hosts(2);
+    wait_until_acquainted(&platform);
+    let copy = platform.store.copy();
+    for number in 0..BLOCKING_CRASHES {
+        let id = format!("crash-{number}");
+        send_request(&platform.hosts[0], "POST /pay/1", &id, "", CRASHING);
+    }
+    let has_block = || !platform.store.keys("clementinearch/blocked/").is_empty();
+    wait_until("the block is in the store", has_block);
+    for host in &platform.hosts {
+        wait_until_blocked(host);
+    }
+    platform.store.restore(&copy, 2);
+    assert!(!has_block());
+    wait_until("the block is in the store again", has_block);
+    for (number, host) in platform.hosts.iter().enumerate() {
+        wait_until("the host knows the era", || host.status()["store_era"] == 2);
+        let id = format!("later-{number}");
+        let answer = send_request(host, "POST /pay/1", &id, "", CRASHING);
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(crashing_requests(&servers), BLOCKING_CRASHES);
+}
+
 /// Only the new start time in the server's entry shows that it has crashed.
 #[test]
 fn a_server_that_listens_again_at_once_counts_as_crashed() {
--- a/host/tests/route_panics.rs
+++ b/host/tests/route_panics.rs
@@ -75,6 +75,10 @@
         self.inner.status_item(status)
     }
 
+    fn status_service<'a>(&self, key: &'a str) -> Option<&'a str> {
+        self.inner.status_service(key)
+    }
+
     fn block_item(&self, block: Block) -> (String, Vec<u8>) {
         panic_if_due(&self.panics.block_item);
         self.inner.block_item(block)
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -31,6 +31,8 @@
     routing_version: u64,
     /// Store revision up to which the host's view is complete.
     store_revision: u64,
+    /// Era of that revision; zero if the store names none.
+    store_era: u64,
     /// Time since the store last answered, milliseconds.
     store_age_ms: u64,
     servers: usize,
@@ -122,13 +124,15 @@
     let now = state.now();
     let (suspect_contents, blocked_contents) = state.crash_evidence.lock().counts(now);
     let (suspect_parts, blocked_parts) = state.part_evidence.lock().counts(now);
+    let position = state.view.lock().position();
     let largest = state.body_memory.largest(LISTED_HOLDERS);
     Status {
         name: state.settings.name.to_string(),
         is_ready: state.is_ready(),
         is_stopping: state.is_stopping(),
         routing_version: state.table_version(),
-        store_revision: state.view.lock().store_revision(),
+        store_revision: position.revision,
+        store_era: position.era,
         store_age_ms: now.since(state.last_store_contact()).as_millis() as u64,
         servers: state.servers.names().len(),
         reaches_servers: !state.has_lost_servers(),
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -254,6 +254,10 @@
         (status.service.to_string(), Vec::new())
     }
 
+    fn status_service<'a>(&self, _key: &'a str) -> Option<&'a str> {
+        None
+    }
+
     fn block_item(&self, block: Block) -> (String, Vec<u8>) {
         (format!("{block:?}"), Vec::new())
     }
@@ -284,6 +288,9 @@
     /// Builds the key and value of a rollout's status.
     fn status_item(&self, status: &RolloutStatus) -> (String, Vec<u8>);
 
+    /// Returns the service if `key` is that of its rollout's status.
+    fn status_service<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Builds the key and value of a block.
     fn block_item(&self, block: Block) -> (String, Vec<u8>);
 
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -8,6 +8,7 @@
     placement::affinity_rank,
     time::Millis,
 };
+use clementinearch_storage::StorePosition;
 
 use crate::call::hash_bytes;
 
@@ -41,7 +42,8 @@
     pub(crate) name: Name,
     pub(crate) address: SocketAddr,
     pub(crate) zone: Name,
-    pub(crate) store_revision: u64,
+    /// State of the store up to which its view is complete.
+    pub(crate) position: StorePosition,
     /// Whether it reaches no backend server.
     pub(crate) has_lost_servers: bool,
     /// Rate of its link, Mbit/s; zero if it is not known.
@@ -65,7 +67,7 @@
     zone: Option<Name>,
     /// Time of the last report; none before the first.
     last_report: Option<Millis>,
-    store_revision: u64,
+    position: StorePosition,
     has_lost_servers: bool,
     /// Rate of its link, Mbit/s; zero if it is not known.
     link_mbps: u32,
@@ -115,7 +117,7 @@
                 address,
                 zone: None,
                 last_report: None,
-                store_revision: 0,
+                position: StorePosition::default(),
                 has_lost_servers: false,
                 link_mbps: 0,
                 forwarding: ForwardingSupport::default(),
@@ -133,7 +135,7 @@
             if peer.zone.replace(info.zone).is_none() && peer.zone.as_ref() == Some(&self.zone) {
                 self.newly_met.push(info.address);
             }
-            peer.store_revision = info.store_revision;
+            peer.position = info.position;
             peer.has_lost_servers = info.has_lost_servers;
             peer.link_mbps = info.link_mbps;
             peer.forwarding.record_report(info.serves_forwarded);
@@ -311,11 +313,11 @@
         near
     }
 
-    /// A random live peer whose view is newer than `revision`.
-    pub(crate) fn peer_ahead_of(&self, revision: u64, now: Millis) -> Option<SocketAddr> {
+    /// A random live peer whose view is newer than `position`.
+    pub(crate) fn peer_ahead_of(&self, position: StorePosition, now: Millis) -> Option<SocketAddr> {
         let ahead = self
             .live_peers(now)
-            .filter(|(_, peer)| peer.store_revision > revision);
+            .filter(|(_, peer)| peer.position > position);
         let addresses: Vec<SocketAddr> = ahead.map(|(_, peer)| peer.address).collect();
         fastrand::choice(addresses)
     }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -13,6 +13,7 @@
     part_evidence::PartRow,
     time::Millis,
 };
+use clementinearch_storage::StorePosition;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -61,6 +62,9 @@
     zone: Name,
     address: SocketAddr,
     store_revision: u64,
+    /// Era of that revision. Hosts of earlier versions name none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    store_era: Option<u64>,
     rollouts: Vec<RolloutReport>,
     #[serde(rename = "suspects")]
     crash_evidence: Vec<EvidenceRow>,
@@ -207,11 +211,13 @@
     fn build_report(&mut self) {
         let state = &self.state;
         let now = state.now();
+        let position = state.view.lock().position();
         let report = HostReport {
             from: state.settings.name.clone(),
             zone: state.settings.zone.clone(),
             address: state.settings.listen.peers,
-            store_revision: state.view.lock().store_revision(),
+            store_revision: position.revision,
+            store_era: Some(position.era).filter(|era| *era != 0),
             rollouts: state.rollouts.reports(now, |service, target| {
                 state.running_on_other_versions(service, target)
             }),
@@ -315,11 +321,15 @@
     for content in newly_blocked {
         state.log_block("content_blocked", Block::Content(content), "peer");
     }
+    let own_era = state.view.lock().position().era;
     let peer = PeerInfo {
         name: report.from,
         address: report.address,
         zone: report.zone,
-        store_revision: report.store_revision,
+        position: StorePosition {
+            era: report.store_era.unwrap_or(own_era),
+            revision: report.store_revision,
+        },
         has_lost_servers: report.has_lost_servers,
         link_mbps: report.link_mbps,
         serves_forwarded: report.serves_forwarded,
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -335,7 +335,10 @@
 /// Writes a rollout's status, unless another host has written one since this host's last read.
 async fn write_status(state: &HostState, store: &dyn KeyStore, due: PendingStatus) {
     let (key, value) = state.schema.status_item(&due.status);
-    let revision = state.view.lock().revision_of(&key);
+    let (revision, era) = {
+        let view = state.view.lock();
+        (view.revision_of(&key), view.position().era)
+    };
     let transaction = Transaction {
         expected: vec![(key.clone(), revision)],
         writes: vec![(key, value)],
@@ -345,7 +348,9 @@
     let rollout_state = format!("{:?}", due.status.state);
     let why = match committed {
         Ok(committed) => {
-            let is_done = matches!(committed, CommitOutcome::Done { .. });
+            // In another era the expected revision may have been that of another status.
+            let is_done =
+                matches!(committed, CommitOutcome::Done { position } if position.era == era);
             if is_done {
                 let now = state.now();
                 state.rollouts.record_status(&due.status, now);
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -23,6 +23,7 @@
     server_limit::ReturnSchedule,
     time::Millis,
 };
+use clementinearch_storage::StorePosition;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -358,13 +359,13 @@
             .count_response(&call.service, route, version, outcome, now);
     }
 
-    /// Waits up to `wait` for a change after `revision` that is relevant to peers.
-    pub(crate) async fn wait_for_change(&self, revision: u64, wait: Duration) {
+    /// Waits up to `wait` for a change after `position` that is relevant to peers.
+    pub(crate) async fn wait_for_change(&self, position: StorePosition, wait: Duration) {
         let changed = self.view_changed.notified();
         let mut changed = std::pin::pin!(changed);
         // Registers before the check below, as in `wait_for_table`.
         changed.as_mut().enable();
-        if !self.view.lock().has_relevant_change(revision) {
+        if !self.view.lock().has_relevant_change(position) {
             let _ = tokio::time::timeout(wait, changed).await;
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -77,6 +77,8 @@
 mod view;
 mod view_codec;
 mod view_sync;
+#[cfg(test)]
+mod view_tests;
 
 pub use body_buffer::{BodyError, BodyLimit, read_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -6,10 +6,10 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{link_pacer::LinkPacer, view_age::MAX_VIEW_AGE};
-use clementinearch_storage::MAX_REVISION;
+use clementinearch_storage::{MAX_REVISION, StorePosition};
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode, Uri,
     body::{Bytes, Incoming},
     header::CONTENT_LENGTH,
 };
@@ -40,6 +40,9 @@
 /// Header with the revision up to which the sender's view is complete.
 const STORE_REVISION_HEADER: &str = "store-revision";
 
+/// Header with the era of that revision. Hosts of earlier versions send none.
+const STORE_ERA_HEADER: &str = "store-era";
+
 /// Header with the time since the store last answered the sender, milliseconds.
 const STORE_AGE_MS_HEADER: &str = "store-age-ms";
 
@@ -59,12 +62,18 @@
 /// Path prefix for changes; the revision after which they are wanted follows.
 const CHANGES_PATH: &str = "/changes/";
 
+/// Query of that path, with the era of the revision if the store names one. Hosts of earlier versions
+/// neither send nor read it.
+const ERA_QUERY: &str = "era=";
+
 /// Changes read from a peer, with the age and revision of its view.
 pub(crate) struct PeerView {
     /// Changes, or all items.
     pub(crate) delta: ViewDelta,
-    /// Revision up to which the peer's view is complete.
-    pub(crate) store_revision: u64,
+    /// State of the store up to which the peer's view is complete.
+    pub(crate) position: StorePosition,
+    /// Whether the peer names the era of that state. If not, it is presumed to be the own one.
+    pub(crate) names_era: bool,
     /// Time since the store last answered the peer, when it began to answer.
     pub(crate) age: Duration,
     /// Time from the begin to the end of the answer.
@@ -80,26 +89,30 @@
 }
 
 impl ResponseCache {
-    /// Returns the compressed changes after a revision, and the revision up to which the view is
-    /// complete.
-    async fn after(&self, state: &HostState, after: u64) -> io::Result<(Bytes, u64)> {
+    /// Returns the compressed changes after a state of the store, and the state up to which the view
+    /// is complete.
+    async fn after(
+        &self,
+        state: &HostState,
+        after: StorePosition,
+    ) -> io::Result<(Bytes, StorePosition)> {
         // Peers that want the same changes wait for the first of them to be answered.
         let mut compressed = self.compressed.lock().await;
-        let (range, store_revision, delta) = {
+        let (range, position, delta) = {
             let view = state.view.lock();
             let range = view.range_after(after);
-            let store_revision = view.store_revision();
+            let position = view.position();
             if let Some((_, body)) = compressed.iter().find(|(of, _)| *of == range) {
-                return Ok((body.clone(), store_revision));
+                return Ok((body.clone(), position));
             }
-            (range, store_revision, view.delta(range))
+            (range, position, view.delta(range))
         };
         let body = compress(delta).await?;
         if compressed.len() >= MAX_CACHED_RESPONSES {
             compressed.remove(0);
         }
         compressed.push((range, body.clone()));
-        Ok((body, store_revision))
+        Ok((body, position))
     }
 }
 
@@ -123,30 +136,32 @@
             if forwarding::is_forwarded(&req) {
                 return forwarding::serve(server.state.clone(), req).await;
             }
-            server.respond(req.uri().path()).await
+            server.respond(req.uri()).await
         }
     };
     internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
 }
 
 impl ViewServer {
-    async fn respond(&self, path: &str) -> InternalResponse {
-        let after = path
-            .strip_prefix(CHANGES_PATH)
-            .and_then(|revision| revision.parse().ok());
-        let Some(after) = after else {
+    async fn respond(&self, uri: &Uri) -> InternalResponse {
+        let own = self.state.view.lock().position();
+        let Some(after) = read_position(uri, own.era) else {
             return with_status(StatusCode::NOT_FOUND, Bytes::new());
         };
+        if after.era > own.era {
+            // The peer reads the store, which this host has not reached since it came back.
+            return with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        }
         self.wait_for_change(after).await;
         match self.cache.after(&self.state, after).await {
-            Ok((body, store_revision)) => self.paced_response(body, store_revision),
+            Ok((body, position)) => self.paced_response(body, position),
             Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
         }
     }
 
-    /// Waits up to [`CHANGES_WAIT`] for a change after a revision, but no longer than this host's
-    /// view is recent enough for peers, which then read the store.
-    async fn wait_for_change(&self, after: u64) {
+    /// Waits up to [`CHANGES_WAIT`] for a change after a state of the store, but no longer than this
+    /// host's view is recent enough for peers, which then read the store.
+    async fn wait_for_change(&self, after: StorePosition) {
         let state = &self.state;
         let end = state.now().after(CHANGES_WAIT);
         loop {
@@ -159,9 +174,9 @@
         }
     }
 
-    /// Builds the response with a view that is complete up to `store_revision`, unless too many
-    /// others wait for this host's link.
-    fn paced_response(&self, body: Bytes, store_revision: u64) -> InternalResponse {
+    /// Builds the response with a view that is complete up to `position`, unless too many others wait
+    /// for this host's link.
+    fn paced_response(&self, body: Bytes, position: StorePosition) -> InternalResponse {
         let state = &self.state;
         let now = state.now();
         let length = body.len();
@@ -176,7 +191,8 @@
         let mut response = Response::new(paced_body(state.clone(), body, turn));
         let headers = response.headers_mut();
         headers.insert(CONTENT_LENGTH, length.into());
-        headers.insert(STORE_REVISION_HEADER, store_revision.into());
+        headers.insert(STORE_REVISION_HEADER, position.revision.into());
+        headers.insert(STORE_ERA_HEADER, position.era.into());
         headers.insert(STORE_AGE_MS_HEADER, (age.as_millis() as u64).into());
         let due = turn.end().since(now);
         headers.insert(VIEW_DUE_MS_HEADER, (due.as_millis() as u64).into());
@@ -184,6 +200,17 @@
     }
 }
 
+/// Reads the state after which a peer wants changes. Without an era it is presumed to be of this host's
+/// own.
+fn read_position(uri: &Uri, own_era: u64) -> Option<StorePosition> {
+    let revision = uri.path().strip_prefix(CHANGES_PATH)?.parse().ok()?;
+    let era = match uri.query() {
+        Some(query) => query.strip_prefix(ERA_QUERY)?.parse().ok()?,
+        None => own_era,
+    };
+    Some(StorePosition { era, revision })
+}
+
 /// Client for peers' views that keeps one connection open.
 #[derive(Debug, Default)]
 pub(crate) struct PeerClient {
@@ -191,7 +218,7 @@
 }
 
 impl PeerClient {
-    /// Reads the changes after `revision` from `peer`, which waits up to `CHANGES_WAIT` for one.
+    /// Reads the changes after `position` from `peer`, which waits up to `CHANGES_WAIT` for one.
     ///
     /// # Errors
     ///
@@ -200,14 +227,14 @@
     pub(crate) async fn changes(
         &mut self,
         peer: SocketAddr,
-        revision: u64,
+        position: StorePosition,
     ) -> io::Result<PeerView> {
         let kept = self.connection.take().filter(|kept| kept.0 == peer);
         let limit = CHANGES_WAIT + RESPONSE_TIMEOUT;
-        let asked = timeout(limit, ask(kept.map(|kept| kept.1), peer, revision)).await;
+        let asked = timeout(limit, ask(kept.map(|kept| kept.1), peer, position)).await;
         let (response, connection) =
             asked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-        let view = read(response).await?;
+        let view = read(response, position.era).await?;
         self.connection = Some((peer, connection));
         Ok(view)
     }
@@ -217,13 +244,17 @@
 async fn ask(
     kept: Option<Connection>,
     peer: SocketAddr,
-    revision: u64,
+    position: StorePosition,
 ) -> io::Result<(Response<Incoming>, Connection)> {
     let mut connection = match kept {
         Some(connection) if connection.is_open() => connection,
         _ => connect(peer).await?,
     };
-    let req = Request::get(format!("{CHANGES_PATH}{revision}"))
+    let mut target = format!("{CHANGES_PATH}{}", position.revision);
+    if position.era != 0 {
+        target.push_str(&format!("?{ERA_QUERY}{}", position.era));
+    }
+    let req = Request::get(target)
         .header(hyper::header::HOST, peer.to_string())
         .body(Full::default())
         .map_err(io::Error::other)?;
@@ -233,8 +264,9 @@
     Ok((response, connection))
 }
 
-/// Reads a response to its end, which may take as long as the peer says.
-async fn read(response: Response<Incoming>) -> io::Result<PeerView> {
+/// Reads a response to its end, which may take as long as the peer says. `own_era` is the era that a
+/// peer means which names none.
+async fn read(response: Response<Incoming>, own_era: u64) -> io::Result<PeerView> {
     let began_at = Instant::now();
     let (parts, body) = response.into_parts();
     if parts.status != StatusCode::OK {
@@ -251,9 +283,19 @@
     let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
     let body = body.map_err(io::Error::other)?;
     let transfer = began_at.elapsed();
+    let names_era = parts.headers.contains_key(STORE_ERA_HEADER);
+    let era = if names_era {
+        parse_header(&parts.headers, STORE_ERA_HEADER, u64::MAX)?
+    } else {
+        own_era
+    };
     Ok(PeerView {
         delta: decompress(body).await?,
-        store_revision: parse_header(&parts.headers, STORE_REVISION_HEADER, MAX_REVISION)?,
+        position: StorePosition {
+            era,
+            revision: parse_header(&parts.headers, STORE_REVISION_HEADER, MAX_REVISION)?,
+        },
+        names_era,
         age: Duration::from_millis(parse_header(&parts.headers, STORE_AGE_MS_HEADER, u64::MAX)?),
         transfer,
     })
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -149,8 +149,10 @@
     pub(crate) order: RolloutOrder,
     /// Time of the order; the earliest that any host reports.
     started_at: Millis,
-    /// State that was last read from the store or written to it.
+    /// State in force. A rollout that has ended stays so, even if the store forgets it.
     pub(crate) status: Option<RolloutState>,
+    /// State that the store holds, as far as this host knows.
+    stored: Option<RolloutState>,
     /// Share of the sessions on the new version, from 0 to 1.
     pub(crate) share: f64,
     is_bad: bool,
@@ -179,6 +181,7 @@
             order,
             started_at: now,
             status: None,
+            stored: None,
             share: 0.0,
             is_bad: false,
             rejected: Vec::new(),
@@ -252,6 +255,8 @@
     /// Applies a status that a host wrote to the store. Returns whether the state changed.
     pub(crate) fn record_status(&mut self, status: &RolloutStatus, now: Millis) -> bool {
         if self.order.target != status.target {
+            // The status of an earlier rollout, which a store that came back from a copy has again.
+            self.stored = None;
             return false;
         }
         self.advance_clock(status.elapsed, now);
@@ -260,6 +265,7 @@
                 self.rejected.push(version.clone());
             }
         }
+        self.stored = Some(status.state);
         let is_change = self.status != Some(status.state);
         self.status = Some(status.state);
         is_change
@@ -299,6 +305,11 @@
         self.peers.insert(key, report);
     }
 
+    /// Records that the store has lost the status.
+    pub(crate) fn record_lost_status(&mut self) {
+        self.stored = None;
+    }
+
     /// Moves the start back if another host has seen the rollout run for longer.
     fn advance_clock(&mut self, elapsed: Duration, now: Millis) {
         let started_at = Millis(now.0.saturating_sub(elapsed.as_millis() as u64));
@@ -341,6 +352,12 @@
         old_running: u32,
         due: &mut StepResult,
     ) {
+        if self.status != self.stored
+            && let Some(state) = self.status
+        {
+            let total = self.all_evidence().total();
+            due.statuses.push(self.pending_status(state, now, total));
+        }
         if !self.is_in_progress() {
             return;
         }
@@ -441,7 +458,11 @@
         } else {
             RolloutState::Completed
         };
-        (self.status != Some(state)).then(|| PendingStatus {
+        (self.status != Some(state)).then(|| self.pending_status(state, now, total))
+    }
+
+    fn pending_status(&self, state: RolloutState, now: Millis, total: Pair) -> PendingStatus {
+        PendingStatus {
             share: self.share,
             new: total.new.total(),
             old: total.old.total(),
@@ -452,6 +473,6 @@
                 elapsed: self.elapsed(now),
                 rejected: self.rejected.clone(),
             },
-        })
+        }
     }
 }
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -170,6 +170,24 @@
         rollout.is_some_and(|rollout| rollout.record_status(status, now))
     }
 
+    /// Whether a rollout has ended which is in progress by a status that the store came back with. If
+    /// so, the status is due again.
+    pub(crate) fn outlasts(&self, status: &RolloutStatus) -> bool {
+        let mut by_service = self.by_service.lock();
+        let rollout = by_service.get_mut(&status.service);
+        let ended = rollout.filter(|rollout| {
+            !rollout.is_in_progress() && status.state == RolloutState::InProgress
+        });
+        ended.map(Rollout::record_lost_status).is_some()
+    }
+
+    /// Records that the store has lost the status of a service's rollout, so that it is due again.
+    pub(crate) fn record_lost_status(&self, service: &str) {
+        if let Some(rollout) = self.by_service.lock().get_mut(service) {
+            rollout.record_lost_status();
+        }
+    }
+
     /// Versions that a request with the rollout hash `point` may be sent to.
     pub(crate) fn version_rule(
         &self,
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -54,6 +54,19 @@
     pub state: ServerState,
     /// Number that distinguishes the starts of servers under one name.
     pub incarnation: u64,
+    /// Number of the entry within the incarnation; it grows with each heartbeat.
+    pub sequence: u64,
+}
+
+impl ServerEntry {
+    /// Whether the entries are equal but for their numbers.
+    pub(crate) fn is_same_but_for_sequence(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == renumbered
+    }
 }
 
 /// The load that a backend server reports with a response.
@@ -92,6 +105,8 @@
     resting_until: Millis,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
+    /// Number of the latest entry.
+    sequence: u64,
     /// The limit that the server named last, or that it names none any more.
     limit: Option<NamedLimit>,
     /// The refusals per second that the server bears, as it said last.
@@ -152,10 +167,14 @@
     /// Creates the record of a server without observations.
     pub fn new(entry: ServerEntry) -> Self {
         let name_hash = hash_bytes(entry.name.as_bytes());
+        let observed = Observations {
+            sequence: entry.sequence,
+            ..Observations::default()
+        };
         Self {
             entry,
             name_hash,
-            observed: Mutex::default(),
+            observed: Mutex::new(observed),
             idle_connections: Mutex::default(),
         }
     }
@@ -178,12 +197,23 @@
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
             pacer: observed.pacer,
+            sequence: next.entry.sequence,
             ..Observations::default()
         };
         drop(observed);
         next
     }
 
+    /// Number of the latest entry of this incarnation.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.observed.lock().sequence
+    }
+
+    /// Records the number of the latest entry.
+    pub(crate) fn record_sequence(&self, sequence: u64) {
+        self.observed.lock().sequence = sequence;
+    }
+
     /// Sets whether the server's entry lapsed while the store was unavailable.
     pub(crate) fn set_lapsed_entry(&self, has_lapsed: bool) {
         self.observed.lock().has_lapsed_entry = has_lapsed;
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -21,6 +21,10 @@
 /// How long the word of a leaving server outlives its entry, which may lapse and return.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(600);
 
+/// How long the number of a removed server's last entry is kept: longer than a copy is old from which
+/// the store may come back.
+const REMOVAL_LIFETIME: Duration = Duration::from_secs(600);
+
 /// The backend servers known to a host.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
@@ -28,6 +32,8 @@
     index: RwLock<Index>,
     /// Incarnation of each server that has said that it leaves, and when.
     leaving: Mutex<FastMap<Name, (u64, Millis)>>,
+    /// Incarnation and last entry's number of each server whose entry was removed, and when.
+    removed: Mutex<FastMap<Name, (u64, u64, Millis)>>,
     /// Incarnation of each server that has asked this host for rest, and the end of the rest.
     resting: Mutex<FastMap<Name, (u64, Millis)>>,
     /// Whether `by_name` has changed since the index was built.
@@ -54,6 +60,8 @@
     Updated,
     /// The entry is the same as before: a heartbeat.
     Unchanged,
+    /// The entry is older than one of the same incarnation that was known before.
+    Outdated,
 }
 
 impl Servers {
@@ -92,7 +100,15 @@
     pub(crate) fn update(&self, entry: ServerEntry) -> EntryChange {
         let mut by_name = self.by_name.write();
         let change = match by_name.get(&entry.name) {
-            Some(known) if known.entry == entry => {
+            Some(known)
+                if known.entry.incarnation == entry.incarnation
+                    && known.sequence() > entry.sequence =>
+            {
+                return EntryChange::Outdated;
+            }
+            None if self.is_outdated(&entry) => return EntryChange::Outdated,
+            Some(known) if known.entry.is_same_but_for_sequence(&entry) => {
+                known.record_sequence(entry.sequence);
                 known.set_lapsed_entry(false);
                 return EntryChange::Unchanged;
             }
@@ -197,6 +213,28 @@
         in_zone.count()
     }
 
+    /// Whether the server of this entry was removed after a later entry: a store that came back from
+    /// an older copy has it again.
+    fn is_outdated(&self, entry: &ServerEntry) -> bool {
+        let removed = self.removed.lock();
+        removed
+            .get(&entry.name)
+            .is_some_and(|(incarnation, sequence, _)| {
+                *incarnation == entry.incarnation && *sequence > entry.sequence
+            })
+    }
+
+    /// Removes a server whose entry was removed, and returns it if it was known.
+    pub(crate) fn remove_unlisted(&self, name: &str, now: Millis) -> Option<Arc<Server>> {
+        let server = self.remove(name)?;
+        let mut removed = self.removed.lock();
+        removed.retain(|_, (_, _, since)| now.since(*since) <= REMOVAL_LIFETIME);
+        let last = (server.entry.incarnation, server.sequence(), now);
+        removed.insert(server.entry.name.clone(), last);
+        drop(removed);
+        Some(server)
+    }
+
     /// Removes a server and returns it if it was known.
     pub(crate) fn remove(&self, name: &str) -> Option<Arc<Server>> {
         let removed = self.by_name.write().remove(name);
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -9,6 +9,17 @@
 
 use crate::{dialect::StoreItem, host_state::HostState, servers::EntryChange, view::Update};
 
+/// What became of an item's value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Applied {
+    /// It changed what peers need to know.
+    Relevant,
+    /// Peers need not know it: a server's heartbeat without a change.
+    Irrelevant,
+    /// It is older than what this host knows of the item.
+    Outdated,
+}
+
 impl HostState {
     /// Applies updates of the store's items.
     pub(crate) fn apply_updates(&self, updates: Vec<Update>) {
@@ -39,26 +50,36 @@
     /// Applies one update. Returns whether it is relevant to peers.
     fn apply_update(&self, update: Update) -> bool {
         match update {
-            Update::Written { key, value } => {
-                let is_relevant = self.apply_value(&key, &value).unwrap_or_else(|why| {
+            Update::Restored { key, value } if self.is_older_status(&key, &value) => true,
+            Update::Written { key, value } | Update::Restored { key, value } => {
+                let applied = self.apply_value(&key, &value).unwrap_or_else(|why| {
                     self.record_unreadable(&key, &why);
-                    true
+                    Applied::Relevant
                 });
-                if is_relevant {
-                    self.view.lock().mark_relevant(&key);
+                match applied {
+                    Applied::Relevant => self.view.lock().mark_relevant(&key),
+                    Applied::Irrelevant => {}
+                    Applied::Outdated => self.view.lock().withhold(&key),
                 }
-                is_relevant
+                applied == Applied::Relevant
             }
             Update::Lapsed { key } => {
                 if let Some(name) = self.schema.server_name(&key) {
                     self.servers.mark_lapsed(name);
                     self.log_event("server_doubtful", name, "entry lapsed", &[]);
                 }
+                if let Some(service) = self.schema.status_service(&key) {
+                    self.rollouts.record_lost_status(service);
+                }
+                if let Some(block) = self.schema.block(&key) {
+                    // Whoever knows of it writes it again.
+                    self.stored_blocks.record_removed(block);
+                }
                 false
             }
             Update::Removed { key } => {
                 if let Some(name) = self.schema.server_name(&key)
-                    && let Some(server) = self.servers.remove(name)
+                    && let Some(server) = self.servers.remove_unlisted(name, self.now())
                 {
                     self.log_event("server_gone", name, "entry removed", &[]);
                     self.unfinished_attempts.on_removal(server, self.now());
@@ -71,8 +92,17 @@
         }
     }
 
-    /// Applies the value of an item. Returns whether it is relevant to peers.
-    fn apply_value(&self, key: &str, value: &Bytes) -> Result<bool, String> {
+    /// Whether the store came back with a status of a rollout that has ended since. The status that
+    /// it lost is then due again.
+    fn is_older_status(&self, key: &str, value: &Bytes) -> bool {
+        if self.schema.status_service(key).is_none() {
+            return false;
+        }
+        let status = self.read_item(key, value);
+        matches!(status, Ok(StoreItem::RolloutStatus(status)) if self.rollouts.outlasts(&status))
+    }
+
+    fn apply_value(&self, key: &str, value: &Bytes) -> Result<Applied, String> {
         let apply = || self.read_item(key, value).map(|item| self.apply_item(item));
         // Locks are released as the panic passes, and the next items are applied.
         catch_unwind(AssertUnwindSafe(apply)).unwrap_or_else(|_| Err("it panicked".to_owned()))
@@ -104,9 +134,7 @@
         }
     }
 
-    /// Applies an item. Returns whether it is relevant to peers: a server's heartbeat without a
-    /// change is not.
-    fn apply_item(&self, item: StoreItem) -> bool {
+    fn apply_item(&self, item: StoreItem) -> Applied {
         let now = self.now();
         match item {
             StoreItem::Routing(table) => self.install_table(table),
@@ -125,9 +153,16 @@
                     EntryChange::Draining => {
                         self.log_event("server_draining", &name, &version, &[])
                     }
+                    EntryChange::Outdated => {
+                        self.log_event("server_entry_outdated", &name, &version, &[]);
+                    }
                     EntryChange::Updated | EntryChange::Unchanged => {}
                 }
-                return change != EntryChange::Unchanged;
+                return match change {
+                    EntryChange::Outdated => Applied::Outdated,
+                    EntryChange::Unchanged => Applied::Irrelevant,
+                    _ => Applied::Relevant,
+                };
             }
             StoreItem::RolloutOrder(order) => {
                 let (service, target) = (order.service.clone(), order.target.clone());
@@ -146,8 +181,8 @@
                 self.rollouts.set_fleet_size(hosts);
             }
             StoreItem::Block(block) => self.record_stored_block(block),
-            StoreItem::Other => return false,
+            StoreItem::Other => return Applied::Irrelevant,
         }
-        true
+        Applied::Relevant
     }
 }
--- a/router/src/view.rs
+++ b/router/src/view.rs
@@ -7,7 +7,9 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use clementinearch_policy::time::Millis;
-use clementinearch_storage::{ItemChange, StoredItem, UnreadableItem, check_revision};
+use clementinearch_storage::{
+    ItemChange, StorePosition, StoredItem, UnreadableItem, check_revision,
+};
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +35,8 @@
 pub(crate) enum Update {
     /// The item was written with this value.
     Written { key: String, value: Bytes },
+    /// The store came back from a copy with this value, which may be older than the one known.
+    Restored { key: String, value: Bytes },
     /// The item was removed.
     Removed { key: String },
     /// The item was removed, perhaps only because its lease lapsed while the store was unavailable.
@@ -43,16 +47,21 @@
     /// Returns the item's key.
     pub(crate) fn key(&self) -> &str {
         match self {
-            Self::Written { key, .. } | Self::Removed { key } | Self::Lapsed { key } => key,
+            Self::Written { key, .. }
+            | Self::Restored { key, .. }
+            | Self::Removed { key }
+            | Self::Lapsed { key } => key,
         }
     }
 }
 
-/// Items by key, the revision up to which they are complete, and recent removals.
+/// Items by key, the state of the store up to which they are complete, and recent removals. All
+/// revisions are of the same era; of an item that only an earlier era had, or that is outdated, the revision
+/// is zero.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
     items: BTreeMap<String, Entry>,
-    store_revision: u64,
+    position: StorePosition,
     /// Removals that were seen right after an outage of the store, with the time at which they take
     /// effect.
     lapsed: BTreeMap<String, Millis>,
@@ -117,6 +126,8 @@
 /// changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RevisionRange {
+    /// Era of the revisions.
+    era: u64,
     /// Revision of the last relevant change before the range; none if the delta holds all items.
     from: Option<u64>,
     /// Revision of the last relevant change in the range.
@@ -124,9 +135,9 @@
 }
 
 impl View {
-    /// Returns the revision up to which the view is complete; zero before the first read.
-    pub(crate) fn store_revision(&self) -> u64 {
-        self.store_revision
+    /// Returns the state of the store up to which the view is complete; zero before the first read.
+    pub(crate) fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Returns the revision of an item; zero if there is none.
@@ -134,11 +145,10 @@
         self.items.get(key).map_or(0, |entry| entry.revision)
     }
 
-    /// Whether the item at `key` has this value.
+    /// Whether the store has this value at `key`.
     pub(crate) fn holds(&self, key: &str, value: &[u8]) -> bool {
-        self.items
-            .get(key)
-            .is_some_and(|entry| entry.value == value)
+        let entry = self.items.get(key);
+        entry.is_some_and(|entry| entry.value == value) && !self.lapsed.contains_key(key)
     }
 
     /// Marks the latest change of an item as relevant to peers.
@@ -148,9 +158,17 @@
         }
     }
 
-    /// Whether there is a change after `revision` that is relevant to peers.
-    pub(crate) fn has_relevant_change(&self, revision: u64) -> bool {
-        self.relevant_revisions().any(|at| at > revision)
+    /// Withholds an item from peers until it is written again, because its value is outdated.
+    pub(crate) fn withhold(&mut self, key: &str) {
+        if let Some(entry) = self.items.get_mut(key) {
+            entry.revision = 0;
+        }
+    }
+
+    /// Whether there is a change after `position` that is relevant to peers.
+    pub(crate) fn has_relevant_change(&self, position: StorePosition) -> bool {
+        position.era != self.position.era
+            || self.relevant_revisions().any(|at| at > position.revision)
     }
 
     /// Replaces all items with those of a full read, unless the view is newer.
@@ -159,13 +177,16 @@
     pub(crate) fn replace(
         &mut self,
         items: Vec<StoredItem>,
-        store_revision: u64,
+        position: StorePosition,
         grace_from: Option<Millis>,
     ) -> Vec<Update> {
-        if store_revision < self.store_revision {
+        if position < self.position {
             return Vec::new();
         }
-        self.store_revision = store_revision;
+        if position.era > self.position.era && self.position.revision != 0 {
+            self.begin_era(position.revision);
+        }
+        self.position = position;
         let mut updates = Vec::new();
         let mut missing: BTreeMap<String, ()> =
             self.items.keys().map(|key| (key.clone(), ())).collect();
@@ -174,11 +195,22 @@
             self.write(item, &mut updates);
         }
         for key in missing.into_keys() {
-            self.remove(key, store_revision, grace_from, &mut updates);
+            self.remove(key, position.revision, grace_from, &mut updates);
         }
         updates
     }
 
+    /// Begins an era in which a full read at `revision` is the first. Revisions of the earlier one
+    /// mean nothing any more.
+    fn begin_era(&mut self, revision: u64) {
+        for entry in self.items.values_mut() {
+            entry.revision = 0;
+            entry.relevant_revision = revision;
+        }
+        self.removals.clear();
+        self.removals_dropped_to = revision;
+    }
+
     /// Returns all items.
     pub(crate) fn all(&self) -> Vec<Update> {
         let written = |(key, entry): (&String, &Entry)| Update::Written {
@@ -188,14 +220,17 @@
         self.items.iter().map(written).collect()
     }
 
-    /// Applies changes; `grace_from` is as in [`Self::replace`].
+    /// Applies changes, unless they are of another era; `grace_from` is as in [`Self::replace`].
     pub(crate) fn apply(
         &mut self,
         changes: Vec<ItemChange>,
-        store_revision: u64,
+        position: StorePosition,
         grace_from: Option<Millis>,
     ) -> Vec<Update> {
-        self.store_revision = self.store_revision.max(store_revision);
+        if position.era != self.position.era {
+            return Vec::new();
+        }
+        self.position = self.position.max(position);
         let mut updates = Vec::new();
         for change in changes {
             match change {
@@ -224,10 +259,14 @@
             revision: item.revision,
             relevant_revision,
         };
+        let is_of_earlier_era = known.is_some_and(|entry| entry.revision == 0) && !was_lapsed;
+        let is_restored = is_of_earlier_era && known.is_some_and(|entry| entry.value != value);
         self.items.insert(item.key.clone(), entry);
-        updates.push(Update::Written {
-            key: item.key,
-            value,
+        let key = item.key;
+        updates.push(if is_restored {
+            Update::Restored { key, value }
+        } else {
+            Update::Written { key, value }
         });
     }
 
@@ -273,7 +312,7 @@
         let due: Vec<String> = due.map(|(key, _)| key.clone()).collect();
         let mut updates = Vec::new();
         for key in due {
-            self.drop_item(key, self.store_revision, &mut updates);
+            self.drop_item(key, self.position.revision, &mut updates);
         }
         updates
     }
@@ -285,10 +324,13 @@
     }
 
     /// Returns the range of changes that a peer needs whose view is complete up to `after`.
-    pub(crate) fn range_after(&self, after: u64) -> RevisionRange {
+    pub(crate) fn range_after(&self, after: StorePosition) -> RevisionRange {
+        let is_of_era = after.era == self.position.era;
+        let after = if is_of_era { after.revision } else { 0 };
         let is_whole = after == 0 || after < self.removals_dropped_to;
         let known = self.relevant_revisions().filter(|at| *at <= after);
         RevisionRange {
+            era: self.position.era,
             from: (!is_whole).then(|| known.max().unwrap_or(0)),
             to: self.relevant_revisions().max().unwrap_or(0),
         }
@@ -301,6 +343,8 @@
         let wanted = self
             .items
             .iter()
+            // Peers that still have an item which the store has lost find that it is missing.
+            .filter(|(_, entry)| entry.revision != 0)
             .filter(|(_, entry)| is_whole || entry.relevant_revision > after);
         let row = |(key, entry): (&String, &Entry)| ItemRow {
             key: key.clone(),
@@ -315,13 +359,16 @@
         }
     }
 
-    /// Merges a delta of a peer whose view is complete up to `store_revision`. Returns the updates,
-    /// and the items that cannot be read.
+    /// Merges a delta of a peer whose view is complete up to `position`; `now` is the time from which
+    /// items may still be written again that the store lost. Returns the updates, and the items that
+    /// cannot be read.
     pub(crate) fn merge(
         &mut self,
         delta: ViewDelta,
-        store_revision: u64,
+        position: StorePosition,
+        now: Millis,
     ) -> (Vec<Update>, Vec<UnreadableItem>) {
+        let grace_from = (position.era > self.position.era).then_some(now);
         let mut items = Vec::with_capacity(delta.items.len());
         let mut unreadable = Vec::new();
         for row in delta.items {
@@ -332,7 +379,7 @@
             }
         }
         if delta.is_whole {
-            return (self.replace(items, store_revision, None), unreadable);
+            return (self.replace(items, position, grace_from), unreadable);
         }
         let mut changes: Vec<ItemChange> = items.into_iter().map(ItemChange::Written).collect();
         for (key, revision) in delta.removed {
@@ -341,6 +388,6 @@
                 Err(why) => unreadable.push(UnreadableItem { key, why }),
             }
         }
-        (self.apply(changes, store_revision, None), unreadable)
+        (self.apply(changes, position, None), unreadable)
     }
 }
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -13,7 +13,8 @@
     view_age::{MAX_VIEW_AGE, watch_wait},
 };
 use clementinearch_storage::{
-    Changes, Freshness, KeyStore, KeyStorePurpose, StoreError, StoredItem, Transaction,
+    Changes, Freshness, KeyStore, KeyStorePurpose, StoreError, StorePosition, StoredItem,
+    Transaction,
 };
 
 use crate::{
@@ -36,6 +37,12 @@
 /// Time after the store's return in which lapsed entries may still be written again.
 const RETURN_WINDOW: Duration = Duration::from_millis(2_200);
 
+/// Time that the zone's relay has to read a store that came back from a copy before its followers do.
+const RELAY_HEAD_START: Duration = Duration::from_millis(150);
+
+/// Longest time for which a host follows a relay that names no era without a look at the store.
+const MAX_UNNAMED_ERA_AGE: Duration = Duration::from_secs(2);
+
 /// Shortest time between two attempts to write this host's own entry.
 const OWN_ENTRY_PERIOD: Duration = Duration::from_secs(3);
 
@@ -53,6 +60,8 @@
     /// Time of the last attempt to write this host's own entry.
     own_entry_tried_at: Option<Millis>,
     peer_client: PeerClient,
+    /// When this host last read the store itself.
+    store_read_at: Millis,
     /// Updates of a stale read that take effect with the changes since.
     unconfirmed: Vec<Update>,
 }
@@ -69,6 +78,7 @@
             is_store_up: false,
             own_entry_tried_at: None,
             peer_client: PeerClient::default(),
+            store_read_at: Millis::default(),
             unconfirmed: Vec::new(),
         }
     }
@@ -87,15 +97,19 @@
 
     /// Reads changes from the zone's relay. Returns whether it gave recent ones.
     async fn follow_relay(&mut self) -> bool {
-        let (now, revision) = (self.state.now(), self.state.view.lock().store_revision());
+        let (now, position) = (self.state.now(), self.state.view.lock().position());
         let relay = self.state.fleet.lock().relay(now);
-        let Some(relay) = relay.filter(|_| revision != 0 && !self.is_lost) else {
+        let Some(relay) = relay.filter(|_| position.revision != 0 && !self.is_lost) else {
             return false;
         };
-        let Ok(view) = self.peer_client.changes(relay, revision).await else {
+        let Ok(view) = self.peer_client.changes(relay, position).await else {
             return false;
         };
-        if view.age > MAX_VIEW_AGE {
+        if view.age > MAX_VIEW_AGE || view.position.era < position.era {
+            return false;
+        }
+        let is_era_known = view.names_era || position.era == 0;
+        if !is_era_known && now.since(self.store_read_at) > MAX_UNNAMED_ERA_AGE {
             return false;
         }
         let age = view.age + view.transfer;
@@ -111,14 +125,15 @@
     /// Reads changes from the store, or all items if nothing has been read yet.
     async fn read_store(&mut self) {
         let started_at = self.state.now();
-        let revision = self.state.view.lock().store_revision();
-        if revision == 0 {
+        let position = self.state.view.lock().position();
+        if position.revision == 0 {
             return self.read_stale().await;
         }
-        let read = self.read_changes(revision).await;
+        let read = self.read_changes(position).await;
         let now = self.state.now();
         match read {
             Ok(updates) => {
+                self.store_read_at = now;
                 self.record_success(now);
                 self.apply_updates(updates);
                 self.expire(now);
@@ -207,9 +222,9 @@
             .filter(|at| now.since(*at) <= RETURN_WINDOW)
     }
 
-    async fn read_all(&self, freshness: Freshness) -> Result<Vec<Update>, StoreError> {
+    async fn read_all(&mut self, freshness: Freshness) -> Result<Vec<Update>, StoreError> {
         let mut items: Vec<StoredItem> = Vec::new();
-        let mut revision = u64::MAX;
+        let mut position: Option<StorePosition> = None;
         for prefix in self.state.schema.prefixes() {
             let mut after: Option<String> = None;
             loop {
@@ -218,7 +233,12 @@
                     .range(&prefix, after.as_deref(), freshness, KeyStorePurpose::Start)
                     .await?;
                 // Pages are not a snapshot: changes are read from the earliest page's revision on.
-                revision = revision.min(page.store_revision);
+                let earliest = position.get_or_insert(page.position);
+                if earliest.era != page.position.era {
+                    let reason = "the store came back from a copy between two pages".to_owned();
+                    return Err(StoreError::Unknown { reason });
+                }
+                *earliest = page.position.min(*earliest);
                 after = page.last_key().map(str::to_owned);
                 self.state.log_unreadable(&page.unreadable);
                 items.extend(page.items);
@@ -228,12 +248,47 @@
             }
         }
         let now = self.state.now();
+        let position = position.unwrap_or_default();
+        self.record_era(position, now);
         let grace = self.grace_from(now);
         let mut view = self.state.view.lock();
-        Ok(view.replace(items, revision, grace))
+        Ok(view.replace(items, position, grace))
     }
 
-    async fn read_changes(&self, revision: u64) -> Result<Vec<Update>, StoreError> {
+    /// Records that the store has come back from a copy if a state is of a later era than the view.
+    /// What it lost has been written again soon afterwards, or is gone.
+    fn record_era(&mut self, position: StorePosition, now: Millis) {
+        let known = self.state.view.lock().position();
+        if known.revision == 0 || position.era <= known.era {
+            return;
+        }
+        self.returned_at = Some(now);
+        let inputs = [
+            ("era", position.era as f64),
+            ("revision", position.revision as f64),
+            ("last_revision", known.revision as f64),
+        ];
+        self.state.log_event("store_restored", "", "", &inputs);
+    }
+
+    /// Reads all items after the store has come back from a copy: from the zone's relay if that has
+    /// read them already, else from the store.
+    async fn read_restored(&mut self) -> Result<Vec<Update>, StoreError> {
+        let (now, position) = (self.state.now(), self.state.view.lock().position());
+        let relay = self.state.fleet.lock().relay(now);
+        if let Some(relay) = relay {
+            tokio::time::sleep(RELAY_HEAD_START).await;
+            if let Ok(view) = self.peer_client.changes(relay, position).await
+                && view.position.era > position.era
+            {
+                self.merge(view);
+                return Ok(Vec::new());
+            }
+        }
+        self.read_all(Freshness::Fresh).await
+    }
+
+    async fn read_changes(&mut self, position: StorePosition) -> Result<Vec<Update>, StoreError> {
         // Unconfirmed items take effect with this read, which therefore does not wait for changes.
         let wait = if self.unconfirmed.is_empty() {
             watch_wait(self.state.now().since(self.state.last_store_contact()))
@@ -244,22 +299,23 @@
         for prefix in self.state.schema.prefixes() {
             let read = self
                 .store
-                .changes(&prefix, revision, wait, KeyStorePurpose::Changes)
+                .changes(&prefix, position, wait, KeyStorePurpose::Changes)
                 .await?;
             match read {
                 Changes::Compacted => {
                     self.state.log_event("history_compacted", "", "", &[]);
                     return self.read_all(Freshness::Fresh).await;
                 }
+                Changes::Restored => return self.read_restored().await,
                 Changes::Since {
                     changes,
                     unreadable,
-                    store_revision,
+                    position,
                 } => {
                     self.state.log_unreadable(&unreadable);
                     let grace = self.grace_from(self.state.now());
                     let mut view = self.state.view.lock();
-                    updates.extend(view.apply(changes, store_revision, grace));
+                    updates.extend(view.apply(changes, position, grace));
                 }
             }
         }
@@ -278,8 +334,8 @@
             self.state.log_event("store_lost", "", &e.to_string(), &[]);
         }
         let now = self.state.now();
-        let revision = self.state.view.lock().store_revision();
-        let ahead = self.state.fleet.lock().peer_ahead_of(revision, now);
+        let position = self.state.view.lock().position();
+        let ahead = self.state.fleet.lock().peer_ahead_of(position, now);
         // The store serves others, so what is removed meanwhile has not lapsed in an outage.
         self.is_store_up |= ahead.is_some();
         if let Some(peer) = ahead {
@@ -291,8 +347,8 @@
     }
 
     async fn read_from_peer(&mut self, peer: std::net::SocketAddr) {
-        let revision = self.state.view.lock().store_revision();
-        match self.peer_client.changes(peer, revision).await {
+        let position = self.state.view.lock().position();
+        match self.peer_client.changes(peer, position).await {
             Ok(view) => self.merge(view),
             Err(e) => self
                 .state
@@ -301,8 +357,10 @@
     }
 
     fn merge(&mut self, peer: PeerView) {
+        let now = self.state.now();
+        self.record_era(peer.position, now);
         let mut view = self.state.view.lock();
-        let (updates, unreadable) = view.merge(peer.delta, peer.store_revision);
+        let (updates, unreadable) = view.merge(peer.delta, peer.position, now);
         drop(view);
         for item in unreadable {
             self.state
--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -50,6 +50,16 @@
     Ok(revision)
 }
 
+/// A state of the store. When the store comes back from an older copy of itself, its revisions go back
+/// and are given out again in another era; so a revision alone does not tell which state is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StorePosition {
+    /// Number of times that the store has come back from a copy; zero if it does not say.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
 /// Consistency required of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -88,8 +98,8 @@
     pub unreadable: Vec<UnreadableItem>,
     /// Whether more items follow after the last key of this page.
     pub is_truncated: bool,
-    /// Store revision at the time of the read.
-    pub store_revision: u64,
+    /// State of the store at the time of the read.
+    pub position: StorePosition,
 }
 
 impl Page {
@@ -142,11 +152,13 @@
         changes: Vec<ItemChange>,
         /// Written items that cannot be read.
         unreadable: Vec<UnreadableItem>,
-        /// Revision from which to request the next changes.
-        store_revision: u64,
+        /// State of the store from which to request the next changes.
+        position: StorePosition,
     },
-    /// The store has compacted the history since that revision; a full read is needed.
+    /// The store has compacted the history since that state; a full read is needed.
     Compacted,
+    /// The store has come back from a copy since that state; a full read is needed.
+    Restored,
 }
 
 /// Writes and removals that are applied atomically.
@@ -167,8 +179,8 @@
 pub enum CommitOutcome {
     /// Applied in full.
     Done {
-        /// Store revision of the transaction.
-        revision: u64,
+        /// State of the store right after the transaction.
+        position: StorePosition,
     },
     /// Not applied, because a key did not have the expected revision.
     Conflict,
@@ -185,11 +197,11 @@
         purpose: KeyStorePurpose,
     ) -> BoxFuture<'a, Result<Page, StoreError>>;
 
-    /// Waits up to `wait` for changes under `prefix` that are newer than the revision `after`.
+    /// Waits up to `wait` for changes under `prefix` that are newer than the state `after`.
     fn changes<'a>(
         &'a self,
         prefix: &'a str,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
         purpose: KeyStorePurpose,
     ) -> BoxFuture<'a, Result<Changes, StoreError>>;
--- a/storage/src/lib.rs
+++ b/storage/src/lib.rs
@@ -19,7 +19,7 @@
 pub use http::HttpStore;
 pub use key_store::{
     Changes, CommitOutcome, Freshness, ItemChange, KeyStore, KeyStorePurpose, MAX_REVISION, Page,
-    StoredItem, Transaction, UnreadableItem, check_revision,
+    StorePosition, StoredItem, Transaction, UnreadableItem, check_revision,
 };
 pub use leases::{HeldLease, Lease};
 pub use ledger::{PageWriteOutcome, write_ledger_page};
