Start with figures of any form, or none

Figures may now be numbers or texts, whole or fractions. One without a value counts as absent; the least that makes sense is used for a window or an exposure of zero. Anything that is no number, or is negative, is still a finding.

Failed on the sources before: hosts_start_with_whatever_figures_a_deployment_has, a_host_starts_without_any_figure. The third test guards the findings and passed before.

--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -135,6 +135,11 @@
         self.restart();
     }
 
+    /// Path of its settings.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
     /// Starts the process again after it was killed. Its log goes on.
     pub fn restart(&mut self) {
         self.process = Some(spawn_host(&self.binary, &self.settings, &self.log));
--- /dev/null
+++ b/host/tests/route_starts.rs
@@ -0,0 +1,139 @@
+//! Starts in odd circumstances: settings that a template fills in with fractions or nothing, that are
+//! still being written or stand elsewhere, addresses that are taken, and signals at once.
+
+mod route;
+
+use std::{
+    fs,
+    io::Write,
+    net::{TcpListener, UdpSocket},
+    path::Path,
+    process::Command,
+};
+
+use route::{Host, Platform, check_payments, ok, present_binary, wait_until};
+
+const TEMPLATE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/settings.toml");
+
+/// Figures that a deployment may have or not, and those of a usual one.
+const FIGURES: [(&str, &str); 6] = [
+    ("bounds.graceS", "8"),
+    ("bounds.retryBudgetRatio", "0.9"),
+    ("bounds.retryBudgetSlack", "54"),
+    ("bounds.budgetWindowS", "10"),
+    ("bounds.sessionS", "5"),
+    ("bounds.exposureShare", "0.15"),
+];
+
+/// A platform with a server, and a host without a process.
+fn prepare() -> (Platform, Host) {
+    let mut platform = Platform::new();
+    platform.add_backend("orders", "v1", |_, received| ok(received));
+    let (host, _) = platform.host_of_test();
+    (platform, host)
+}
+
+/// Fills in the template of the deploy file for a host. What is not among the figures has no value.
+fn filled(host: &Host, figures: &[(&str, &str)]) -> String {
+    let own = fs::read_to_string(host.settings()).unwrap();
+    let (_, store) = own.split_once("[store]\naddress = \"").unwrap();
+    let (store, _) = store.split_once('"').unwrap();
+    let peers = host.peers();
+    let values = [
+        ("nodeName", "host-0".to_owned()),
+        ("zone", "a".to_owned()),
+        ("listen.front", host.callers().to_string()),
+        ("listen.readiness", host.readiness().to_string()),
+        ("listen.control", host.admin().to_string()),
+        ("ip", peers.ip().to_string()),
+        ("internalPorts.0", peers.port().to_string()),
+        ("platform.address", store.to_owned()),
+    ];
+    let mut text = fs::read_to_string(TEMPLATE).unwrap();
+    for (field, value) in values {
+        text = text.replace(&format!("{{{{{field}}}}}"), &value);
+    }
+    for (field, value) in figures {
+        text = text.replace(&format!("{{{{{field}}}}}"), value);
+    }
+    while let Some(begin) = text.find("{{") {
+        let end = begin + text[begin..].find("}}").unwrap() + 2;
+        text.replace_range(begin..end, "");
+    }
+    text
+}
+
+fn check_starts(host: &mut Host, settings: &str) {
+    fs::write(host.settings(), settings).unwrap();
+    host.restart();
+    wait_until("the host is ready", || host.is_ready() || host.has_exited());
+    assert!(!host.has_exited(), "it does not start with:\n{settings}");
+    check_payments(host, 3, 200);
+    host.signal("TERM");
+    assert!(host.wait(), "it does not stop cleanly with:\n{settings}");
+}
+
+/// Guards against a host that ends at its start by a figure of the deployment: a fraction, one out of
+/// its usual range, or none.
+#[test]
+fn hosts_start_with_whatever_figures_a_deployment_has() {
+    let (_platform, mut host) = prepare();
+    let usual = |field: &str| FIGURES.iter().find(|(name, _)| *name == field).unwrap().1;
+    let mut short_grace = FIGURES.to_vec();
+    short_grace[0].1 = "1";
+    let with = |field: &str, value: &'static str| {
+        let mut figures = short_grace.clone();
+        let at = figures.iter().position(|(name, _)| *name == field);
+        figures[at.unwrap()].1 = value;
+        figures
+    };
+    assert_eq!(usual("bounds.graceS"), "8");
+    let odd = [
+        with("bounds.graceS", "0.75"),
+        with("bounds.graceS", "0"),
+        with("bounds.retryBudgetSlack", "53.5"),
+        with("bounds.budgetWindowS", "9.3"),
+        with("bounds.budgetWindowS", "0"),
+        with("bounds.budgetWindowS", "86400"),
+        with("bounds.retryBudgetSlack", "2e9"),
+        with("bounds.exposureShare", "0"),
+        with("bounds.exposureShare", "1.5"),
+        with("bounds.sessionS", "0"),
+    ];
+    let mut settings: Vec<String> = odd.iter().map(|figures| filled(&host, figures)).collect();
+    for (absent, _) in &FIGURES[1..] {
+        let mut figures = short_grace.clone();
+        figures.retain(|(field, _)| field != absent);
+        settings.push(filled(&host, &figures));
+    }
+    settings.push(filled(&host, &short_grace[..1]));
+    for text in settings {
+        check_starts(&mut host, &text);
+    }
+}
+
+#[test]
+fn a_host_starts_without_any_figure() {
+    let (_platform, mut host) = prepare();
+    let settings = filled(&host, &[]);
+    fs::write(host.settings(), settings).unwrap();
+    host.restart();
+    wait_until("the host is ready", || host.is_ready());
+}
+
+#[test]
+fn figures_that_are_none_are_reported() {
+    for odd in ["-1", "soon", "nan", "inf", "true", "[8]"] {
+        let (_platform, host) = prepare();
+        let settings = filled(&host, &[("bounds.graceS", odd)]);
+        fs::write(host.settings(), settings).unwrap();
+        let output = Command::new(present_binary())
+            .args(["route", "--check", "--settings"])
+            .arg(host.settings())
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(2), "{odd}");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!text.is_empty(), "{odd}");
+    }
+}
--- a/policy/src/toml_reader.rs
+++ b/policy/src/toml_reader.rs
@@ -166,6 +166,30 @@
         self.required(key, parse_name).unwrap_or_else(|| "".into())
     }
 
+    /// Takes a figure that is not negative, as a number or a text; `None` if it is absent, empty or
+    /// invalid. A template leaves an empty text where its source has no value.
+    pub fn figure(&mut self, key: &str) -> Option<f64> {
+        let value = self.take(key)?;
+        let text = match value.get_ref() {
+            DeValue::Integer(number) if number.radix() == 10 => number.as_str().to_owned(),
+            DeValue::Float(number) => number.as_str().to_owned(),
+            DeValue::String(text) if text.trim().is_empty() => return None,
+            DeValue::String(text) => text.trim().to_owned(),
+            _ => {
+                self.mismatch(key, &value, "a number");
+                return None;
+            }
+        };
+        let figure = text.replace('_', "").parse::<f64>().ok();
+        let figure = figure.filter(|figure| figure.is_finite() && *figure >= 0.0);
+        if figure.is_none() {
+            let message = format!("`{text}` is not a non-negative number");
+            self.document
+                .report(&value.span(), &self.field_path(key), message);
+        }
+        figure
+    }
+
     /// Takes a whole number within `range`; `default` if it is absent or invalid.
     pub fn number(&mut self, key: &str, range: std::ops::RangeInclusive<u64>, default: u64) -> u64 {
         let Some(value) = self.take(key) else {
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -6,7 +6,7 @@
     findings::Findings,
     names::Name,
     retry_budget::RetryLimit,
-    time::span_from_secs,
+    time::nearest_span,
     toml_reader::{Table, read_document},
 };
 
@@ -16,6 +16,12 @@
 /// Memory that a process is taken to have unless it is told, bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 128_000_000;
 
+/// Shortest window in which retries are counted.
+const MIN_RETRY_WINDOW: Duration = Duration::from_secs(1);
+
+/// Least share of a service's requests that a new version gets: without any it could not be judged.
+const MIN_EXPOSURE: f64 = 0.01;
+
 /// Addresses that the host listens on.
 #[derive(Clone, Debug)]
 pub struct Listen {
@@ -92,7 +98,7 @@
     /// Returns what is wrong with the text.
     pub fn with_link_rate(mut self, text: &str) -> Result<Self, String> {
         if self.limits.link_mbps.is_none() && !text.is_empty() {
-            self.limits.link_mbps = Some(parse_rate(text)?);
+            self.limits.link_mbps = Some(parse_non_negative(text)?).filter(|mbps| *mbps > 0.0);
         }
         Ok(self)
     }
@@ -104,19 +110,23 @@
     ///
     /// Returns what is wrong with the text.
     pub fn with_memory(mut self, text: &str) -> Result<Self, String> {
-        if !text.is_empty() {
-            self.limits.memory_bytes = parse_memory(text)?;
+        if !text.is_empty()
+            && let Some(bytes) = memory_bytes(parse_non_negative(text)?)
+        {
+            self.limits.memory_bytes = bytes;
         }
         Ok(self)
     }
 
-    /// Parses and checks settings in TOML; `source` names the file in findings.
+    /// Parses and checks settings in TOML; `source` names the file in findings. A figure without a
+    /// value, which a template leaves where its source has none, counts as absent.
     ///
     /// # Errors
     ///
     /// Returns all findings, each with its line.
     pub fn parse(source: &str, text: &str) -> Result<Self, Findings> {
-        read_document(source, text, |table| Self {
+        let text = without_empty_figures(text);
+        read_document(source, &text, |table| Self {
             name: table.required_name("name"),
             zone: table.required_name("zone"),
             listen: table.table("listen", |listen| Listen {
@@ -135,45 +145,65 @@
     }
 }
 
+/// Figures that a template fills in without quotes.
+const PLAIN_FIGURES: [&str; 3] = ["grace_s", "repeat_slack", "repeat_window_s"];
+
+/// Returns the text with an empty line for each figure that has no value, which is no TOML.
+fn without_empty_figures(text: &str) -> String {
+    let is_empty = |line: &str| {
+        let (key, value) = line.split_once('=')?;
+        Some(PLAIN_FIGURES.contains(&key.trim()) && value.trim().is_empty())
+    };
+    let lines = text.lines().map(|line| match is_empty(line) {
+        Some(true) => "",
+        _ => line,
+    });
+    lines.flat_map(|line| [line, "\n"]).collect()
+}
+
+/// Takes a number of seconds; `default` if there is none.
+fn seconds(table: &mut Table<'_>, key: &str, default: Duration) -> Duration {
+    table.figure(key).map_or(default, nearest_span)
+}
+
 fn read_limits(table: &mut Table<'_>) -> Limits {
-    const DEFAULT_GRACE_S: u64 = 8;
+    const DEFAULT_GRACE: Duration = Duration::from_secs(8);
     const DEFAULT_LOG_LINES_PER_S: u64 = 200;
-    let grace_s = table.number("grace_s", 1..=3_600, DEFAULT_GRACE_S);
+    let memory = table.figure("memory_mb").and_then(memory_bytes);
     Limits {
-        grace: Duration::from_secs(grace_s),
+        grace: seconds(table, "grace_s", DEFAULT_GRACE),
         log_lines_per_s: table.number("log_lines_per_s", 1..=1_000_000, DEFAULT_LOG_LINES_PER_S),
         view_period: table.millis("view_period_ms", 10..=60_000, Duration::from_millis(700)),
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
-        link_mbps: table.parsed("link_mbps", parse_rate),
-        memory_bytes: table
-            .parsed("memory_mb", parse_memory)
-            .unwrap_or(DEFAULT_MEMORY_BYTES),
+        link_mbps: table.figure("link_mbps").filter(|mbps| *mbps > 0.0),
+        memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
     }
 }
 
 fn read_bounds(table: &mut Table<'_>) -> Bounds {
     const DEFAULT_RETRY_RATIO: f64 = 0.2;
-    const DEFAULT_RETRY_SLACK: u64 = 10;
-    const DEFAULT_RETRY_WINDOW_S: u64 = 10;
+    const DEFAULT_RETRY_SLACK: f64 = 10.0;
+    const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
     const DEFAULT_SESSION: Duration = Duration::from_secs(5);
     const DEFAULT_EXPOSURE: f64 = 0.15;
-    let ratio = table.parsed("repeat_ratio", parse_non_negative);
-    let session_s = table.parsed("session_s", |text| {
-        parse_non_negative(text).and_then(span_from_secs)
-    });
-    let max_exposure = table.parsed("rollout_exposure", parse_share);
-    let window_s = table.number("repeat_window_s", 1..=600, DEFAULT_RETRY_WINDOW_S);
+    let exposure = table.figure("rollout_exposure").unwrap_or(DEFAULT_EXPOSURE);
+    let window = seconds(table, "repeat_window_s", DEFAULT_RETRY_WINDOW);
     Bounds {
         retries: RetryLimit {
-            ratio: ratio.unwrap_or(DEFAULT_RETRY_RATIO),
-            slack: table.number("repeat_slack", 0..=1_000_000, DEFAULT_RETRY_SLACK) as f64,
-            window: Duration::from_secs(window_s),
+            ratio: table.figure("repeat_ratio").unwrap_or(DEFAULT_RETRY_RATIO),
+            slack: table.figure("repeat_slack").unwrap_or(DEFAULT_RETRY_SLACK),
+            window: window.max(MIN_RETRY_WINDOW),
         },
-        session_timeout: session_s.unwrap_or(DEFAULT_SESSION),
-        max_exposure: max_exposure.unwrap_or(DEFAULT_EXPOSURE),
+        session_timeout: seconds(table, "session_s", DEFAULT_SESSION),
+        max_exposure: exposure.clamp(MIN_EXPOSURE, 1.0),
     }
 }
 
+/// Returns the bytes of a number of MB; `None` if it is zero.
+fn memory_bytes(mb: f64) -> Option<u64> {
+    (mb > 0.0).then_some((mb * BYTES_PER_MB) as u64)
+}
+
 fn parse_confidence(text: &str) -> Result<u8, String> {
     match text.parse() {
         Ok(confidence) if confidence <= 100 => Ok(confidence),
@@ -181,27 +211,6 @@
     }
 }
 
-fn parse_rate(text: &str) -> Result<f64, String> {
-    match parse_non_negative(text) {
-        Ok(rate) if rate > 0.0 => Ok(rate),
-        _ => Err(format!("`{text}` is not a rate above 0")),
-    }
-}
-
-fn parse_memory(text: &str) -> Result<u64, String> {
-    match parse_non_negative(text) {
-        Ok(mb) if mb > 0.0 => Ok((mb * BYTES_PER_MB) as u64),
-        _ => Err(format!("`{text}` is not a number of MB above 0")),
-    }
-}
-
-fn parse_share(text: &str) -> Result<f64, String> {
-    match parse_non_negative(text) {
-        Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
-        _ => Err(format!("`{text}` is not a share above 0 and up to 1")),
-    }
-}
-
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     let value: f64 = text
         .parse()
