Wait for addresses that another socket has for a moment

A start tries again for ten seconds, tells of it once for each address, and gives up at once on SIGTERM.

--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -137,3 +137,40 @@
         assert!(!text.is_empty(), "{odd}");
     }
 }
+
+/// Guards against a host that ends at its start because a process that was just stopped, or an outgoing
+/// connection, still has its port.
+#[test]
+fn hosts_wait_for_addresses_that_are_taken() {
+    let (_platform, mut host) = prepare();
+    for address in [host.callers(), host.readiness(), host.admin(), host.peers()] {
+        let taken = TcpListener::bind(address).unwrap();
+        wait_for_address(&mut host);
+        drop(taken);
+        wait_until("the host is ready", || host.is_ready());
+        host.kill();
+    }
+    let taken = UdpSocket::bind(host.peers()).unwrap();
+    wait_for_address(&mut host);
+    drop(taken);
+    wait_until("the host is ready", || host.is_ready());
+}
+
+/// Starts a host and waits until it has found an address taken.
+fn wait_for_address(host: &mut Host) {
+    let before = host.logged("address_in_use").len();
+    host.restart();
+    wait_until("it finds the address taken", || {
+        host.has_exited() || host.logged("address_in_use").len() > before
+    });
+    assert!(!host.has_exited());
+}
+
+#[test]
+fn a_host_that_waits_for_an_address_stops_on_request() {
+    let (_platform, mut host) = prepare();
+    let _taken = TcpListener::bind(host.callers()).unwrap();
+    wait_for_address(&mut host);
+    host.signal("TERM");
+    assert!(host.wait());
+}
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -39,6 +39,10 @@
 /// Time before the end of a graceful shutdown at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
+/// How long a start waits for an address that another socket has, and how often it tries.
+const BIND_TIMEOUT: Duration = Duration::from_secs(10);
+const BIND_PERIOD: Duration = Duration::from_millis(50);
+
 /// Time between two steps of rollouts.
 const ROLLOUT_PERIOD: Duration = Duration::from_millis(250);
 
@@ -122,9 +126,57 @@
     Ok(rx)
 }
 
-async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener, StartError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(StartError::at(format!("listen for {what} at {address}")))
+/// Binds an address, again and again for a while if another socket has it: a process that was just
+/// stopped, or an outgoing connection.
+async fn bind<T, F>(
+    state: &HostState,
+    address: SocketAddr,
+    what: &str,
+    open: impl Fn(SocketAddr) -> F,
+) -> Result<T, StartError>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let end = state.now().after(BIND_TIMEOUT);
+    let mut is_reported = false;
+    loop {
+        match open(address).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && state.now() < end => {
+                if !std::mem::replace(&mut is_reported, true) {
+                    state.log_event("address_in_use", &address.to_string(), what, &[]);
+                }
+                tokio::time::sleep(BIND_PERIOD).await;
+            }
+            bound => {
+                let action = format!("listen for {what} at {address}");
+                return bound.map_err(StartError::at(action));
+            }
+        }
+    }
+}
+
+/// Binds all addresses of a host.
+async fn bind_all(state: &HostState) -> Result<(Listeners, UdpSocket), StartError> {
+    let at = &state.settings.listen;
+    let listen = |address, what| bind(state, address, what, TcpListener::bind);
+    let listeners = Listeners {
+        callers: Arc::new(listen(at.callers, "callers").await?),
+        readiness: Arc::new(listen(at.readiness, "readiness probes").await?),
+        peers: Arc::new(listen(at.peers, "peers").await?),
+        operators: Arc::new(listen(at.admin, "operators").await?),
+    };
+    let datagrams = bind(state, at.peers, "gossip", UdpSocket::bind).await?;
+    Ok((listeners, datagrams))
+}
+
+/// Waits for the signal to stop; signals to reload change nothing.
+async fn wait_for_stop(state: &HostState, signals: &mut mpsc::UnboundedReceiver<Signal>) {
+    while let Some(signal) = signals.recv().await {
+        if signal == Signal::Stop {
+            return;
+        }
+        state.log_event("reload", "", "settings are read at each start", &[]);
+    }
 }
 
 async fn serve(
@@ -134,32 +186,17 @@
     mut signals: mpsc::UnboundedReceiver<Signal>,
     gossip_events: mpsc::UnboundedReceiver<GossipEvent>,
 ) -> Result<(), StartError> {
-    let at = state.settings.listen.clone();
-    let callers = listen(at.callers, "callers").await?;
-    let readiness = listen(at.readiness, "readiness probes").await?;
-    let peers = listen(at.peers, "peers").await?;
-    let operators = listen(at.admin, "operators").await?;
-    let datagrams = UdpSocket::bind(at.peers)
-        .await
-        .map_err(StartError::at(format!("listen for gossip at {}", at.peers)))?;
+    let (listeners, datagrams) = tokio::select! {
+        bound = bind_all(&state) => bound?,
+        () = wait_for_stop(&state, &mut signals) => return Ok(()),
+    };
     state.log_event("started", &state.settings.name, &state.settings.zone, &[]);
     supervisor::report_panics(state.clone());
-    let listeners = Listeners {
-        callers: Arc::new(callers),
-        readiness: Arc::new(readiness),
-        peers: Arc::new(peers),
-        operators: Arc::new(operators),
-    };
     let (ingress, drain) = Ingress::new(state.clone());
     serve_listeners(&state, ingress, listeners, metrics.clone());
     let gossip = Gossip::new(state.clone(), datagrams, gossip_events);
     run_controllers(&state, gossip, store, metrics);
-    while let Some(signal) = signals.recv().await {
-        if signal == Signal::Stop {
-            break;
-        }
-        state.log_event("reload", "", "settings are read at each start", &[]);
-    }
+    wait_for_stop(&state, &mut signals).await;
     state.stop();
     let started_at = state.now();
     let connections = |count: usize| [("connections", count as f64)];
