Listen to SIGHUP from the begin of the process

A SIGHUP that came before the command listened to signals ended the process; at a quarter of a core that time is long. The first thing that the program does now is to install a handler.

Failed on the sources before: a_hangup_during_the_start_does_not_end_the_process, which holds the start at its settings by a named pipe.

--- a/host/src/main.rs
+++ b/host/src/main.rs
@@ -19,9 +19,14 @@
 mod supervisor_tests;
 mod telemetry;
 
-use std::process::ExitCode;
+use std::{io, process::ExitCode, sync::Arc};
+
+use signal_hook::consts::SIGHUP;
 
 fn main() -> ExitCode {
+    if let Err(e) = outlive_hangups() {
+        eprintln!("clementinearch: cannot install a signal handler: {e}");
+    }
     let cli: cmd::Cli = argh::from_env();
     match cli.run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -31,3 +36,8 @@
         }
     }
 }
+
+/// Keeps SIGHUP from ending the process before its command listens to signals.
+fn outlive_hangups() -> io::Result<()> {
+    signal_hook::flag::register(SIGHUP, Arc::default()).map(drop)
+}
--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -174,3 +174,31 @@
     host.signal("TERM");
     assert!(host.wait());
 }
+
+/// Puts a named pipe in the place of the settings, so that a start waits for its writer.
+fn replace_by_pipe(path: &Path) {
+    fs::remove_file(path).unwrap();
+    let made = Command::new("mkfifo").arg(path).status().unwrap();
+    assert!(made.success());
+}
+
+fn open_pipe(path: &Path) -> fs::File {
+    fs::OpenOptions::new().write(true).open(path).unwrap()
+}
+
+/// Guards against a process that a SIGHUP ends because nothing listens to it yet.
+#[test]
+fn a_hangup_during_the_start_does_not_end_the_process() {
+    let (_platform, mut host) = prepare();
+    let settings = filled(&host, &FIGURES);
+    replace_by_pipe(host.settings());
+    host.restart();
+    let mut pipe = open_pipe(host.settings());
+    // The process reads its settings now.
+    host.signal("HUP");
+    host.signal("HUP");
+    pipe.write_all(settings.as_bytes()).unwrap();
+    drop(pipe);
+    wait_until("the host is ready", || host.is_ready() || host.has_exited());
+    assert!(!host.has_exited());
+}
