Find settings by their variable, and read them again while they are written

A host ended at its start if it read its settings while they were written, or if they stood only where CLEMENTINEARCH_SETTINGS says, which nothing read.

A start that finds no settings, or findings in them, reads again for half a second. The variable names the file where no option does, or where the option's file is missing.

--- a/host/src/cmd/mod.rs
+++ b/host/src/cmd/mod.rs
@@ -40,9 +40,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "route")]
 pub(crate) struct Route {
-    /// settings file
+    /// settings file (default: the one that CLEMENTINEARCH_SETTINGS names)
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     /// only check the settings
     #[argh(switch)]
     check: bool,
--- a/host/src/cmd/route.rs
+++ b/host/src/cmd/route.rs
@@ -1,6 +1,14 @@
 //! `clementinearch route`.
 
-use std::{env, fs, sync::Arc};
+use std::{
+    env,
+    ffi::OsString,
+    fs,
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use clementinearch_platform::{PlatformDialect, PlatformStore, PlatformStoreSchema};
 use clementinearch_router::Settings;
@@ -15,6 +23,14 @@
 /// Variable with the memory of the process, MB; see [`LINK_RATE_VARIABLE`].
 const MEMORY_VARIABLE: &str = "CLEMENTINEARCH_MEMORY_MB";
 
+/// Variable with the path of the settings, where no option names it or the option's file is missing.
+const SETTINGS_VARIABLE: &str = "CLEMENTINEARCH_SETTINGS";
+
+/// How long a start waits for settings that cannot be read, and how often it tries: the file may be
+/// written just then.
+const SETTINGS_TIMEOUT: Duration = Duration::from_millis(500);
+const SETTINGS_PERIOD: Duration = Duration::from_millis(50);
+
 impl Route {
     /// Runs the entry host until its graceful shutdown is complete; with `--check`, only checks its
     /// settings.
@@ -23,12 +39,15 @@
     ///
     /// Returns an error if the settings can't be read or have findings, or the host can't start.
     pub(crate) fn run(self) -> Result<(), Error> {
-        let text = fs::read_to_string(&self.settings).map_err(|source| Error::Read {
-            path: self.settings.clone(),
-            source,
-        })?;
-        let source = self.settings.display().to_string();
-        let settings = Settings::parse(&source, &text).map_err(Error::Settings)?;
+        let path = settings_path(self.settings, env::var_os(SETTINGS_VARIABLE))?;
+        let source = path.display().to_string();
+        let mut settings = read_settings(&path);
+        let end = Instant::now() + SETTINGS_TIMEOUT;
+        while settings.is_err() && !self.check && Instant::now() < end {
+            thread::sleep(SETTINGS_PERIOD);
+            settings = read_settings(&path);
+        }
+        let settings = settings?;
         let variable = |name| env::var(name).unwrap_or_default();
         let settings = settings
             .with_link_rate(&variable(LINK_RATE_VARIABLE))
@@ -53,3 +72,21 @@
 fn invalid(name: &'static str) -> impl FnOnce(String) -> Error {
     move |reason| Error::Variable { name, reason }
 }
+
+/// Returns the path of the settings: the option's if there is such a file or no other path.
+fn settings_path(option: Option<PathBuf>, variable: Option<OsString>) -> Result<PathBuf, Error> {
+    let named = variable.filter(|path| !path.is_empty()).map(PathBuf::from);
+    match option {
+        Some(path) if path.exists() => Ok(path),
+        option => named.or(option).ok_or(Error::NoSettings),
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let source = path.display().to_string();
+    Settings::parse(&source, &text).map_err(Error::Settings)
+}
--- a/host/src/error.rs
+++ b/host/src/error.rs
@@ -20,6 +20,9 @@
         /// Error of the file system.
         source: io::Error,
     },
+    /// No settings file is named.
+    #[display("no settings: give --settings FILE or set CLEMENTINEARCH_SETTINGS")]
+    NoSettings,
     /// The settings have findings.
     #[display("invalid settings:\n{_0}")]
     Settings(Findings),
--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -202,3 +202,46 @@
     wait_until("the host is ready", || host.is_ready() || host.has_exited());
     assert!(!host.has_exited());
 }
+
+/// Guards against a host that ends because it read its settings while they were written.
+#[test]
+fn settings_that_are_still_being_written_are_read_again() {
+    let (_platform, mut host) = prepare();
+    let settings = filled(&host, &FIGURES);
+    replace_by_pipe(host.settings());
+    host.restart();
+    let mut pipe = open_pipe(host.settings());
+    let half = &settings.as_bytes()[..settings.len() / 2];
+    pipe.write_all(half).unwrap();
+    // The process finds the whole as soon as it has read the half to its end.
+    let whole = host.settings().with_extension("whole");
+    fs::write(&whole, &settings).unwrap();
+    fs::rename(&whole, host.settings()).unwrap();
+    drop(pipe);
+    wait_until("the host is ready", || host.is_ready() || host.has_exited());
+    assert!(!host.has_exited());
+}
+
+/// Checks settings by the path in the variable, with these further arguments.
+fn check_named(variable: &Path, args: &[&str]) -> Option<i32> {
+    let checked = Command::new(present_binary())
+        .args(["route", "--check"])
+        .args(args)
+        .env("CLEMENTINEARCH_SETTINGS", variable)
+        .output();
+    checked.unwrap().status.code()
+}
+
+#[test]
+fn settings_are_found_by_the_variable_where_no_option_leads_to_them() {
+    let (_platform, host) = prepare();
+    let nowhere = host.settings().with_extension("missing");
+    let nowhere = nowhere.to_str().unwrap();
+    assert_eq!(check_named(host.settings(), &[]), Some(0));
+    let missing = ["--settings", nowhere];
+    assert_eq!(check_named(host.settings(), &missing), Some(0));
+    let present = ["--settings", host.settings().to_str().unwrap()];
+    assert_eq!(check_named(Path::new(nowhere), &present), Some(0));
+    assert_eq!(check_named(Path::new(""), &[]), Some(1));
+    assert_eq!(check_named(Path::new(nowhere), &missing), Some(1));
+}
