Give up heads that do not end, interim ones included

Cause: each interim head is within the read buffer, and nothing limited how many come. A connection now reads 256 KB at most between a request and the end of the head of its response. What exceeds that counts as a failure of the server, and says so in the log.

--- a/host/tests/route_unframed.rs
+++ b/host/tests/route_unframed.rs
@@ -221,6 +221,12 @@
     );
 }
 
+/// Guards against hosts that do nothing but read interim heads, and answer nobody meanwhile.
+#[test]
+fn interim_heads_without_end_are_given_up() {
+    check_endless(|_| String::new(), "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 #[test]
 fn a_body_without_end_is_given_up() {
     check_endless(unframed_head, "no event ");
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -229,6 +229,12 @@
                     why: "connection closed before the request left",
                 };
             }
+            SendOutcome::Unknown if connection.has_endless_head() => {
+                record_failure(state, &self.call, &server, now);
+                return AttemptResult::Lost {
+                    why: "head of the answer too large",
+                };
+            }
             SendOutcome::Unknown => {
                 if was_idle {
                     // The server may just have closed an idle connection, which is no failure.
--- a/router/src/checked_stream.rs
+++ b/router/src/checked_stream.rs
@@ -1,4 +1,5 @@
-//! TCP stream to a server that sends no request after bytes that no request asked for.
+//! TCP stream to a server that sends no request after bytes that no request asked for, and that reads
+//! no head without end.
 
 use std::{
     io::{self, IoSlice},
@@ -7,7 +8,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
 };
@@ -18,6 +19,10 @@
     net::TcpStream,
 };
 
+/// Most bytes that a server may send until the head of its response is complete, interim heads
+/// included. The begin of the body may come with them.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
 #[derive(Debug)]
 struct Socket {
     stream: TcpStream,
@@ -25,6 +30,8 @@
     begins_request: AtomicBool,
     /// Whether a request was held back.
     has_held_back: AtomicBool,
+    /// Bytes that may still come before the head of the response is complete.
+    head_left: AtomicUsize,
 }
 
 /// A stream for requests one after the other. Clones share the connection.
@@ -38,6 +45,7 @@
             stream,
             begins_request: AtomicBool::new(false),
             has_held_back: AtomicBool::new(false),
+            head_left: AtomicUsize::new(usize::MAX),
         }))
     }
 
@@ -54,6 +62,31 @@
     /// Announces that the next write begins a request, which fails if there is input before it.
     pub(crate) fn begin_request(&self) {
         self.0.begins_request.store(true, Ordering::Relaxed);
+        self.0.head_left.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Announces that the head of the response is complete.
+    pub(crate) fn end_head(&self) {
+        self.0.head_left.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Whether more has come than the head of a response may have.
+    pub(crate) fn has_endless_head(&self) -> bool {
+        self.0.head_left.load(Ordering::Relaxed) == 0
+    }
+
+    /// Counts bytes that have come while the head was incomplete.
+    fn count_head(&self, bytes: usize) -> io::Result<()> {
+        let left = self.0.head_left.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return Ok(());
+        }
+        let left = left.saturating_sub(bytes);
+        self.0.head_left.store(left, Ordering::Relaxed);
+        if left == 0 {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
     }
 
     /// Whether a request was held back, so that none of its bytes has left.
@@ -95,6 +128,7 @@
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
+                    self.count_head(count)?;
                     buf.advance(count);
                     return Poll::Ready(Ok(()));
                 }
--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -142,6 +142,11 @@
         !self.sender.is_closed() && !self.driver.0.is_finished() && !self.stream.has_input()
     }
 
+    /// Whether the server sent more than the head of a response may have.
+    pub(crate) fn has_endless_head(&self) -> bool {
+        self.stream.has_endless_head()
+    }
+
     /// Marks the connection as idle since `now` and sets until when it may be reused, from the
     /// server's `keep_alive` time-out.
     pub(crate) fn set_idle(&mut self, keep_alive: Option<Duration>, now: Millis) {
@@ -167,7 +172,10 @@
         }
         self.stream.begin_request();
         match self.sender.try_send_request(req).await {
-            Ok(response) => SendOutcome::Response(response),
+            Ok(response) => {
+                self.stream.end_head();
+                SendOutcome::Response(response)
+            }
             Err(mut e) => {
                 if e.take_message().is_some() || self.stream.has_held_back() {
                     SendOutcome::NotSent
