Leave no named pipe at the path of other tests' settings

The stack of a hung run stands in the opening of a file for writing: the tests of route_starts left a named pipe in the place of a host's settings, and a later test in the same block of addresses writes its settings there. The pipe goes now as soon as it is open.

--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -182,8 +182,11 @@
     assert!(made.success());
 }
 
+/// Opens a pipe once the start reads it, and removes it, as other tests write settings at its path.
 fn open_pipe(path: &Path) -> fs::File {
-    fs::OpenOptions::new().write(true).open(path).unwrap()
+    let pipe = fs::OpenOptions::new().write(true).open(path).unwrap();
+    fs::remove_file(path).unwrap();
+    pipe
 }
 
 /// Guards against a process that a SIGHUP ends because nothing listens to it yet.
