--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -123,7 +123,7 @@
 
 #[test]
 fn figures_that_are_none_are_reported() {
-    for odd in ["-1", "soon", "nan", "inf", "true", "[8]"] {
+    for odd in ["-1", "soon", "nan", "inf", "1e300", "true", "[8]"] {
         let (_platform, host) = prepare();
         let settings = filled(&host, &[("bounds.graceS", odd)]);
         fs::write(host.settings(), settings).unwrap();
--- a/policy/src/toml_reader.rs
+++ b/policy/src/toml_reader.rs
@@ -10,6 +10,7 @@
 use crate::{
     findings::{Finding, Findings, Location},
     names::Name,
+    time::span_from_secs,
 };
 
 /// State shared by all tables of one document.
@@ -169,6 +170,19 @@
     /// Takes a figure that is not negative, as a number or a text; `None` if it is absent, empty or
     /// invalid. A template leaves an empty text where its source has no value.
     pub fn figure(&mut self, key: &str) -> Option<f64> {
+        self.figure_as(key, Ok)
+    }
+
+    /// Takes a number of seconds; see [`Table::figure`]. One above the longest span is invalid.
+    pub fn seconds(&mut self, key: &str) -> Option<Duration> {
+        self.figure_as(key, span_from_secs)
+    }
+
+    fn figure_as<T>(
+        &mut self,
+        key: &str,
+        convert: impl FnOnce(f64) -> Result<T, String>,
+    ) -> Option<T> {
         let value = self.take(key)?;
         let text = match value.get_ref() {
             DeValue::Integer(number) if number.radix() == 10 => number.as_str().to_owned(),
@@ -182,12 +196,17 @@
         };
         let figure = text.replace('_', "").parse::<f64>().ok();
         let figure = figure.filter(|figure| figure.is_finite() && *figure >= 0.0);
-        if figure.is_none() {
-            let message = format!("`{text}` is not a non-negative number");
-            self.document
-                .report(&value.span(), &self.field_path(key), message);
+        let converted = figure
+            .ok_or_else(|| format!("`{text}` is not a non-negative number"))
+            .and_then(convert);
+        match converted {
+            Ok(converted) => Some(converted),
+            Err(message) => {
+                self.document
+                    .report(&value.span(), &self.field_path(key), message);
+                None
+            }
         }
-        figure
     }
 
     /// Takes a whole number within `range`; `default` if it is absent or invalid.
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -6,7 +6,6 @@
     findings::Findings,
     names::Name,
     retry_budget::RetryLimit,
-    time::nearest_span,
     toml_reader::{Table, read_document},
 };
 
@@ -161,17 +160,12 @@
     lines.flat_map(|line| [line, "\n"]).collect()
 }
 
-/// Takes a number of seconds; `default` if there is none.
-fn seconds(table: &mut Table<'_>, key: &str, default: Duration) -> Duration {
-    table.figure(key).map_or(default, nearest_span)
-}
-
 fn read_limits(table: &mut Table<'_>) -> Limits {
     const DEFAULT_GRACE: Duration = Duration::from_secs(8);
     const DEFAULT_LOG_LINES_PER_S: u64 = 200;
     let memory = table.figure("memory_mb").and_then(memory_bytes);
     Limits {
-        grace: seconds(table, "grace_s", DEFAULT_GRACE),
+        grace: table.seconds("grace_s").unwrap_or(DEFAULT_GRACE),
         log_lines_per_s: table.number("log_lines_per_s", 1..=1_000_000, DEFAULT_LOG_LINES_PER_S),
         view_period: table.millis("view_period_ms", 10..=60_000, Duration::from_millis(700)),
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
@@ -187,14 +181,15 @@
     const DEFAULT_SESSION: Duration = Duration::from_secs(5);
     const DEFAULT_EXPOSURE: f64 = 0.15;
     let exposure = table.figure("rollout_exposure").unwrap_or(DEFAULT_EXPOSURE);
-    let window = seconds(table, "repeat_window_s", DEFAULT_RETRY_WINDOW);
+    let window = table.seconds("repeat_window_s");
+    let window = window.unwrap_or(DEFAULT_RETRY_WINDOW);
     Bounds {
         retries: RetryLimit {
             ratio: table.figure("repeat_ratio").unwrap_or(DEFAULT_RETRY_RATIO),
             slack: table.figure("repeat_slack").unwrap_or(DEFAULT_RETRY_SLACK),
             window: window.max(MIN_RETRY_WINDOW),
         },
-        session_timeout: seconds(table, "session_s", DEFAULT_SESSION),
+        session_timeout: table.seconds("session_s").unwrap_or(DEFAULT_SESSION),
         max_exposure: exposure.clamp(MIN_EXPOSURE, 1.0),
     }
 }
