--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -97,7 +97,7 @@
     /// Returns what is wrong with the text.
     pub fn with_link_rate(mut self, text: &str) -> Result<Self, String> {
         if self.limits.link_mbps.is_none() && !text.is_empty() {
-            self.limits.link_mbps = Some(parse_non_negative(text)?).filter(|mbps| *mbps > 0.0);
+            self.limits.link_mbps = Some(parse_rate(text)?);
         }
         Ok(self)
     }
@@ -169,7 +169,7 @@
         log_lines_per_s: table.number("log_lines_per_s", 1..=1_000_000, DEFAULT_LOG_LINES_PER_S),
         view_period: table.millis("view_period_ms", 10..=60_000, Duration::from_millis(700)),
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
-        link_mbps: table.figure("link_mbps").filter(|mbps| *mbps > 0.0),
+        link_mbps: table.parsed("link_mbps", parse_rate),
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
     }
 }
@@ -206,6 +206,13 @@
     }
 }
 
+fn parse_rate(text: &str) -> Result<f64, String> {
+    match parse_non_negative(text) {
+        Ok(rate) if rate > 0.0 => Ok(rate),
+        _ => Err(format!("`{text}` is not a rate above 0")),
+    }
+}
+
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     let value: f64 = text
         .parse()
