--- a/host/src/backends/servers.rs
+++ b/host/src/backends/servers.rs
@@ -111,6 +111,7 @@
         state: RouterServerState::Ready,
         sequence: 0,
         incarnation: 0,
+        cold_remaining: Duration::ZERO,
     })
 }
 
--- a/host/tests/route_panics.rs
+++ b/host/tests/route_panics.rs
@@ -65,6 +65,10 @@
         self.inner.server_name(key)
     }
 
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str> {
+        self.inner.evacuated_zone(key)
+    }
+
     fn host_item(&self, name: &str, address: SocketAddr) -> (String, Vec<u8>) {
         panic_if_due(&self.panics.host_item);
         self.inner.host_item(name, address)
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cascade;
 pub mod catalogue;
 pub mod claim;
+pub mod cold_pace;
 pub mod config_head;
 pub mod connections;
 pub mod connectivity;
--- a/policy/src/routes.rs
+++ b/policy/src/routes.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::names::{FastMap, Name};
+use crate::{
+    cold_pace::ColdPace,
+    names::{FastMap, Name},
+};
 
 /// Kind of a route's requests, which determines whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,6 +125,8 @@
     /// Largest number of connections that one server accepts from all hosts together; zero means no
     /// limit.
     pub max_connections: u32,
+    /// What a server bears after its start; `None` if it is never cold.
+    pub cold_pace: Option<ColdPace>,
     /// Model engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
 }
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -15,6 +15,7 @@
     connections::Connection,
     decision_log::Severity,
     dialect::ResponseHead,
+    evacuations::ZONE_EVACUATED,
     forwarding::PeerResponse,
     handover::{HolderId, SentClock},
     hooks::{AttemptEnd, CallEnd, RequestContext, ServerQuery},
@@ -295,6 +296,9 @@
 
     /// Builds the refusal for when no server is eligible.
     pub(crate) fn refusal_without_server(&self, now: Millis) -> Refusal {
+        if self.state.is_service_evacuated(&self.call.service) {
+            return self.refusal_after_attempts(ZONE_EVACUATED);
+        }
         let return_delay = if self.may_have_run {
             None
         } else {
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::{future::ready, sync::Arc, time::Duration};
 
-use clementinearch_policy::{memory_shares::BodyOwner, time::Millis};
+use clementinearch_policy::{memory_shares::BodyOwner, names::Name, time::Millis};
 use hyper::{
     Request, StatusCode,
     body::{Bytes, Incoming},
@@ -40,6 +40,10 @@
     reaches_servers: bool,
     /// Servers that want nothing from this host now.
     resting_servers: usize,
+    /// Servers that are taken for cold.
+    cold_servers: usize,
+    /// Zones whose servers get no new requests.
+    evacuated_zones: Vec<Name>,
     /// Live entry hosts, this one included.
     hosts: usize,
     /// Contents of requests that ran on a crashed server.
@@ -137,6 +141,8 @@
         servers: state.servers.names().len(),
         reaches_servers: !state.has_lost_servers(),
         resting_servers: state.resting_servers(now),
+        cold_servers: state.cold_servers(now),
+        evacuated_zones: state.evacuations.zones(),
         hosts: state.fleet.lock().live_hosts(now),
         suspect_contents,
         blocked_contents,
@@ -157,6 +163,8 @@
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
+    metrics::gauge!("clementinearch_servers_cold").set(state.cold_servers(now) as f64);
+    metrics::gauge!("clementinearch_zones_evacuated").set(state.evacuations.zones().len() as f64);
     metrics::gauge!("clementinearch_reaches_servers")
         .set(f64::from(u8::from(!state.has_lost_servers())));
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -24,6 +24,7 @@
     connectivity::check_after_failure,
     crash_check::{check_crash, record_crash},
     dialect::{AttemptContext, EventReader, ResponseHead, Verdict},
+    evacuations::ZONE_EVACUATED,
     health_tracking::record_server_outcome,
     host_state::HostState,
     in_flight::InFlight,
@@ -192,6 +193,9 @@
         if !server.accepts_requests() {
             return Err(SERVER_LEAVES);
         }
+        if !state.takes_requests(&server) {
+            return Err(ZONE_EVACUATED);
+        }
         if server.is_resting(state.now()) {
             return Err(SERVER_RESTS);
         }
--- a/router/src/dialect.rs
+++ b/router/src/dialect.rs
@@ -223,6 +223,8 @@
         /// Address on which the host serves its peers.
         address: SocketAddr,
     },
+    /// A zone whose servers get no new requests.
+    Evacuation(Name),
     /// A content or prompt part that is refused because it crashes servers.
     Block(Block),
     /// An item that the router does not use.
@@ -246,6 +248,10 @@
         None
     }
 
+    fn evacuated_zone<'a>(&self, _key: &'a str) -> Option<&'a str> {
+        None
+    }
+
     fn host_item(&self, name: &str, _address: SocketAddr) -> (String, Vec<u8>) {
         (name.to_owned(), Vec::new())
     }
@@ -282,6 +288,9 @@
     /// Returns the server's name if `key` is that of a backend server's entry.
     fn server_name<'a>(&self, key: &'a str) -> Option<&'a str>;
 
+    /// Returns the zone if `key` is that of its evacuation.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Builds the key and value of this host's entry.
     fn host_item(&self, name: &str, address: SocketAddr) -> (String, Vec<u8>);
 
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -163,6 +163,13 @@
         names.filter(|name| **name < self.own_name).count()
     }
 
+    /// Number of known hosts that rank before this one for an item with this hash.
+    pub(crate) fn rank_among_known_for(&self, item: u64) -> usize {
+        let rank = |name: &str| affinity_rank(item, hash_bytes(name.as_bytes()));
+        let own = rank(&self.own_name);
+        self.peers.keys().filter(|name| rank(name) > own).count()
+    }
+
     /// Number of live hosts, this one included.
     pub(crate) fn live_hosts(&self, now: Millis) -> usize {
         1 + self.live_peers(now).count()
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -80,6 +80,7 @@
             let state = state.clone();
             tokio::spawn(async move {
                 if connect(server.entry.address).await.is_ok() {
+                    state.presume_cold(&server, state.now());
                     server.record_connected(state.now());
                     state.record_server_connected(state.now());
                     state.log_event("server_in_reach", &server.entry.name, "", &[]);
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -34,6 +34,7 @@
     connectivity::ServerPath,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreSchema},
+    evacuations::Evacuations,
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
@@ -65,6 +66,7 @@
     pub(crate) log: DecisionLog,
     pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) servers: Servers,
+    pub(crate) evacuations: Evacuations,
     pub(crate) server_path: ServerPath,
     /// Number of requests that peers forwarded to this host and that it serves.
     pub(crate) forwarded_requests: AtomicUsize,
@@ -129,6 +131,7 @@
             log,
             body_memory: BodyMemory::new(body_memory(settings.limits.memory_bytes)),
             servers: Servers::default(),
+            evacuations: Evacuations::default(),
             server_path: ServerPath::default(),
             forwarded_requests: AtomicUsize::new(0),
             fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone()).with_link(link_mbps)),
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod call;
 mod checked_stream;
 mod clock;
+mod cold_servers;
 mod connections;
 #[cfg(test)]
 mod connections_tests;
@@ -23,6 +24,7 @@
 mod data_path;
 mod decision_log;
 mod dialect;
+mod evacuations;
 mod event_source;
 mod fleet;
 #[cfg(test)]
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -5,6 +5,7 @@
 use crate::{
     active_request::{ActiveRequest, LastAttempt, Reply},
     attempt::{Attempt, AttemptResult, NOT_REACHED, SERVER_LEAVES, SERVER_RESTS},
+    evacuations::ZONE_EVACUATED,
     handover::{Handover, HolderId},
     hooks::AttemptEnd,
     refusal::Refusal,
@@ -91,7 +92,10 @@
                 AttemptResult::NotRun { why } => {
                     self.sent.clear();
                     request_metrics::count_attempt(why);
-                    if !matches!(why, NOT_REACHED | SERVER_LEAVES | SERVER_RESTS) {
+                    if !matches!(
+                        why,
+                        NOT_REACHED | SERVER_LEAVES | SERVER_RESTS | ZONE_EVACUATED
+                    ) {
                         self.has_arrived = true;
                     } else {
                         self.unsent += 1;
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -56,13 +56,16 @@
     pub incarnation: u64,
     /// Number of the entry within the incarnation; it grows with each heartbeat.
     pub sequence: u64,
+    /// How much longer the server was cold when it wrote the entry.
+    pub cold_remaining: Duration,
 }
 
 impl ServerEntry {
-    /// Whether the entries are equal but for their numbers.
-    pub(crate) fn is_same_but_for_sequence(&self, other: &Self) -> bool {
+    /// Whether the entries are equal but for what each heartbeat changes.
+    pub(crate) fn is_same_but_for_heartbeat(&self, other: &Self) -> bool {
         let renumbered = Self {
             sequence: self.sequence,
+            cold_remaining: self.cold_remaining,
             ..other.clone()
         };
         *self == renumbered
@@ -103,6 +106,8 @@
     is_leaving: bool,
     /// Until when the server wants nothing from this host.
     resting_until: Millis,
+    /// Until when the server is taken for cold.
+    cold_until: Millis,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
     /// Number of the latest entry.
@@ -194,6 +199,7 @@
             latency: observed.latency,
             is_leaving: observed.is_leaving,
             resting_until: observed.resting_until,
+            cold_until: observed.cold_until,
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
             pacer: observed.pacer,
@@ -248,6 +254,20 @@
         !self.rest_left(now).is_zero()
     }
 
+    /// Takes the server for cold until `until`; an earlier, later end holds. Returns whether it was
+    /// taken for warm.
+    pub(crate) fn set_cold_until(&self, until: Millis, now: Millis) -> bool {
+        let mut observed = self.observed.lock();
+        let was_warm = observed.cold_until <= now;
+        observed.cold_until = observed.cold_until.max(until);
+        was_warm && until > now
+    }
+
+    /// Whether the server is taken for cold.
+    pub(crate) fn is_cold(&self, now: Millis) -> bool {
+        self.observed.lock().cold_until > now
+    }
+
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
     pub(crate) fn has_lapsed_entry(&self) -> bool {
         self.observed.lock().has_lapsed_entry
@@ -388,9 +408,10 @@
         self.observed.lock().pacer.wait(now)
     }
 
-    /// Counts a request to the server, to which this host sends one in each `interval`.
-    pub(crate) fn take_paced(&self, interval: Duration, now: Millis) {
-        self.observed.lock().pacer.try_take(interval, now);
+    /// Counts a request to the server, to which this host sends one in each `interval`. Returns
+    /// whether it may be sent now.
+    pub(crate) fn take_paced(&self, interval: Duration, now: Millis) -> bool {
+        self.observed.lock().pacer.try_take(interval, now)
     }
 
     /// Records the load that the server reported with a response.
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -20,6 +20,17 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct LimitRow(u64, Option<f64>, u64);
 
+/// How often a host may send to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendPace {
+    /// As often as it likes.
+    Unlimited,
+    /// One request in each interval.
+    Every(Duration),
+    /// Other hosts send to the server.
+    LeftToOthers,
+}
+
 /// Age up to which hosts are told that a server is no longer in need.
 const ENDED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -124,11 +135,41 @@
         is_sender.then(|| send_interval(per_s, hosts))
     }
 
-    /// Whether this host may send to a server as far as its limit goes.
+    /// Returns how often this host may send to a server, by the limit that it names and by its being
+    /// cold.
+    pub(crate) fn send_pace(&self, server: &Server, now: Millis) -> SendPace {
+        let limited = server
+            .limit()
+            .map(|per_s| self.limited_interval(server, per_s, now));
+        let cold = self
+            .pace_while_cold(server, now)
+            .map(|pace| self.cold_interval(server, pace));
+        match (limited, cold) {
+            (None, None) => SendPace::Unlimited,
+            (Some(None), _) | (_, Some(None)) => SendPace::LeftToOthers,
+            (Some(Some(interval)), None) | (None, Some(Some(interval))) => {
+                SendPace::Every(interval)
+            }
+            (Some(Some(limited)), Some(Some(cold))) => SendPace::Every(limited.max(cold)),
+        }
+    }
+
+    /// Whether this host may send to a server now, by the limit that it names and by its being cold.
     pub(crate) fn is_within_limit(&self, server: &Server, now: Millis) -> bool {
-        server.limit().is_none_or(|per_s| {
-            server.limit_wait(now).is_zero() && self.limited_interval(server, per_s, now).is_some()
-        })
+        match self.send_pace(server, now) {
+            SendPace::Unlimited => true,
+            SendPace::Every(_) => server.limit_wait(now).is_zero(),
+            SendPace::LeftToOthers => false,
+        }
+    }
+
+    /// Counts a request to a server. Returns whether this host may send it now.
+    pub(crate) fn take_turn(&self, server: &Server, now: Millis) -> bool {
+        match self.send_pace(server, now) {
+            SendPace::Unlimited => true,
+            SendPace::Every(interval) => server.take_paced(interval, now),
+            SendPace::LeftToOthers => false,
+        }
     }
 
     /// If every ready server of a service rests or names a limit, returns the time after which a
@@ -140,10 +181,10 @@
         now: Millis,
     ) -> Option<Duration> {
         let pool = self.servers.pool(service);
-        let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| it.accepts_requests()).collect();
+        let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| self.takes_requests(it)).collect();
         let is_held = |server: &&Arc<Server>| {
             let names_limit = server.limit().is_some() || server.refusal_limit().is_some();
-            names_limit || server.is_resting(now)
+            names_limit || server.is_resting(now) || server.is_cold(now)
         };
         if ready.is_empty() || !ready.iter().all(is_held) {
             return None;
@@ -155,14 +196,17 @@
                 None => held,
             }
         };
-        let own = ready.iter().filter(|server| {
-            let limit = server.limit();
-            limit.is_none_or(|it| self.limited_interval(server, it, now).is_some())
-        });
+        let own = ready
+            .iter()
+            .filter(|server| self.send_pace(server, now) != SendPace::LeftToOthers);
         let earliest = own.map(|server| wait(server)).min().unwrap_or_default();
         let rate = |server: &Arc<Server>| {
             let slots = f64::from(server.entry.slots.max(1));
-            server.limit().unwrap_or(slots / slot_time.as_secs_f64())
+            let cold = self
+                .pace_while_cold(server, now)
+                .map_or(f64::INFINITY, |pace| pace.per_s());
+            let limit = server.limit().unwrap_or(slots / slot_time.as_secs_f64());
+            limit.min(cold)
         };
         let usable = ready.iter().filter(|it| it.rest_left(now) <= earliest);
         let total: f64 = usable.map(|server| rate(server)).sum();
--- a/router/src/server_places.rs
+++ b/router/src/server_places.rs
@@ -57,7 +57,8 @@
     pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
         let pool = self.servers.pool(service);
         pool.iter().any(|server| {
-            server.accepts_requests() && !server.is_resting(now) && server.refusal_limit().is_some()
+            let is_held = server.refusal_limit().is_some() || server.is_cold(now);
+            self.takes_requests(server) && !server.is_resting(now) && is_held
         })
     }
 
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -59,10 +59,10 @@
     let rule = state
         .rollouts
         .version_rule(&call.service, call.rollout_hash(), has_session, now);
-    let mut eligible = eligible_servers(&pool, call, &rule, tried, now);
+    let mut eligible = eligible_servers(state, &pool, call, &rule, tried, now);
     eligible.retain(|server| state.is_within_limit(server, now));
     retain_placed(state, &pool, &mut eligible, now);
-    let views = server_views(call, &eligible, size, now);
+    let mut views = server_views(call, &eligible, size, now);
     let query = PlacementQuery {
         zone: &state.settings.zone,
         prompt_tokens: call
@@ -73,13 +73,14 @@
         ms_per_token: state.ms_per_token(&call.service, size),
     };
     let offset = state.placements.fetch_add(1, Ordering::Relaxed);
-    let index = choose_server(&views, &query, offset)?;
-    let server = eligible[index].clone();
-    if let Some(per_s) = server.limit()
-        && let Some(interval) = state.limited_interval(&server, per_s, now)
-    {
-        server.take_paced(interval, now);
+    let mut index = choose_server(&views, &query, offset)?;
+    // Another request may have taken this host's turn at a paced server in between.
+    while !state.take_turn(&eligible[index], now) {
+        eligible.remove(index);
+        views.remove(index);
+        index = choose_server(&views, &query, offset)?;
     }
+    let server = eligible[index].clone();
     state.take_place(&pool, &server, now);
     let uncached_tokens = (query.prompt_tokens - views[index].cached_tokens).max(0.0);
     if let Some(prompt) = &call.head.prompt {
@@ -105,6 +106,7 @@
 /// Servers that may take the request: of those that the rollout allows, the healthy ones with a
 /// current entry if they are at least half, else all healthy ones, else all.
 fn eligible_servers(
+    state: &HostState,
     pool: &[Arc<Server>],
     call: &Call,
     rule: &VersionRule,
@@ -113,7 +115,7 @@
 ) -> Vec<Arc<Server>> {
     let ready: Vec<&Arc<Server>> = pool
         .iter()
-        .filter(|server| server.accepts_requests() && !server.is_resting(now))
+        .filter(|server| state.takes_requests(server) && !server.is_resting(now))
         .filter(|server| !tried.contains(&server.name_hash))
         .collect();
     let mut allowed: Vec<&Arc<Server>> = ready
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -58,6 +58,8 @@
     Draining,
     /// Another field of a known server's entry changed.
     Updated,
+    /// The server has become cold; its entry is the same otherwise.
+    Cooled,
     /// The entry is the same as before: a heartbeat.
     Unchanged,
     /// The entry is older than one of the same incarnation that was known before.
@@ -97,7 +99,8 @@
 
     /// Adds or updates a server by its entry. Lookups see the change after
     /// [`refresh`](Self::refresh).
-    pub(crate) fn update(&self, entry: ServerEntry) -> EntryChange {
+    pub(crate) fn update(&self, entry: ServerEntry, now: Millis) -> EntryChange {
+        let cold_until = now.after(entry.cold_remaining);
         let mut by_name = self.by_name.write();
         let change = match by_name.get(&entry.name) {
             Some(known)
@@ -107,10 +110,14 @@
                 return EntryChange::Outdated;
             }
             None if self.is_outdated(&entry) => return EntryChange::Outdated,
-            Some(known) if known.entry.is_same_but_for_sequence(&entry) => {
+            Some(known) if known.entry.is_same_but_for_heartbeat(&entry) => {
                 known.record_sequence(entry.sequence);
                 known.set_lapsed_entry(false);
-                return EntryChange::Unchanged;
+                return if known.set_cold_until(cold_until, now) {
+                    EntryChange::Cooled
+                } else {
+                    EntryChange::Unchanged
+                };
             }
             Some(known) if is_same_incarnation(&known.entry, &entry) => {
                 let is_draining = entry.state == ServerState::Draining;
@@ -132,6 +139,7 @@
             next.mark_leaving();
         }
         next.rest_until(self.resting_until(&next.entry));
+        next.set_cold_until(cold_until, now);
         by_name.insert(name, Arc::new(next));
         self.is_dirty.store(true, Ordering::Relaxed);
         change
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -87,6 +87,9 @@
                 if let Some(block) = self.schema.block(&key) {
                     self.record_removed_block(block);
                 }
+                if let Some(zone) = self.schema.evacuated_zone(&key) {
+                    self.end_evacuation(zone, self.now());
+                }
                 true
             }
         }
@@ -142,7 +145,7 @@
                 let name = entry.name.clone();
                 let version = entry.version.clone();
                 let known = self.servers.get(&name);
-                let change = self.servers.update(entry);
+                let change = self.servers.update(entry, now);
                 if let (EntryChange::Restarted, Some(known)) = (change, known) {
                     self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
                 }
@@ -156,7 +159,11 @@
                     EntryChange::Outdated => {
                         self.log_event("server_entry_outdated", &name, &version, &[]);
                     }
-                    EntryChange::Updated | EntryChange::Unchanged => {}
+                    EntryChange::Updated | EntryChange::Cooled | EntryChange::Unchanged => {}
+                }
+                let may_be_cold = change != EntryChange::Unchanged;
+                if may_be_cold && let Some(server) = self.servers.get(&name) {
+                    self.record_entry_cold(&server, change == EntryChange::Restarted, now);
                 }
                 return match change {
                     EntryChange::Outdated => Applied::Outdated,
@@ -164,6 +171,7 @@
                     _ => Applied::Relevant,
                 };
             }
+            StoreItem::Evacuation(zone) => self.evacuate(zone),
             StoreItem::RolloutOrder(order) => {
                 let (service, target) = (order.service.clone(), order.target.clone());
                 if self.rollouts.accept_order(order, now) {
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -25,6 +25,7 @@
         version: "v1".into(),
         slots: 1,
         state,
+        cold_remaining: Duration::ZERO,
         sequence: 0,
         incarnation: 1,
     }))
