--- a/policy/src/running_clock.rs
+++ b/policy/src/running_clock.rs
@@ -54,6 +54,15 @@
         now.since(since).saturating_sub(stalled)
     }
 
+    /// End of the last stall of at least `span`; `now` if it still lasts.
+    pub fn last_stall_end(&self, span: Duration, now: Millis) -> Option<Millis> {
+        let current = self.current_stall(now).map(|begin| (begin, now));
+        let known = self.stalls.iter().rev().copied();
+        let mut stalls = current.into_iter().chain(known);
+        let (_, end) = stalls.find(|(begin, end)| end.since(*begin) >= span)?;
+        Some(end)
+    }
+
     /// Begin of the stall that lasts until `now`, if the next tick is late.
     fn current_stall(&self, now: Millis) -> Option<Millis> {
         let due = self.last_tick?.after(TICK_PERIOD);
--- a/policy/tests/running_clock.rs
+++ b/policy/tests/running_clock.rs
@@ -48,6 +48,18 @@
     assert_eq!(clock.ran_since(later(2_050), later(2_100)), ms(50));
 }
 
+/// A host that was frozen reads its orders anew: the last freeze counts, also before the next tick.
+#[test]
+fn the_last_long_stall_is_found() {
+    let mut clock = ticked([0, 50, 3_050, 3_100, 3_600]);
+    let end = |clock: &RunningClock, now| clock.last_stall_end(ms(2_000), later(now));
+    assert_eq!(end(&clock, 3_610), Some(later(3_050)));
+    assert_eq!(end(&clock, 9_000), Some(later(9_000)), "it still lasts");
+    clock.tick(later(9_000));
+    assert_eq!(end(&clock, 9_020), Some(later(9_000)));
+    assert_eq!(end(&ticked([0, 50, 1_000]), 1_010), None);
+}
+
 /// Limits are read before the first tick after the stall.
 #[test]
 fn a_stall_counts_before_the_tick_that_ends_it() {
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     call::Call,
+    cold_servers::SERVER_COLD,
     connections::{Connection, SendOutcome, connect},
     connectivity::check_after_failure,
     crash_check::{check_crash, record_crash},
@@ -32,6 +33,7 @@
     request_metrics::Phase,
     sent_attempt::SentAttempt,
     server::Server,
+    view_reads::VIEW_OUTDATED,
 };
 
 /// Time without bytes from a server or peer after which a test connection shows whether it is
@@ -156,6 +158,7 @@
     let began_at = state.now();
     let connected = connect(server.entry.address).await;
     let Err(e) = connected else {
+        state.presume_cold_if_unreachable(server, state.now());
         server.record_connected(state.now());
         state.record_server_connected(state.now());
         return None;
@@ -190,10 +193,16 @@
             Some(connection) => connection,
             None => self.connect(&server).await.ok_or(NOT_REACHED)?,
         };
-        if !server.accepts_requests() {
+        if state.is_view_outdated(state.now()) {
+            return Err(VIEW_OUTDATED);
+        }
+        // The record may have been replaced while the attempt connected.
+        let current = state.servers.get(&server.entry.name);
+        let records = [Some(&server), current.as_ref()].into_iter().flatten();
+        if records.clone().any(|it| !it.accepts_requests()) {
             return Err(SERVER_LEAVES);
         }
-        if !state.takes_requests(&server) {
+        if records.into_iter().any(|it| !state.takes_requests(it)) {
             return Err(ZONE_EVACUATED);
         }
         if server.is_resting(state.now()) {
@@ -206,6 +215,9 @@
         let sent_at = state.now();
         let req = self.request(&server, sent_at);
         let req = req.ok_or("no time left to send")?;
+        if !state.may_leave_for(&server, sent_at) {
+            return Err(SERVER_COLD);
+        }
         in_flight.track(state.clone(), self.call.clone());
         let sending = connection.send_owned(req);
         Ok(SentAttempt::new(
@@ -306,6 +318,7 @@
                 self.state
                     .request_metrics
                     .record(route, Phase::Connect, span);
+                self.state.presume_cold_if_unreachable(server, now);
                 self.state.record_server_connected(now);
                 Some(connection)
             }
--- a/router/src/cold_servers.rs
+++ b/router/src/cold_servers.rs
@@ -6,6 +6,22 @@
 
 use crate::{host_state::HostState, server::Server};
 
+/// Reason of an attempt on a cold server that this host may not send to now.
+pub(crate) const SERVER_COLD: &str = "server cold";
+
+/// Time after a host's first read of the store in which it leaves cold servers to others: hosts that
+/// start at once do not know each other before, so that each would take itself for one of few.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
+/// A sending host's part of a cold server's pace.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ColdShare {
+    /// Time between two requests.
+    pub(crate) interval: Duration,
+    /// Most requests that leave within a second.
+    max_in_window: usize,
+}
+
 impl HostState {
     /// Pace of a service's cold servers, if they have one.
     fn cold_pace(&self, service: &str) -> Option<ColdPace> {
@@ -15,26 +31,51 @@
 
     /// Pace of a server that is cold; none if it is warm.
     pub(crate) fn pace_while_cold(&self, server: &Server, now: Millis) -> Option<ColdPace> {
-        if !server.is_cold(now) {
+        if !server.pace.is_cold(now) {
             return None;
         }
         self.cold_pace(&server.entry.service)
     }
 
-    /// Returns the interval at which this host sends to a cold server, or none if other hosts do. All
-    /// known hosts are ranked, whether they are live or not: parts of a fleet that are cut off from
-    /// each other agree on who sends.
-    pub(crate) fn cold_interval(&self, server: &Server, pace: ColdPace) -> Option<Duration> {
+    /// Returns this host's part of a cold server's pace, or none if other hosts send to it. All known
+    /// hosts are ranked, whether they are live or not: parts of a fleet that are cut off from each
+    /// other agree on who sends.
+    pub(crate) fn cold_share(&self, server: &Server, pace: ColdPace) -> Option<ColdShare> {
+        if !self.view_reads.have_lasted(SETTLING_TIME, self.now()) {
+            return None;
+        }
         let fleet = self.fleet.lock();
         let hosts = fleet.known_hosts();
-        let is_sender = fleet.rank_among_known_for(server.name_hash) < pace.senders(hosts);
-        is_sender.then(|| pace.interval(hosts))
+        let rank = || fleet.rank_among_known_for(server.name_hash);
+        let is_sender = server.pace.rank(hosts, rank) < pace.senders(hosts);
+        is_sender.then(|| ColdShare {
+            interval: pace.interval(hosts),
+            max_in_window: pace.max_in_window(hosts),
+        })
+    }
+
+    /// Counts a request that leaves for a server, which may have become cold since it was chosen.
+    /// Returns whether it may leave.
+    pub(crate) fn may_leave_for(&self, server: &Server, now: Millis) -> bool {
+        let Some(pace) = self.pace_while_cold(server, now) else {
+            return true;
+        };
+        let share = self.cold_share(server, pace);
+        share.is_some_and(|share| server.pace.try_send_cold(share.max_in_window, now))
+    }
+
+    /// Takes a server for cold that was unreachable and accepts a connection: it may have started
+    /// again.
+    pub(crate) fn presume_cold_if_unreachable(&self, server: &Server, now: Millis) {
+        if server.is_unreachable() {
+            self.presume_cold(server, now);
+        }
     }
 
     /// Takes a server for cold that may have started again without a word.
     pub(crate) fn presume_cold(&self, server: &Server, now: Millis) {
         if let Some(pace) = self.cold_pace(&server.entry.service)
-            && server.set_cold_until(now.after(pace.duration()), now)
+            && server.pace.presume_cold(now.after(pace.duration()), now)
         {
             self.log_cold(server, pace, "presumed", pace.duration());
         }
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -47,6 +47,7 @@
     stored_blocks::StoredBlocks,
     unfinished_attempts::UnfinishedAttempts,
     view::View,
+    view_reads::ViewReads,
 };
 
 /// Weight of the latest response in the mean latency of a route.
@@ -96,6 +97,7 @@
     pub(crate) view_changed: Notify,
     /// Number of servers chosen so far, by which equal servers are chosen in turn.
     pub(crate) placements: AtomicUsize,
+    pub(crate) view_reads: ViewReads,
     /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
     /// first.
     last_store_contact_ms: AtomicU64,
@@ -149,6 +151,7 @@
             table: RwLock::default(),
             table_changed: Notify::new(),
             placements: AtomicUsize::new(0),
+            view_reads: ViewReads::default(),
             last_store_contact_ms: AtomicU64::new(0),
             planned_stop: watch::Sender::new(None),
         }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -14,6 +14,8 @@
 mod checked_stream;
 mod clock;
 mod cold_servers;
+#[cfg(test)]
+mod cold_servers_tests;
 mod connections;
 #[cfg(test)]
 mod connections_tests;
@@ -62,6 +64,7 @@
 mod sent_attempt;
 mod server;
 mod server_limits;
+mod server_pace;
 mod server_places;
 mod server_rests;
 mod server_selection;
@@ -78,6 +81,7 @@
 mod unfinished_attempts_tests;
 mod view;
 mod view_codec;
+mod view_reads;
 mod view_sync;
 #[cfg(test)]
 mod view_tests;
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -5,6 +5,7 @@
 use crate::{
     active_request::{ActiveRequest, LastAttempt, Reply},
     attempt::{Attempt, AttemptResult, NOT_REACHED, SERVER_LEAVES, SERVER_RESTS},
+    cold_servers::SERVER_COLD,
     evacuations::ZONE_EVACUATED,
     handover::{Handover, HolderId},
     hooks::AttemptEnd,
@@ -12,6 +13,7 @@
     request_metrics,
     sent_attempt::{SentAttempt, Waited},
     server_selection::ChosenServer,
+    view_reads::VIEW_OUTDATED,
 };
 
 /// What a request got from an attempt, or while that attempt was handed over.
@@ -31,6 +33,7 @@
         resume_after: Option<u64>,
     ) -> Result<Reply, Refusal> {
         loop {
+            self.state.wait_for_view(self.call.deadline).await;
             let now = self.state.now();
             if now >= self.call.deadline {
                 return Err(self.deadline_refusal());
@@ -94,7 +97,12 @@
                     request_metrics::count_attempt(why);
                     if !matches!(
                         why,
-                        NOT_REACHED | SERVER_LEAVES | SERVER_RESTS | ZONE_EVACUATED
+                        NOT_REACHED
+                            | SERVER_LEAVES
+                            | SERVER_RESTS
+                            | SERVER_COLD
+                            | VIEW_OUTDATED
+                            | ZONE_EVACUATED
                     ) {
                         self.has_arrived = true;
                     } else {
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -1,13 +1,12 @@
 //! The record of a backend server on one host: its published entry and what the host observed.
 
-use std::{any::Any, collections::VecDeque, net::SocketAddr, time::Duration};
+use std::{any::Any, collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
     names::{FastMap, Name},
     placement::PREFIX_CACHE_LIFETIME,
     relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
-    server_limit::Pacer,
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -15,6 +14,7 @@
 use crate::{
     call::{Prompt, PromptPart, hash_bytes},
     connections::Connection,
+    server_pace::ServerPace,
 };
 
 /// Maximum number of idle connections from one host to one server.
@@ -106,8 +106,6 @@
     is_leaving: bool,
     /// Until when the server wants nothing from this host.
     resting_until: Millis,
-    /// Until when the server is taken for cold.
-    cold_until: Millis,
     /// Whether the server's entry lapsed while the store was unavailable.
     has_lapsed_entry: bool,
     /// Number of the latest entry.
@@ -116,8 +114,6 @@
     limit: Option<NamedLimit>,
     /// The refusals per second that the server bears, as it said last.
     refusal_limit: Option<NamedLimit>,
-    /// Spaces this host's requests while the server names a limit.
-    pacer: Pacer,
 }
 
 /// What a server said of its limit.
@@ -151,6 +147,7 @@
     pub(crate) entry: ServerEntry,
     /// Hash of the name, equal on all hosts.
     pub(crate) name_hash: u64,
+    pub(crate) pace: Arc<ServerPace>,
     observed: Mutex<Observations>,
     idle_connections: Mutex<Vec<Connection>>,
 }
@@ -179,16 +176,23 @@
         Self {
             entry,
             name_hash,
+            pace: Arc::default(),
             observed: Mutex::new(observed),
             idle_connections: Mutex::default(),
         }
     }
 
+    /// Shares the pace of another record of the server.
+    pub(crate) fn with_pace(mut self, pace: Arc<ServerPace>) -> Self {
+        self.pace = pace;
+        self
+    }
+
     /// Creates a record for a new entry of the same incarnation. Health, load report, latency and
     /// cached prompt parts move to it; requests in flight, pending prefills and idle connections
     /// stay with the old record.
     pub(crate) fn with_entry(&self, entry: ServerEntry) -> Self {
-        let next = Self::new(entry);
+        let next = Self::new(entry).with_pace(self.pace.clone());
         let mut observed = self.observed.lock();
         *next.observed.lock() = Observations {
             health: observed.health,
@@ -199,10 +203,8 @@
             latency: observed.latency,
             is_leaving: observed.is_leaving,
             resting_until: observed.resting_until,
-            cold_until: observed.cold_until,
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
-            pacer: observed.pacer,
             sequence: next.entry.sequence,
             ..Observations::default()
         };
@@ -254,20 +256,6 @@
         !self.rest_left(now).is_zero()
     }
 
-    /// Takes the server for cold until `until`; an earlier, later end holds. Returns whether it was
-    /// taken for warm.
-    pub(crate) fn set_cold_until(&self, until: Millis, now: Millis) -> bool {
-        let mut observed = self.observed.lock();
-        let was_warm = observed.cold_until <= now;
-        observed.cold_until = observed.cold_until.max(until);
-        was_warm && until > now
-    }
-
-    /// Whether the server is taken for cold.
-    pub(crate) fn is_cold(&self, now: Millis) -> bool {
-        self.observed.lock().cold_until > now
-    }
-
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
     pub(crate) fn has_lapsed_entry(&self) -> bool {
         self.observed.lock().has_lapsed_entry
@@ -403,17 +391,6 @@
         self.named_limit().and_then(|limit| limit.per_s)
     }
 
-    /// Time until this host may send another request, as far as its pace decides.
-    pub(crate) fn limit_wait(&self, now: Millis) -> Duration {
-        self.observed.lock().pacer.wait(now)
-    }
-
-    /// Counts a request to the server, to which this host sends one in each `interval`. Returns
-    /// whether it may be sent now.
-    pub(crate) fn take_paced(&self, interval: Duration, now: Millis) -> bool {
-        self.observed.lock().pacer.try_take(interval, now)
-    }
-
     /// Records the load that the server reported with a response.
     pub(crate) fn record_load(&self, report: LoadReport, now: Millis) {
         let mut observed = self.observed.lock();
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -143,7 +143,7 @@
             .map(|per_s| self.limited_interval(server, per_s, now));
         let cold = self
             .pace_while_cold(server, now)
-            .map(|pace| self.cold_interval(server, pace));
+            .map(|pace| self.cold_share(server, pace).map(|share| share.interval));
         match (limited, cold) {
             (None, None) => SendPace::Unlimited,
             (Some(None), _) | (_, Some(None)) => SendPace::LeftToOthers,
@@ -158,7 +158,7 @@
     pub(crate) fn is_within_limit(&self, server: &Server, now: Millis) -> bool {
         match self.send_pace(server, now) {
             SendPace::Unlimited => true,
-            SendPace::Every(_) => server.limit_wait(now).is_zero(),
+            SendPace::Every(_) => server.pace.wait(now).is_zero(),
             SendPace::LeftToOthers => false,
         }
     }
@@ -167,7 +167,7 @@
     pub(crate) fn take_turn(&self, server: &Server, now: Millis) -> bool {
         match self.send_pace(server, now) {
             SendPace::Unlimited => true,
-            SendPace::Every(interval) => server.take_paced(interval, now),
+            SendPace::Every(interval) => server.pace.try_take(interval, now),
             SendPace::LeftToOthers => false,
         }
     }
@@ -184,13 +184,14 @@
         let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| self.takes_requests(it)).collect();
         let is_held = |server: &&Arc<Server>| {
             let names_limit = server.limit().is_some() || server.refusal_limit().is_some();
-            names_limit || server.is_resting(now) || server.is_cold(now)
+            let is_cold = self.pace_while_cold(server, now).is_some();
+            names_limit || server.is_resting(now) || is_cold
         };
         if ready.is_empty() || !ready.iter().all(is_held) {
             return None;
         }
         let wait = |server: &Arc<Server>| {
-            let held = server.limit_wait(now).max(server.rest_left(now));
+            let held = server.pace.wait(now).max(server.rest_left(now));
             match server.refusal_limit() {
                 Some(_) => held.max(slot_time),
                 None => held,
--- a/router/src/server_places.rs
+++ b/router/src/server_places.rs
@@ -27,7 +27,7 @@
             return true;
         }
         if !has_places {
-            return server.limit_wait(now).is_zero();
+            return server.pace.wait(now).is_zero();
         }
         let index = pool.iter().position(|it| it.name_hash == server.name_hash);
         index.is_some_and(|index| server.local_running() < own[index])
@@ -49,7 +49,7 @@
         };
         if self.places(pool).iter().all(|places| *places == 0) {
             let hosts = self.fleet.lock().known_hosts();
-            server.take_paced(unplaced_interval(limit, hosts), now);
+            server.pace.try_take(unplaced_interval(limit, hosts), now);
         }
     }
 
@@ -57,7 +57,8 @@
     pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
         let pool = self.servers.pool(service);
         pool.iter().any(|server| {
-            let is_held = server.refusal_limit().is_some() || server.is_cold(now);
+            let is_cold = self.pace_while_cold(server, now).is_some();
+            let is_held = server.refusal_limit().is_some() || is_cold;
             self.takes_requests(server) && !server.is_resting(now) && is_held
         })
     }
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -14,7 +14,10 @@
 };
 use parking_lot::{Mutex, RwLock};
 
-use crate::server::{Server, ServerEntry, ServerState};
+use crate::{
+    server::{Server, ServerEntry, ServerState},
+    server_pace::ServerPace,
+};
 
 type Pool = Arc<[Arc<Server>]>;
 
@@ -34,12 +37,21 @@
     leaving: Mutex<FastMap<Name, (u64, Millis)>>,
     /// Incarnation and last entry's number of each server whose entry was removed, and when.
     removed: Mutex<FastMap<Name, (u64, u64, Millis)>>,
+    /// Each server that is no longer known, and when it was dropped: its entry may be read again.
+    dropped: Mutex<FastMap<Name, (Dropped, Millis)>>,
     /// Incarnation of each server that has asked this host for rest, and the end of the rest.
     resting: Mutex<FastMap<Name, (u64, Millis)>>,
     /// Whether `by_name` has changed since the index was built.
     is_dirty: AtomicBool,
 }
 
+/// What is kept of a server that is no longer known.
+#[derive(Debug)]
+struct Dropped {
+    incarnation: u64,
+    pace: Arc<ServerPace>,
+}
+
 /// The lookup tables for requests (by service) and peers (by name hash).
 #[derive(Debug, Default)]
 struct Index {
@@ -58,8 +70,8 @@
     Draining,
     /// Another field of a known server's entry changed.
     Updated,
-    /// The server has become cold; its entry is the same otherwise.
-    Cooled,
+    /// The entry names another time for which the server is cold, and is the same otherwise.
+    ColdTime,
     /// The entry is the same as before: a heartbeat.
     Unchanged,
     /// The entry is older than one of the same incarnation that was known before.
@@ -113,8 +125,8 @@
             Some(known) if known.entry.is_same_but_for_heartbeat(&entry) => {
                 known.record_sequence(entry.sequence);
                 known.set_lapsed_entry(false);
-                return if known.set_cold_until(cold_until, now) {
-                    EntryChange::Cooled
+                return if known.pace.set_cold_by_entry(cold_until, now) {
+                    EntryChange::ColdTime
                 } else {
                     EntryChange::Unchanged
                 };
@@ -133,13 +145,14 @@
         let name = entry.name.clone();
         let next = match by_name.get(&name) {
             Some(known) if change != EntryChange::Restarted => known.with_entry(entry),
-            _ => Server::new(entry),
+            Some(known) => Server::new(entry).with_pace(known.pace.clone()),
+            None => Server::new(entry).with_pace(self.kept_pace(&name)),
         };
         if self.has_left(&next.entry) {
             next.mark_leaving();
         }
         next.rest_until(self.resting_until(&next.entry));
-        next.set_cold_until(cold_until, now);
+        next.pace.set_cold_by_entry(cold_until, now);
         by_name.insert(name, Arc::new(next));
         self.is_dirty.store(true, Ordering::Relaxed);
         change
@@ -200,6 +213,24 @@
         known.is_some_and(|(incarnation, _)| *incarnation == entry.incarnation)
     }
 
+    /// Pace of a server that was dropped, or a new one.
+    fn kept_pace(&self, name: &str) -> Arc<ServerPace> {
+        let dropped = self.dropped.lock();
+        let kept = dropped.get(name);
+        kept.map_or_else(Arc::default, |(dropped, _)| dropped.pace.clone())
+    }
+
+    /// Whether the entry names another start than the one that this host last knew of the server,
+    /// which it may have dropped since.
+    pub(crate) fn names_other_start(&self, entry: &ServerEntry) -> bool {
+        if let Some(known) = self.get(&entry.name) {
+            return !is_same_incarnation(&known.entry, entry);
+        }
+        let dropped = self.dropped.lock();
+        let last = dropped.get(&entry.name);
+        last.is_some_and(|(last, _)| last.incarnation != entry.incarnation)
+    }
+
     /// Marks a server whose entry lapsed while the store was unavailable.
     pub(crate) fn mark_lapsed(&self, name: &str) {
         if let Some(server) = self.by_name.read().get(name) {
@@ -234,7 +265,7 @@
 
     /// Removes a server whose entry was removed, and returns it if it was known.
     pub(crate) fn remove_unlisted(&self, name: &str, now: Millis) -> Option<Arc<Server>> {
-        let server = self.remove(name)?;
+        let server = self.remove(name, now)?;
         let mut removed = self.removed.lock();
         removed.retain(|_, (_, _, since)| now.since(*since) <= REMOVAL_LIFETIME);
         let last = (server.entry.incarnation, server.sequence(), now);
@@ -244,9 +275,17 @@
     }
 
     /// Removes a server and returns it if it was known.
-    pub(crate) fn remove(&self, name: &str) -> Option<Arc<Server>> {
+    pub(crate) fn remove(&self, name: &str, now: Millis) -> Option<Arc<Server>> {
         let removed = self.by_name.write().remove(name);
-        if removed.is_some() {
+        if let Some(server) = &removed {
+            let last = Dropped {
+                incarnation: server.entry.incarnation,
+                pace: server.pace.clone(),
+            };
+            let mut dropped = self.dropped.lock();
+            dropped.retain(|_, (_, since)| now.since(*since) <= REMOVAL_LIFETIME);
+            dropped.insert(server.entry.name.clone(), (last, now));
+            drop(dropped);
             self.is_dirty.store(true, Ordering::Relaxed);
         }
         removed
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -22,7 +22,9 @@
 
 impl HostState {
     /// Applies updates of the store's items.
-    pub(crate) fn apply_updates(&self, updates: Vec<Update>) {
+    pub(crate) fn apply_updates(&self, mut updates: Vec<Update>) {
+        // Evacuations follow the servers that they concern. Requests see both after the refresh below.
+        updates.sort_by_key(|update| self.schema.evacuated_zone(update.key()).is_some());
         let mut is_relevant = false;
         for update in updates {
             is_relevant |= self.apply_update(update);
@@ -33,7 +35,8 @@
         }
     }
 
-    /// Drops the servers that have no entry among all items of the view.
+    /// Drops the servers that have no entry among all items of the view, and ends the evacuations that
+    /// have no key there.
     pub(crate) fn drop_unlisted_servers(&self, items: &[Update]) {
         let keys = items.iter().map(Update::key);
         let listed: FastSet<&str> = keys
@@ -42,9 +45,18 @@
         let mut gone = self.servers.names();
         gone.retain(|name| !listed.contains(&**name));
         for name in gone {
-            self.servers.remove(&name);
+            self.servers.remove(&name, self.now());
             self.log_event("server_gone", &name, "no entry", &[]);
         }
+        let keys = items.iter().map(Update::key);
+        let ordered: FastSet<&str> = keys
+            .filter_map(|key| self.schema.evacuated_zone(key))
+            .collect();
+        for zone in self.evacuations.zones() {
+            if !ordered.contains(&*zone) {
+                self.end_evacuation(&zone, self.now());
+            }
+        }
     }
 
     /// Applies one update. Returns whether it is relevant to peers.
@@ -125,7 +137,7 @@
     /// other item the last value that could be read stays in force.
     fn record_unreadable(&self, key: &str, why: &str) {
         if let Some(name) = self.schema.server_name(key) {
-            self.servers.remove(name);
+            self.servers.remove(name, self.now());
         }
         self.log_event("item_unreadable", key, why, &[]);
     }
@@ -145,6 +157,7 @@
                 let name = entry.name.clone();
                 let version = entry.version.clone();
                 let known = self.servers.get(&name);
+                let is_other_start = self.servers.names_other_start(&entry);
                 let change = self.servers.update(entry, now);
                 if let (EntryChange::Restarted, Some(known)) = (change, known) {
                     self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
@@ -159,11 +172,12 @@
                     EntryChange::Outdated => {
                         self.log_event("server_entry_outdated", &name, &version, &[]);
                     }
-                    EntryChange::Updated | EntryChange::Cooled | EntryChange::Unchanged => {}
+                    EntryChange::Updated | EntryChange::ColdTime | EntryChange::Unchanged => {}
                 }
                 let may_be_cold = change != EntryChange::Unchanged;
                 if may_be_cold && let Some(server) = self.servers.get(&name) {
-                    self.record_entry_cold(&server, change == EntryChange::Restarted, now);
+                    let is_other_start = is_other_start && change != EntryChange::Outdated;
+                    self.record_entry_cold(&server, is_other_start, now);
                 }
                 return match change {
                     EntryChange::Outdated => Applied::Outdated,
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -99,7 +99,8 @@
     async fn follow_relay(&mut self) -> bool {
         let (now, position) = (self.state.now(), self.state.view.lock().position());
         let relay = self.state.fleet.lock().relay(now);
-        let Some(relay) = relay.filter(|_| position.revision != 0 && !self.is_lost) else {
+        let may_wait = !self.is_lost && !self.state.is_view_outdated(now);
+        let Some(relay) = relay.filter(|_| position.revision != 0 && may_wait) else {
             return false;
         };
         let Ok(view) = self.peer_client.changes(relay, position).await else {
@@ -113,8 +114,9 @@
             return false;
         }
         let age = view.age + view.transfer;
-        let now = self.state.now();
         self.merge(view);
+        self.state.view_reads.record(now);
+        let now = self.state.now();
         self.state
             .record_store_contact(Millis(now.0.saturating_sub(age.as_millis() as u64)));
         self.expire(now);
@@ -136,6 +138,7 @@
                 self.store_read_at = now;
                 self.record_success(now);
                 self.apply_updates(updates);
+                self.state.view_reads.record(started_at);
                 self.expire(now);
                 self.write_own_entry(now).await;
                 // Also if there is a relay: all its followers would else read on and on while it
@@ -289,8 +292,10 @@
     }
 
     async fn read_changes(&mut self, position: StorePosition) -> Result<Vec<Update>, StoreError> {
-        // Unconfirmed items take effect with this read, which therefore does not wait for changes.
-        let wait = if self.unconfirmed.is_empty() {
+        // Unconfirmed items take effect with this read, and requests wait for it after a freeze, so it
+        // does not wait for changes then.
+        let is_awaited = self.state.is_view_outdated(self.state.now());
+        let wait = if self.unconfirmed.is_empty() && !is_awaited {
             watch_wait(self.state.now().since(self.state.last_store_contact()))
         } else {
             Duration::ZERO
@@ -347,9 +352,13 @@
     }
 
     async fn read_from_peer(&mut self, peer: std::net::SocketAddr) {
+        let began_at = self.state.now();
         let position = self.state.view.lock().position();
         match self.peer_client.changes(peer, position).await {
-            Ok(view) => self.merge(view),
+            Ok(view) => {
+                self.merge(view);
+                self.state.view_reads.record(began_at);
+            }
             Err(e) => self
                 .state
                 .log_event("peer_view_failed", "", &e.to_string(), &[]),
