--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, thread, time::Duration};
 
-use clementinearch_policy::{retry_budget::RetryLimit, routes::CallerLimits};
+use clementinearch_policy::{names::FastMap, retry_budget::RetryLimit, routes::CallerLimits};
 use clementinearch_router::{Bounds, DataPath, Limits, Listen, Settings as PathSettings};
 use clementinearch_storage::{HostSource, Store};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -272,6 +272,7 @@
             max_exposure: 1.0,
         },
         accepted_confidence: Vec::new(),
+        regions: FastMap::default(),
     }
 }
 
--- a/host/src/requests/request_head.rs
+++ b/host/src/requests/request_head.rs
@@ -124,6 +124,7 @@
         max_attempts,
         is_anonymous: false,
         sizes: Vec::new(),
+        allowed_regions: Vec::new(),
         targets: Vec::new(),
     })
 }
--- a/policy/src/routes.rs
+++ b/policy/src/routes.rs
@@ -70,6 +70,8 @@
     pub sizes: Vec<Name>,
     /// Services that receive the requests.
     pub targets: Vec<Target>,
+    /// Regions in which requests may run; empty if all are allowed.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -138,6 +140,18 @@
     pub name: Name,
     /// Priority of its requests, which overrides the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run; empty if all are allowed.
+    pub allowed_regions: Vec<Name>,
+}
+
+/// Whether requests of a route and an account may run in a region, which is none for a zone without
+/// a mapping. Both lists apply.
+pub fn is_region_allowed(route: &Route, account: Option<&Account>, region: Option<&str>) -> bool {
+    let account_regions = account.map_or(&[][..], |account| &account.allowed_regions);
+    [&route.allowed_regions[..], account_regions]
+        .into_iter()
+        .filter(|allowed| !allowed.is_empty())
+        .all(|allowed| region.is_some_and(|region| allowed.iter().any(|it| **it == *region)))
 }
 
 /// Limits on the size and duration of callers' requests.
--- a/policy/src/toml_reader.rs
+++ b/policy/src/toml_reader.rs
@@ -292,6 +292,26 @@
         self.list(key, parse_name)
     }
 
+    /// Takes all fields that are left as names by their keys. Fields with an empty key or text, as a
+    /// template leaves them where its source has none, are dropped.
+    pub fn names_by_key(&mut self) -> Vec<(Name, Name)> {
+        let keys: Vec<String> = self
+            .fields
+            .keys()
+            .map(|key| key.get_ref().to_string())
+            .collect();
+        let mut named = Vec::new();
+        for key in keys {
+            if let Some(text) = self.text(&key)
+                && !key.is_empty()
+                && !text.is_empty()
+            {
+                named.push((key.into(), text.into()));
+            }
+        }
+        named
+    }
+
     /// Takes a sub-table and reads it with `read`; an absent table is read as an empty one.
     pub fn table<T>(&mut self, key: &str, read: impl FnOnce(&mut Table<'_>) -> T) -> T {
         let (span, fields) = match self.take(key) {
--- a/policy/tests/routes.rs
+++ b/policy/tests/routes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use clementinearch_policy::routes::{CallerLimits, Route, RouteKind, RoutingTable, Target};
+use clementinearch_policy::routes::{
+    Account, CallerLimits, Route, RouteKind, RoutingTable, Target, is_region_allowed,
+};
 
 const LIMITS: CallerLimits = CallerLimits {
     max_header_bytes: 16_384,
@@ -26,6 +28,7 @@
         max_attempts: 2,
         is_anonymous: false,
         sizes: Vec::new(),
+        allowed_regions: Vec::new(),
         targets: targets
             .iter()
             .map(|(service, weight)| Target {
@@ -36,6 +39,41 @@
     }
 }
 
+/// Guards against a list that widens the other, and against zones without a mapping that count as in
+/// every region.
+#[test]
+fn a_region_must_be_allowed_by_the_route_and_the_account() {
+    let regions = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    let allowed = |of_route: &[&str], of_account: Option<&[&str]>, region: Option<&str>| {
+        let route = Route {
+            allowed_regions: regions(of_route),
+            ..route("r", "a.example", "/", &[])
+        };
+        let account = of_account.map(|names| Account {
+            name: "one".into(),
+            priority: None,
+            allowed_regions: regions(names),
+        });
+        is_region_allowed(&route, account.as_ref(), region)
+    };
+    for account in [None, Some(&[][..])] {
+        assert!(allowed(&[], account, None));
+        assert!(allowed(&[], account, Some("eu")));
+        assert!(allowed(&["eu", "us"], account, Some("us")));
+        assert!(!allowed(&["eu"], account, Some("us")));
+        assert!(!allowed(&["eu"], account, None), "a zone without a mapping");
+    }
+    assert!(allowed(&[], Some(&["eu"]), Some("eu")));
+    assert!(!allowed(&[], Some(&["eu"]), None));
+    assert!(allowed(&["eu", "us"], Some(&["us", "asia"]), Some("us")));
+    assert!(!allowed(&["eu", "us"], Some(&["us", "asia"]), Some("eu")));
+    assert!(
+        !allowed(&["eu"], Some(&["us"]), Some("eu")),
+        "no common one"
+    );
+    assert!(!allowed(&["eu"], None, Some("EU")));
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     let routes = vec![
--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -15,7 +15,6 @@
     connections::Connection,
     decision_log::Severity,
     dialect::ResponseHead,
-    evacuations::ZONE_EVACUATED,
     forwarding::PeerResponse,
     handover::{HolderId, SentClock},
     hooks::{AttemptEnd, CallEnd, RequestContext, ServerQuery},
@@ -296,14 +295,10 @@
 
     /// Builds the refusal for when no server is eligible.
     pub(crate) fn refusal_without_server(&self, now: Millis) -> Refusal {
-        if self.state.is_service_evacuated(&self.call.service) {
-            return self.refusal_after_attempts(ZONE_EVACUATED);
-        }
         let return_delay = if self.may_have_run {
             None
         } else {
-            self.state
-                .return_delay(&self.call.service, self.slot_time(), now)
+            self.state.return_delay(&self.call, self.slot_time(), now)
         };
         match return_delay {
             Some(delay) => Refusal::not_run(SERVERS_LIMITED, delay),
@@ -347,7 +342,7 @@
         loop {
             let now = self.state.now();
             let is_over = now >= limit.min(self.call.deadline);
-            if is_over || !self.state.has_places(&self.call.service, now) {
+            if is_over || !self.state.has_places(&self.call, now) {
                 return Ok(None);
             }
             tokio::time::sleep(PLACE_POLL_PERIOD).await;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -31,6 +31,7 @@
     in_flight::InFlight,
     refusal::Refusal,
     request_metrics::Phase,
+    residency::NO_SERVER_IN_REGIONS,
     sent_attempt::SentAttempt,
     server::Server,
     view_reads::VIEW_OUTDATED,
@@ -202,9 +203,15 @@
         if records.clone().any(|it| !it.accepts_requests()) {
             return Err(SERVER_LEAVES);
         }
-        if records.into_iter().any(|it| !state.takes_requests(it)) {
+        if records.clone().any(|it| !state.takes_requests(it)) {
             return Err(ZONE_EVACUATED);
         }
+        if records
+            .into_iter()
+            .any(|it| !state.takes_request(it, &self.call))
+        {
+            return Err(NO_SERVER_IN_REGIONS);
+        }
         if server.is_resting(state.now()) {
             return Err(SERVER_RESTS);
         }
--- a/router/src/evacuations.rs
+++ b/router/src/evacuations.rs
@@ -35,13 +35,6 @@
         server.accepts_requests() && !self.evacuations.contains(&server.entry.zone)
     }
 
-    /// Whether every server of a service is in an evacuated zone.
-    pub(crate) fn is_service_evacuated(&self, service: &str) -> bool {
-        let pool = self.servers.pool(service);
-        let evacuated = |zone: &Name| self.evacuations.contains(zone);
-        !pool.is_empty() && pool.iter().all(|server| evacuated(&server.entry.zone))
-    }
-
     /// Sends nothing more to the servers of a zone.
     pub(crate) fn evacuate(&self, zone: Name) {
         if self.evacuations.0.write().insert(zone.clone()) {
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -53,8 +53,10 @@
 }
 
 /// A peer that a request may be forwarded to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ForwardingPeer {
+    /// Zone; none before its first report.
+    pub(crate) zone: Option<Name>,
     pub(crate) address: SocketAddr,
     /// Whether it is known to serve forwarded requests.
     pub(crate) is_known: bool,
@@ -296,6 +298,7 @@
                 continue;
             }
             let candidate = ForwardingPeer {
+                zone: peer.zone.clone(),
                 address: peer.address,
                 is_known: peer.forwarding.is_known(),
             };
--- a/router/src/forwarding.rs
+++ b/router/src/forwarding.rs
@@ -143,7 +143,7 @@
     state: &Arc<HostState>,
     call: &Arc<Call>,
     forwarded: &ForwardedState,
-    peer: ForwardingPeer,
+    peer: &ForwardingPeer,
 ) -> Result<SentForward, Forwarding> {
     let req = request(call, forwarded).ok_or(Forwarding::Declined)?;
     let connected = connect(peer.address).await;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -55,6 +55,7 @@
 mod request_attempts;
 mod request_metrics;
 mod request_retries;
+mod residency;
 mod response_body;
 mod response_evaluation;
 mod rollout;
--- a/router/src/peer_attempts.rs
+++ b/router/src/peer_attempts.rs
@@ -47,7 +47,11 @@
         if self.call.forwarded.is_none() {
             let fleet = self.state.fleet.lock();
             peers = fleet.forwarding_peers(now);
-            has_peers = fleet.has_peer_with_servers(now);
+            drop(fleet);
+            peers.retain(|peer| self.state.allows_zone(&self.call, peer.zone.as_ref()));
+            // Peers that must not get this request may get others: callers still come here.
+            has_peers = !peers.is_empty() || self.state.allows_zone(&self.call, None);
+            has_peers &= self.state.fleet.lock().has_peer_with_servers(now);
         }
         peers.retain(|peer| !self.holders.contains(&HolderId::Peer(peer.address)));
         peers.truncate(MAX_PEERS_ASKED);
@@ -59,7 +63,7 @@
                 return Err(self.refusal_after_attempts("no attempt left"));
             }
             let forwarded = self.forwarded_state(resume_after, now);
-            let outcome = match forward(&self.state, &self.call, &forwarded, peer).await {
+            let outcome = match forward(&self.state, &self.call, &forwarded, &peer).await {
                 Ok(sent) => match self.wait_for_peer(sent, resume_after).await? {
                     PeerGot::Outcome(outcome) => outcome,
                     PeerGot::Reply(reply) => return Ok(reply),
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -11,6 +11,7 @@
     hooks::AttemptEnd,
     refusal::Refusal,
     request_metrics,
+    residency::NO_SERVER_IN_REGIONS,
     sent_attempt::{SentAttempt, Waited},
     server_selection::ChosenServer,
     view_reads::VIEW_OUTDATED,
@@ -44,6 +45,9 @@
             if self.may_have_run && !self.call.head.route.kind.may_retry() {
                 return Err(self.refusal_after_attempts("answer broke off"));
             }
+            if let Some(reason) = self.state.exclusion_reason(&self.call) {
+                return Err(self.refusal_after_attempts(reason));
+            }
             if self.state.has_lost_servers() {
                 return self.forward_to_peer(resume_after).await;
             }
@@ -102,6 +106,7 @@
                             | SERVER_RESTS
                             | SERVER_COLD
                             | VIEW_OUTDATED
+                            | NO_SERVER_IN_REGIONS
                             | ZONE_EVACUATED
                     ) {
                         self.has_arrived = true;
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -4,13 +4,13 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    names::Name,
     server_limit::{is_limit, send_interval, senders},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    call::Call,
     host_state::HostState,
     server::{NamedLimit, Server},
 };
@@ -172,16 +172,17 @@
         }
     }
 
-    /// If every ready server of a service rests or names a limit, returns the time after which a
+    /// If every ready server that may get the request rests, names a limit or is cold, returns the time after which a
     /// refused caller should return. A request occupies a slot for `slot_time`.
     pub(crate) fn return_delay(
         &self,
-        service: &Name,
+        call: &Call,
         slot_time: Duration,
         now: Millis,
     ) -> Option<Duration> {
-        let pool = self.servers.pool(service);
-        let ready: Vec<&Arc<Server>> = pool.iter().filter(|it| self.takes_requests(it)).collect();
+        let pool = self.servers.pool(&call.service);
+        let ready = pool.iter().filter(|it| self.takes_request(it, call));
+        let ready: Vec<&Arc<Server>> = ready.collect();
         let is_held = |server: &&Arc<Server>| {
             let names_limit = server.limit().is_some() || server.refusal_limit().is_some();
             let is_cold = self.pace_while_cold(server, now).is_some();
@@ -213,7 +214,7 @@
         let total: f64 = usable.map(|server| rate(server)).sum();
         let own_rate = total / self.fleet.lock().known_hosts() as f64;
         let mut schedules = self.return_schedules.lock();
-        let schedule = schedules.entry(service.clone()).or_default();
+        let schedule = schedules.entry(call.service.clone()).or_default();
         Some(schedule.delay(own_rate, earliest, now))
     }
 }
--- a/router/src/server_places.rs
+++ b/router/src/server_places.rs
@@ -7,7 +7,7 @@
     time::Millis,
 };
 
-use crate::{host_state::HostState, server::Server};
+use crate::{call::Call, host_state::HostState, server::Server};
 
 /// Leaves only the servers that may get a request as far as the refusals that they bear go: brittle
 /// ones must have a free place of this host. `pool` holds all servers of the service.
@@ -53,13 +53,13 @@
         }
     }
 
-    /// Whether a server of a service takes requests once a place of this host is free.
-    pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
-        let pool = self.servers.pool(service);
+    /// Whether a server takes this request once a place of this host is free.
+    pub(crate) fn has_places(&self, call: &Call, now: Millis) -> bool {
+        let pool = self.servers.pool(&call.service);
         pool.iter().any(|server| {
             let is_cold = self.pace_while_cold(server, now).is_some();
             let is_held = server.refusal_limit().is_some() || is_cold;
-            self.takes_requests(server) && !server.is_resting(now) && is_held
+            self.takes_request(server, call) && !server.is_resting(now) && is_held
         })
     }
 
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -115,7 +115,7 @@
 ) -> Vec<Arc<Server>> {
     let ready: Vec<&Arc<Server>> = pool
         .iter()
-        .filter(|server| state.takes_requests(server) && !server.is_resting(now))
+        .filter(|server| state.takes_request(server, call) && !server.is_resting(now))
         .filter(|server| !tried.contains(&server.name_hash))
         .collect();
     let mut allowed: Vec<&Arc<Server>> = ready
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_policy::{
     findings::Findings,
-    names::Name,
+    names::{FastMap, Name},
     retry_budget::RetryLimit,
     toml_reader::{Table, read_document},
 };
@@ -87,6 +87,8 @@
     pub bounds: Bounds,
     /// Least confidence, from 0 to 100, at which a small model's answer is forwarded, by priority.
     pub accepted_confidence: Vec<u8>,
+    /// Region of each zone. A zone without one is in no region.
+    pub regions: FastMap<Name, Name>,
 }
 
 impl Settings {
@@ -140,6 +142,9 @@
             accepted_confidence: table.table("sizing", |sizing| {
                 sizing.list("accepted_confidence", parse_confidence)
             }),
+            regions: table.table("regions", |regions| {
+                regions.names_by_key().into_iter().collect()
+            }),
         })
     }
 }
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -44,6 +44,7 @@
         max_attempts: 1,
         is_anonymous: true,
         sizes: Vec::new(),
+        allowed_regions: Vec::new(),
         targets: Vec::new(),
     };
     Arc::new(Call {
