--- a/router/src/active_request.rs
+++ b/router/src/active_request.rs
@@ -298,8 +298,7 @@
         let return_delay = if self.may_have_run {
             None
         } else {
-            self.state
-                .return_delay(&self.call.service, self.slot_time(), now)
+            self.state.return_delay(&self.call, self.slot_time(), now)
         };
         match return_delay {
             Some(delay) => Refusal::not_run(SERVERS_LIMITED, delay),
@@ -343,7 +342,7 @@
         loop {
             let now = self.state.now();
             let is_over = now >= limit.min(self.call.deadline);
-            if is_over || !self.state.has_places(&self.call.service, now) {
+            if is_over || !self.state.has_places(&self.call, now) {
                 return Ok(None);
             }
             tokio::time::sleep(PLACE_POLL_PERIOD).await;
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -53,8 +53,10 @@
 }
 
 /// A peer that a request may be forwarded to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ForwardingPeer {
+    /// Zone; none before its first report.
+    pub(crate) zone: Option<Name>,
     pub(crate) address: SocketAddr,
     /// Whether it is known to serve forwarded requests.
     pub(crate) is_known: bool,
@@ -163,6 +165,13 @@
         names.filter(|name| **name < self.own_name).count()
     }
 
+    /// Number of known hosts that rank before this one for an item with this hash.
+    pub(crate) fn rank_among_known_for(&self, item: u64) -> usize {
+        let rank = |name: &str| affinity_rank(item, hash_bytes(name.as_bytes()));
+        let own = rank(&self.own_name);
+        self.peers.keys().filter(|name| rank(name) > own).count()
+    }
+
     /// Number of live hosts, this one included.
     pub(crate) fn live_hosts(&self, now: Millis) -> usize {
         1 + self.live_peers(now).count()
@@ -289,6 +298,7 @@
                 continue;
             }
             let candidate = ForwardingPeer {
+                zone: peer.zone.clone(),
                 address: peer.address,
                 is_known: peer.forwarding.is_known(),
             };
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -34,6 +34,7 @@
     connectivity::ServerPath,
     decision_log::{Decision, DecisionLog, Severity},
     dialect::{Dialect, StoreSchema},
+    evacuations::Evacuations,
     fleet::Fleet,
     gossip_event::GossipEvent,
     hooks::RequestHooks,
@@ -46,6 +47,7 @@
     stored_blocks::StoredBlocks,
     unfinished_attempts::UnfinishedAttempts,
     view::View,
+    view_reads::ViewReads,
 };
 
 /// Weight of the latest response in the mean latency of a route.
@@ -65,6 +67,7 @@
     pub(crate) log: DecisionLog,
     pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) servers: Servers,
+    pub(crate) evacuations: Evacuations,
     pub(crate) server_path: ServerPath,
     /// Number of requests that peers forwarded to this host and that it serves.
     pub(crate) forwarded_requests: AtomicUsize,
@@ -94,6 +97,7 @@
     pub(crate) view_changed: Notify,
     /// Number of servers chosen so far, by which equal servers are chosen in turn.
     pub(crate) placements: AtomicUsize,
+    pub(crate) view_reads: ViewReads,
     /// Time of the last answer of the store, milliseconds of the host's clock; zero before the
     /// first.
     last_store_contact_ms: AtomicU64,
@@ -129,6 +133,7 @@
             log,
             body_memory: BodyMemory::new(body_memory(settings.limits.memory_bytes)),
             servers: Servers::default(),
+            evacuations: Evacuations::default(),
             server_path: ServerPath::default(),
             forwarded_requests: AtomicUsize::new(0),
             fleet: Mutex::new(Fleet::new(own_name, settings.zone.clone()).with_link(link_mbps)),
@@ -146,6 +151,7 @@
             table: RwLock::default(),
             table_changed: Notify::new(),
             placements: AtomicUsize::new(0),
+            view_reads: ViewReads::default(),
             last_store_contact_ms: AtomicU64::new(0),
             planned_stop: watch::Sender::new(None),
         }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -13,6 +13,9 @@
 mod call;
 mod checked_stream;
 mod clock;
+mod cold_servers;
+#[cfg(test)]
+mod cold_servers_tests;
 mod connections;
 #[cfg(test)]
 mod connections_tests;
@@ -23,6 +26,7 @@
 mod data_path;
 mod decision_log;
 mod dialect;
+mod evacuations;
 mod event_source;
 mod fleet;
 #[cfg(test)]
@@ -51,6 +55,7 @@
 mod request_attempts;
 mod request_metrics;
 mod request_retries;
+mod residency;
 mod response_body;
 mod response_evaluation;
 mod rollout;
@@ -60,6 +65,7 @@
 mod sent_attempt;
 mod server;
 mod server_limits;
+mod server_pace;
 mod server_places;
 mod server_rests;
 mod server_selection;
@@ -76,6 +82,7 @@
 mod unfinished_attempts_tests;
 mod view;
 mod view_codec;
+mod view_reads;
 mod view_sync;
 #[cfg(test)]
 mod view_tests;
--- a/router/src/request_attempts.rs
+++ b/router/src/request_attempts.rs
@@ -5,12 +5,16 @@
 use crate::{
     active_request::{ActiveRequest, LastAttempt, Reply},
     attempt::{Attempt, AttemptResult, NOT_REACHED, SERVER_LEAVES, SERVER_RESTS},
+    cold_servers::SERVER_COLD,
+    evacuations::ZONE_EVACUATED,
     handover::{Handover, HolderId},
     hooks::AttemptEnd,
     refusal::Refusal,
     request_metrics,
+    residency::NO_SERVER_IN_REGIONS,
     sent_attempt::{SentAttempt, Waited},
     server_selection::ChosenServer,
+    view_reads::VIEW_OUTDATED,
 };
 
 /// What a request got from an attempt, or while that attempt was handed over.
@@ -30,6 +34,7 @@
         resume_after: Option<u64>,
     ) -> Result<Reply, Refusal> {
         loop {
+            self.state.wait_for_view(self.call.deadline).await;
             let now = self.state.now();
             if now >= self.call.deadline {
                 return Err(self.deadline_refusal());
@@ -40,6 +45,9 @@
             if self.may_have_run && !self.call.head.route.kind.may_retry() {
                 return Err(self.refusal_after_attempts("answer broke off"));
             }
+            if let Some(reason) = self.state.exclusion_reason(&self.call) {
+                return Err(self.refusal_after_attempts(reason));
+            }
             if self.state.has_lost_servers() {
                 return self.forward_to_peer(resume_after).await;
             }
@@ -91,7 +99,16 @@
                 AttemptResult::NotRun { why } => {
                     self.sent.clear();
                     request_metrics::count_attempt(why);
-                    if !matches!(why, NOT_REACHED | SERVER_LEAVES | SERVER_RESTS) {
+                    if !matches!(
+                        why,
+                        NOT_REACHED
+                            | SERVER_LEAVES
+                            | SERVER_RESTS
+                            | SERVER_COLD
+                            | VIEW_OUTDATED
+                            | NO_SERVER_IN_REGIONS
+                            | ZONE_EVACUATED
+                    ) {
                         self.has_arrived = true;
                     } else {
                         self.unsent += 1;
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -1,13 +1,12 @@
 //! The record of a backend server on one host: its published entry and what the host observed.
 
-use std::{any::Any, collections::VecDeque, net::SocketAddr, time::Duration};
+use std::{any::Any, collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use clementinearch_policy::{
     names::{FastMap, Name},
     placement::PREFIX_CACHE_LIFETIME,
     relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
-    server_limit::Pacer,
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -15,6 +14,7 @@
 use crate::{
     call::{Prompt, PromptPart, hash_bytes},
     connections::Connection,
+    server_pace::ServerPace,
 };
 
 /// Maximum number of idle connections from one host to one server.
@@ -56,13 +56,16 @@
     pub incarnation: u64,
     /// Number of the entry within the incarnation; it grows with each heartbeat.
     pub sequence: u64,
+    /// How much longer the server was cold when it wrote the entry.
+    pub cold_remaining: Duration,
 }
 
 impl ServerEntry {
-    /// Whether the entries are equal but for their numbers.
-    pub(crate) fn is_same_but_for_sequence(&self, other: &Self) -> bool {
+    /// Whether the entries are equal but for what each heartbeat changes.
+    pub(crate) fn is_same_but_for_heartbeat(&self, other: &Self) -> bool {
         let renumbered = Self {
             sequence: self.sequence,
+            cold_remaining: self.cold_remaining,
             ..other.clone()
         };
         *self == renumbered
@@ -111,8 +114,6 @@
     limit: Option<NamedLimit>,
     /// The refusals per second that the server bears, as it said last.
     refusal_limit: Option<NamedLimit>,
-    /// Spaces this host's requests while the server names a limit.
-    pacer: Pacer,
 }
 
 /// What a server said of its limit.
@@ -146,6 +147,7 @@
     pub(crate) entry: ServerEntry,
     /// Hash of the name, equal on all hosts.
     pub(crate) name_hash: u64,
+    pub(crate) pace: Arc<ServerPace>,
     observed: Mutex<Observations>,
     idle_connections: Mutex<Vec<Connection>>,
 }
@@ -174,16 +176,23 @@
         Self {
             entry,
             name_hash,
+            pace: Arc::default(),
             observed: Mutex::new(observed),
             idle_connections: Mutex::default(),
         }
     }
 
+    /// Shares the pace of another record of the server.
+    pub(crate) fn with_pace(mut self, pace: Arc<ServerPace>) -> Self {
+        self.pace = pace;
+        self
+    }
+
     /// Creates a record for a new entry of the same incarnation. Health, load report, latency and
     /// cached prompt parts move to it; requests in flight, pending prefills and idle connections
     /// stay with the old record.
     pub(crate) fn with_entry(&self, entry: ServerEntry) -> Self {
-        let next = Self::new(entry);
+        let next = Self::new(entry).with_pace(self.pace.clone());
         let mut observed = self.observed.lock();
         *next.observed.lock() = Observations {
             health: observed.health,
@@ -196,7 +205,6 @@
             resting_until: observed.resting_until,
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
-            pacer: observed.pacer,
             sequence: next.entry.sequence,
             ..Observations::default()
         };
@@ -383,16 +391,6 @@
         self.named_limit().and_then(|limit| limit.per_s)
     }
 
-    /// Time until this host may send another request, as far as its pace decides.
-    pub(crate) fn limit_wait(&self, now: Millis) -> Duration {
-        self.observed.lock().pacer.wait(now)
-    }
-
-    /// Counts a request to the server, to which this host sends one in each `interval`.
-    pub(crate) fn take_paced(&self, interval: Duration, now: Millis) {
-        self.observed.lock().pacer.try_take(interval, now);
-    }
-
     /// Records the load that the server reported with a response.
     pub(crate) fn record_load(&self, report: LoadReport, now: Millis) {
         let mut observed = self.observed.lock();
--- a/router/src/server_places.rs
+++ b/router/src/server_places.rs
@@ -7,7 +7,7 @@
     time::Millis,
 };
 
-use crate::{host_state::HostState, server::Server};
+use crate::{call::Call, host_state::HostState, server::Server};
 
 /// Leaves only the servers that may get a request as far as the refusals that they bear go: brittle
 /// ones must have a free place of this host. `pool` holds all servers of the service.
@@ -27,7 +27,7 @@
             return true;
         }
         if !has_places {
-            return server.limit_wait(now).is_zero();
+            return server.pace.wait(now).is_zero();
         }
         let index = pool.iter().position(|it| it.name_hash == server.name_hash);
         index.is_some_and(|index| server.local_running() < own[index])
@@ -49,15 +49,17 @@
         };
         if self.places(pool).iter().all(|places| *places == 0) {
             let hosts = self.fleet.lock().known_hosts();
-            server.take_paced(unplaced_interval(limit, hosts), now);
+            server.pace.try_take(unplaced_interval(limit, hosts), now);
         }
     }
 
-    /// Whether a server of a service takes requests once a place of this host is free.
-    pub(crate) fn has_places(&self, service: &str, now: Millis) -> bool {
-        let pool = self.servers.pool(service);
+    /// Whether a server takes this request once a place of this host is free.
+    pub(crate) fn has_places(&self, call: &Call, now: Millis) -> bool {
+        let pool = self.servers.pool(&call.service);
         pool.iter().any(|server| {
-            server.accepts_requests() && !server.is_resting(now) && server.refusal_limit().is_some()
+            let is_cold = self.pace_while_cold(server, now).is_some();
+            let is_held = server.refusal_limit().is_some() || is_cold;
+            self.takes_request(server, call) && !server.is_resting(now) && is_held
         })
     }
 
--- a/router/src/unfinished_attempts_tests.rs
+++ b/router/src/unfinished_attempts_tests.rs
@@ -25,6 +25,7 @@
         version: "v1".into(),
         slots: 1,
         state,
+        cold_remaining: Duration::ZERO,
         sequence: 0,
         incarnation: 1,
     }))
@@ -43,6 +44,7 @@
         max_attempts: 1,
         is_anonymous: true,
         sizes: Vec::new(),
+        allowed_regions: Vec::new(),
         targets: Vec::new(),
     };
     Arc::new(Call {
