--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -15,6 +15,7 @@
     crash_suspects::ContentStatus,
     eviction::evict,
     names::FastMap,
+    planned_end::PlannedEnd,
     time::Millis,
 };
 
@@ -128,6 +129,8 @@
     completions: FastMap<u64, Millis>,
     /// Crashes of which no content is the cause.
     excused: Vec<Crash>,
+    /// Planned ends of servers, which are no crashes.
+    planned: Vec<PlannedEnd>,
 }
 
 impl CrashEvidence {
@@ -157,7 +160,8 @@
     }
 
     fn add_crash(&mut self, content: u64, crash: Crash) {
-        if !self.excused.iter().any(|it| it.is_same(&crash)) {
+        let is_excused = self.excused.iter().any(|it| it.is_same(&crash));
+        if !is_excused && !self.planned.iter().any(|end| end.covers(&crash)) {
             let crashes = &mut self.evidence(content).crashes;
             crashes.add(crash);
             crashes.keep_latest(MAX_CRASHES);
@@ -176,6 +180,21 @@
         }
     }
 
+    /// Records planned ends of servers. What was or will be reported as a crash of one of them at
+    /// that time does not count, by whichever host; nor does a block that rests on it.
+    pub fn record_planned_ends(&mut self, ends: &[PlannedEnd], now: Millis) {
+        self.planned.extend_from_slice(ends);
+        for evidence in self.contents.values_mut() {
+            let was_blocked = evidence.crash_count(now) >= BLOCKING_CRASHES;
+            let known = evidence.crashes.len();
+            let is_planned = |crash: &Crash| ends.iter().any(|end| end.covers(crash));
+            evidence.crashes.retain(|crash| !is_planned(crash));
+            if was_blocked && evidence.crashes.len() < known.min(BLOCKING_CRASHES) {
+                evidence.reported_blocked_at = None;
+            }
+        }
+    }
+
     /// Records that the store does not hold the content's block any more.
     pub fn retract_block(&mut self, content: u64) {
         if let Some(evidence) = self.contents.get_mut(&content) {
@@ -266,6 +285,9 @@
             .retain(|_, evidence| now.since(evidence.changed_at()) <= EVIDENCE_LIFETIME);
         self.completions
             .retain(|_, at| now.since(*at) <= COMPLETION_LIFETIME);
+        // Peers may report a crash for as long as it counts.
+        self.planned
+            .retain(|end| now.since(end.window.until) <= EVIDENCE_LIFETIME);
         let excess = self.contents.len().saturating_sub(MAX_CONTENTS);
         let rank = |_, evidence: &Evidence| (evidence.is_blocked(now), evidence.changed_at());
         evict(&mut self.contents, excess, rank);
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod placement;
 pub mod places;
 pub mod plan;
+pub mod planned_end;
 pub mod planned_stop;
 pub mod prefill_time;
 pub mod quality;
--- a/policy/src/part_evidence.rs
+++ b/policy/src/part_evidence.rs
@@ -20,6 +20,7 @@
     crash_set::{Crash, CrashSet, read_rows},
     eviction::evict,
     names::{FastMap, FastSet},
+    planned_end::PlannedEnd,
     time::Millis,
 };
 
@@ -179,6 +180,8 @@
     blocked: FastSet<u64>,
     /// Crashes that a blocked part explains.
     explained: Vec<Crash>,
+    /// Planned ends of servers, which are no crashes.
+    planned: Vec<PlannedEnd>,
 }
 
 impl PartEvidence {
@@ -214,12 +217,34 @@
         crash: Crash,
         now: Millis,
     ) -> Vec<u64> {
+        if self.is_planned(&crash) {
+            return Vec::new();
+        }
         for part in parts {
             self.evidence(part).add_crash(crash, now);
         }
         self.judge(now)
     }
 
+    /// Records planned ends of servers. What was or will be reported as a crash of one of them at
+    /// that time does not count, by whichever host; nor does a block that rests on it.
+    pub fn record_planned_ends(&mut self, ends: &[PlannedEnd], now: Millis) {
+        self.planned.extend_from_slice(ends);
+        for evidence in self.parts.values_mut() {
+            let known = evidence.crashes.len();
+            let is_planned = |crash: &Crash| ends.iter().any(|end| end.covers(crash));
+            evidence.crashes.retain(|crash| !is_planned(crash));
+            if evidence.crashes.len() < known.min(BLOCKING_CRASHES) {
+                evidence.reported_blocked_at = None;
+            }
+        }
+        self.judge(now);
+    }
+
+    fn is_planned(&self, crash: &Crash) -> bool {
+        self.planned.iter().any(|end| end.covers(crash))
+    }
+
     /// Records that an answer on these parts, which began at `began_at`, went on.
     pub fn record_answer(
         &mut self,
@@ -347,9 +372,11 @@
         let ago = |ms: u64| Millis(now.0.saturating_sub(ms));
         let mut answered_since = Vec::new();
         for row in rows {
+            let mut crashes: Vec<Crash> = read_rows(&row.servers, now).collect();
+            crashes.retain(|crash| !self.is_planned(crash));
             let evidence = self.evidence(row.part);
             let told = row.answered_ms.map(ago);
-            for crash in read_rows(&row.servers, now) {
+            for crash in crashes {
                 evidence.add_crash(crash, now);
                 // Told once that the crash does not count, the peer needs no later answer.
                 if evidence.answered_at >= Some(crash.at) && told < Some(crash.at) {
@@ -375,6 +402,9 @@
             .retain(|_, evidence| now.since(evidence.changed_at()) <= CRASH_LIFETIME);
         self.answered
             .retain(|_, at| now.since(*at) <= ANSWER_LIFETIME);
+        // Peers may report a crash for as long as it counts.
+        self.planned
+            .retain(|end| now.since(end.window.until) <= CRASH_LIFETIME);
         self.judge(now);
         let excess = self.parts.len().saturating_sub(MAX_PARTS);
         let blocked = &self.blocked;
--- a/policy/src/rollout.rs
+++ b/policy/src/rollout.rs
@@ -43,6 +43,14 @@
 /// Least fraction of the time limit in which the share grows.
 const MIN_GROWTH: f64 = 0.03;
 
+/// Fraction of the time limit that is left after the latest completion, for the write of the status
+/// and for hosts that read the order late.
+const COMPLETION_MARGIN: f64 = 0.04;
+
+/// Largest margin after the latest completion. A write by the third host in turn takes two steps
+/// of 0.8 s and the store's answer.
+const MAX_COMPLETION_MARGIN: Duration = Duration::from_secs(2);
+
 /// Part of the bound on exposure that is left unused, as a time: requests that are sent again, and
 /// hosts whose clocks of the rollout differ, add to the exposure.
 const EXPOSURE_MARGIN: Duration = Duration::from_millis(300);
@@ -86,6 +94,13 @@
     }
 }
 
+/// Returns the time since the order at which a rollout completes even if requests still run on old
+/// versions.
+pub fn latest_completion(time_limit: Duration) -> Duration {
+    let margin = time_limit.mul_f64(COMPLETION_MARGIN);
+    time_limit - margin.min(MAX_COMPLETION_MARGIN)
+}
+
 /// What the evidence says of the new version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -112,9 +127,31 @@
     Stalls,
 }
 
+impl Verdict {
+    /// Returns the word for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Cleared => "cleared",
+            Self::Doubtful => "doubtful",
+            Self::Suspect => "suspect",
+            Self::Bad => "bad",
+        }
+    }
+}
+
 impl Kind {
     const ALL: [Self; 3] = [Self::Failures, Self::Pace, Self::Stalls];
 
+    /// Returns the word for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Failures => "failures",
+            Self::Pace => "pace",
+            Self::Stalls => "stalls",
+        }
+    }
+
     fn counts(self, outcomes: Outcomes) -> Counts {
         match self {
             Self::Failures => outcomes.responses,
--- a/router/src/crash_check.rs
+++ b/router/src/crash_check.rs
@@ -21,6 +21,9 @@
 /// Time limit for the test connection that shows whether a server has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Reason why the end of a server of the version that lost a rollout is no crash.
+pub(crate) const PLANNED_END: &str = "planned end";
+
 /// What a test connection shows of a server that broke off a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CrashCheck {
@@ -117,6 +120,8 @@
         Some("announced")
     } else if state.is_cut_off(now) {
         Some("host cut off")
+    } else if state.ends_as_planned(server, now, now) {
+        Some(PLANNED_END)
     } else {
         None
     };
@@ -158,7 +163,7 @@
 }
 
 /// Logs the result of a crash check, with the crashes that the request's content is known for.
-fn log_crash(
+pub(crate) fn log_crash(
     context: RequestContext<'_>,
     server: &str,
     event: &str,
--- a/router/src/crash_records.rs
+++ b/router/src/crash_records.rs
@@ -1,15 +1,21 @@
 //! What this host records of crashes against the contents of requests, and of blocks in the store.
 
-use clementinearch_policy::{crash_set::Crash, crash_suspects::ContentStatus, time::Millis};
+use std::sync::Arc;
+
+use clementinearch_policy::{
+    crash_set::Crash, crash_suspects::ContentStatus, planned_end::PlannedEnd, time::Millis,
+};
 
 use crate::{
     call::hash_bytes,
-    crash_check::record_content_crash,
+    crash_check::{PLANNED_END, log_crash, record_content_crash},
     decision_log::{Decision, Severity},
     dialect::Block,
+    hooks::RequestContext,
     host_state::HostState,
     in_flight::ANSWERING_SPAN,
-    server::AttemptTarget,
+    rollout::RolloutStatus,
+    server::{AttemptTarget, Server},
     unfinished_attempts::UnfinishedAttempt,
 };
 
@@ -41,6 +47,46 @@
         }
     }
 
+    /// Whether a server that ended at some time from `from` to `to` ended as planned, since its
+    /// version had lost a rollout.
+    pub(crate) fn ends_as_planned(&self, server: &Server, from: Millis, to: Millis) -> bool {
+        let entry = &server.entry;
+        let window = self.rollouts.planned_window(&entry.service, &entry.version);
+        window.is_some_and(|window| window.overlaps(from, to))
+    }
+
+    /// Applies the status of a rollout. Returns whether its state changed.
+    ///
+    /// Once the rollout has ended, servers of the losing version end as planned. Crashes of them
+    /// that this host or a peer recorded before it read the status are withdrawn.
+    pub(crate) fn record_rollout_status(&self, status: &RolloutStatus, now: Millis) -> bool {
+        if !self.rollouts.record_status(status, now) {
+            return false;
+        }
+        let mut servers = self.servers.all();
+        servers.extend(self.unfinished_attempts.removed_servers());
+        servers.retain(|server| server.entry.service == status.service);
+        let planned_end = |server: &Arc<Server>| {
+            let entry = &server.entry;
+            let window = self
+                .rollouts
+                .planned_window(&entry.service, &entry.version)?;
+            let crash = crash_of(server.attempt_target(false), now);
+            Some(PlannedEnd {
+                server: crash.server,
+                window,
+            })
+        };
+        let ends: Vec<PlannedEnd> = servers.iter().filter_map(planned_end).collect();
+        if !ends.is_empty() {
+            let mut evidence = self.crash_evidence.lock();
+            evidence.record_planned_ends(&ends, now);
+            drop(evidence);
+            self.part_evidence.lock().record_planned_ends(&ends, now);
+        }
+        true
+    }
+
     /// Records that the store holds a block.
     pub(crate) fn record_stored_block(&self, block: Block) {
         self.stored_blocks.record_stored(block);
@@ -84,12 +130,33 @@
             // A server that went on sending has survived the begin of this answer as well.
             let survived_at = attempt.server.last_contact();
             let has_survived = *is_answering || survived_at.since(*ended_at) >= ANSWERING_SPAN;
+            if self.ends_as_planned(&attempt.server, *ended_at, self.now()) {
+                let context = RequestContext {
+                    state: self,
+                    call,
+                    now: *ended_at,
+                };
+                let event = "crash_ruled_out";
+                log_crash(context, target.name, event, PLANNED_END, has_survived);
+                continue;
+            }
             record_content_crash(self, call, target, has_survived, *ended_at);
         }
     }
 
     /// Logs a change of what the host believes of a request content or a prompt part.
     pub(crate) fn log_block(&self, event: &str, block: Block, why: &str) {
+        self.log_block_with(event, block, why, &[]);
+    }
+
+    /// As [`Self::log_block`], with numbers.
+    pub(crate) fn log_block_with(
+        &self,
+        event: &str,
+        block: Block,
+        why: &str,
+        inputs: &[(&str, f64)],
+    ) {
         let (content, parts) = match block {
             Block::Content(content) => (format!("{content:016x}"), String::new()),
             Block::Part(part) => (String::new(), format_parts(&[part])),
@@ -100,6 +167,7 @@
             why,
             content: &content,
             parts: &parts,
+            inputs,
             ..Decision::default()
         };
         self.log.write(Severity::Important, &decision);
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -347,7 +347,8 @@
             .route_name(route)
             .map_or("gone route".to_owned(), |name| name.to_string())
     });
-    let why = format!("{:?}: {:?} on {scope}", assessment.verdict, assessment.kind);
+    let (verdict, kind) = (assessment.verdict.label(), assessment.kind.label());
+    let why = format!("{verdict}: {kind} on {scope}");
     let counts = [
         ("new_ok", total.new.responses.good),
         ("new_failed", total.new.responses.bad),
@@ -382,7 +383,15 @@
         ..Transaction::default()
     };
     let committed = store.commit(transaction, KeyStorePurpose::Rollout).await;
-    let rollout_state = format!("{:?}", due.status.state);
+    let rollout_state = due.status.state.label();
+    let mut inputs = vec![
+        ("elapsed_ms", due.status.elapsed.as_millis() as f64),
+        ("share", due.share),
+        ("new_good", due.new.good as f64),
+        ("new_bad", due.new.bad as f64),
+        ("old_good", due.old.good as f64),
+        ("old_bad", due.old.bad as f64),
+    ];
     let why = match committed {
         Ok(committed) => {
             // In another era the expected revision may have been that of another status.
@@ -390,19 +399,12 @@
                 matches!(committed, CommitOutcome::Done { position } if position.era == era);
             if is_done {
                 let now = state.now();
-                state.rollouts.record_status(&due.status, now);
+                state.record_rollout_status(&due.status, now);
             }
-            format!("{rollout_state}: {committed:?}")
+            inputs.extend(committed.revision().map(|it| ("revision", it as f64)));
+            format!("{rollout_state}: {}", committed.label())
         }
         Err(e) => format!("{rollout_state}: {e}"),
     };
-    let inputs = [
-        ("elapsed_ms", due.status.elapsed.as_millis() as f64),
-        ("share", due.share),
-        ("new_good", due.new.good as f64),
-        ("new_bad", due.new.bad as f64),
-        ("old_good", due.old.good as f64),
-        ("old_bad", due.old.bad as f64),
-    ];
     state.log_event("rollout_status_written", &due.status.service, &why, &inputs);
 }
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -6,12 +6,14 @@
 use clementinearch_policy::{
     names::{FastMap, Name},
     quality::Counts,
-    rollout::{Assessment, Progress, RolloutStep, Verdict, assess, next_step},
+    rollout::{Assessment, Progress, RolloutStep, Verdict, assess, latest_completion, next_step},
     rollout_evidence::{BEFORE_ORDER, Evidence, EvidenceRow, Outcome, Outcomes, Pair, period_at},
     time::{Millis, span_from_millis},
 };
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::PEERS_PER_PERIOD;
+
 /// The operators' order to roll out a version of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutOrder {
@@ -34,6 +36,17 @@
     RolledBack,
 }
 
+impl RolloutState {
+    /// Returns the word for the store and for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::InProgress => "in_progress",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+        }
+    }
+}
+
 /// Status of a rollout in the store, for operators and for other hosts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutStatus {
@@ -112,6 +125,8 @@
     pub(crate) canary: f64,
     /// Largest share of the requests within the time limit that a bad version may get.
     pub(crate) max_exposure: f64,
+    /// Age above which a peer's report no longer holds up the completion.
+    pub(crate) report_lifetime: Duration,
 }
 
 /// What is due after a step of the rollouts.
@@ -123,17 +138,20 @@
     pub(crate) verdicts: Vec<VerdictChange>,
 }
 
-/// Age above which a peer's report no longer holds up the completion of a rollout.
+/// Age above which a peer's report no longer holds up the completion of a rollout, in a fleet whose
+/// reports reach all hosts in one period. Multiplied by the number of periods in a larger one.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Returns the age above which a report of a host in a fleet of `hosts` is outdated.
+pub(crate) fn report_lifetime(hosts: usize) -> Duration {
+    let periods = hosts.div_ceil(PEERS_PER_PERIOD).max(1);
+    REPORT_LIFETIME * u32::try_from(periods).unwrap_or(u32::MAX)
+}
+
 /// Least time from the first move beyond the canary to completion: hosts that have not reported yet
 /// get this long to do so.
 const SETTLE_DELAY: Duration = Duration::from_millis(800);
 
-/// Fraction of the time limit after which a rollout completes even if requests still run on old
-/// versions.
-const LATEST_COMPLETION_FRACTION: f64 = 0.96;
-
 #[derive(Debug)]
 struct PeerReport {
     report: RolloutReport,
@@ -196,6 +214,11 @@
         }
     }
 
+    /// Time at which the rollout had run for `elapsed`.
+    pub(crate) fn time_after(&self, elapsed: Duration) -> Millis {
+        self.started_at.after(elapsed)
+    }
+
     fn elapsed(&self, now: Millis) -> Duration {
         now.since(self.started_at)
     }
@@ -218,6 +241,11 @@
         self.moved_at.is_some()
     }
 
+    /// Whether all sessions are to go to the new version.
+    pub(crate) fn has_moved(&self) -> bool {
+        self.has_grown() && self.share >= 1.0
+    }
+
     /// The versions that do not get a session of the old version.
     pub(crate) fn excluded(&self) -> Vec<Name> {
         let mut versions = self.rejected.clone();
@@ -333,7 +361,7 @@
             new: own.new.total(),
             old: own.old.total(),
             old_running: old_running(&self.order.service, &self.order.target),
-            has_moved: self.has_grown() && self.share >= 1.0,
+            has_moved: self.has_moved(),
             is_bad: self.is_bad,
             zone_new: zone_total.new.total(),
             zone_old: zone_total.old.total(),
@@ -392,7 +420,9 @@
                 }
                 self.is_bad || self.status.is_none()
             }
-            RolloutStep::Complete => has_target && self.is_settled(now, old_running),
+            RolloutStep::Complete => {
+                has_target && self.is_settled(now, old_running, bounds.report_lifetime)
+            }
         };
         if may_be_due && let Some(status) = self.due_status(now, evidence.total()) {
             due.statuses.push(status);
@@ -432,20 +462,23 @@
 
     /// Whether no host reports requests on old versions any more, or it is too late to wait for
     /// them.
-    fn is_settled(&self, now: Millis, old_running: u32) -> bool {
-        let is_late =
-            self.elapsed(now) >= self.order.time_limit.mul_f64(LATEST_COMPLETION_FRACTION);
+    fn is_settled(&self, now: Millis, old_running: u32, report_lifetime: Duration) -> bool {
+        let is_late = self.elapsed(now) >= latest_completion(self.order.time_limit);
         let has_settled = self
             .moved_at
             .is_some_and(|at| now.since(at) >= SETTLE_DELAY);
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.received_at) <= REPORT_LIFETIME);
-        let mut is_drained = true;
-        for peer in fresh {
-            is_drained &= peer.report.has_moved && peer.report.old_running == 0;
+        let mut latest: FastMap<&Name, &PeerReport> = FastMap::default();
+        for ((name, _), peer) in &self.peers {
+            // The requests of an earlier start of the peer ended with its process.
+            let known = latest.entry(name).or_insert(peer);
+            if known.received_at < peer.received_at {
+                *known = peer;
+            }
         }
+        latest.retain(|_, peer| now.since(peer.received_at) <= report_lifetime);
+        let is_drained = latest
+            .values()
+            .all(|peer| peer.report.has_moved && peer.report.old_running == 0);
         has_settled && (is_late || (is_drained && old_running == 0))
     }
 
--- a/router/src/rollouts.rs
+++ b/router/src/rollouts.rs
@@ -8,6 +8,7 @@
 
 use clementinearch_policy::{
     names::{FastMap, Name},
+    planned_end::PlannedWindow,
     rollout::canary_share,
     rollout_evidence::{Outcome, Outcomes},
     time::Millis,
@@ -19,7 +20,7 @@
     call::hash_bytes,
     rollout::{
         Rollout, RolloutBounds, RolloutOrder, RolloutReport, RolloutState, RolloutStatus,
-        StepResult,
+        StepResult, report_lifetime,
     },
 };
 
@@ -39,8 +40,11 @@
 pub(crate) enum VersionRule {
     /// Every version.
     Any,
-    /// This version alone.
+    /// This version alone; other versions if none of its servers can take the request.
     Only(Name),
+    /// This version alone, since all sessions have moved to it; other versions only if it has no
+    /// server that takes requests, whether tried before or not.
+    Moved(Name),
     /// Every version except these.
     Except(Vec<Name>),
 }
@@ -50,7 +54,7 @@
     pub(crate) fn allows(&self, version: &str) -> bool {
         match self {
             Self::Any => true,
-            Self::Only(only) => **only == *version,
+            Self::Only(only) | Self::Moved(only) => **only == *version,
             Self::Except(excluded) => excluded.iter().all(|name| **name != *version),
         }
     }
@@ -60,6 +64,10 @@
 /// for this long to twice as long.
 const BASELINE_SPAN: Duration = Duration::from_secs(15);
 
+/// Time after its window for which the end of a rollout is kept: until the list of servers has
+/// shown the last end.
+const END_LIFETIME: Duration = Duration::from_secs(20);
+
 /// Recent outcomes of a service by the hash of the route, as the baseline of the next rollout.
 #[derive(Debug, Default)]
 struct Baseline {
@@ -78,6 +86,22 @@
     }
 }
 
+/// The end of a rollout, after which servers of the losing version stop.
+#[derive(Debug)]
+struct RolloutEnd {
+    service: Name,
+    target: Name,
+    /// Whether the target is the version that stays.
+    is_completed: bool,
+    window: PlannedWindow,
+}
+
+impl RolloutEnd {
+    fn stops(&self, service: &str, version: &str) -> bool {
+        *self.service == *service && (*self.target == *version) != self.is_completed
+    }
+}
+
 /// All rollouts that a host knows of.
 #[derive(Debug)]
 pub(crate) struct Rollouts {
@@ -88,6 +112,8 @@
     /// Distinguishes the starts of this process.
     incarnation: u32,
     by_service: Mutex<FastMap<Name, Rollout>>,
+    /// Recent ends of rollouts. They outlast the next order of their service.
+    ends: Mutex<Vec<RolloutEnd>>,
     baselines: Mutex<FastMap<Name, Baseline>>,
     /// Version hash and time of the last request, by key, of the sessions within the canary's
     /// share.
@@ -119,6 +145,7 @@
             max_exposure,
             incarnation: fastrand::u32(..),
             by_service: Mutex::default(),
+            ends: Mutex::default(),
             baselines: Mutex::default(),
             sessions: Mutex::default(),
             fleet_size: AtomicUsize::new(1),
@@ -166,8 +193,39 @@
     /// Applies a status that a host wrote to the store. Returns whether the state changed.
     pub(crate) fn record_status(&self, status: &RolloutStatus, now: Millis) -> bool {
         let mut by_service = self.by_service.lock();
-        let rollout = by_service.get_mut(&status.service);
-        rollout.is_some_and(|rollout| rollout.record_status(status, now))
+        let Some(rollout) = by_service.get_mut(&status.service) else {
+            return false;
+        };
+        let is_change = rollout.record_status(status, now);
+        if is_change && !rollout.is_in_progress() {
+            let window = PlannedWindow::new(rollout.time_after(status.elapsed), now);
+            let mut ends = self.ends.lock();
+            ends.retain(|end| now <= end.window.until.after(END_LIFETIME));
+            ends.push(RolloutEnd {
+                service: status.service.clone(),
+                target: status.target.clone(),
+                is_completed: status.state == RolloutState::Completed,
+                window,
+            });
+        }
+        is_change
+    }
+
+    /// Returns when servers of a version end as planned, if it has lost a rollout recently and no
+    /// rollout of the version is in progress.
+    pub(crate) fn planned_window(&self, service: &str, version: &str) -> Option<PlannedWindow> {
+        let by_service = self.by_service.lock();
+        let is_target = by_service
+            .get(service)
+            .is_some_and(|it| it.is_in_progress() && *it.order.target == *version);
+        if is_target {
+            return None;
+        }
+        let ends = self.ends.lock();
+        let lost = ends.iter().rev().find(|end| *end.service == *service);
+        // A later rollout may have brought the version back.
+        let lost = lost.filter(|end| end.stops(service, version));
+        lost.map(|end| end.window)
     }
 
     /// Whether a rollout has ended which is in progress by a status that the store came back with. If
@@ -202,7 +260,7 @@
         };
         let target = rollout.order.target.clone();
         match rollout.status {
-            Some(RolloutState::Completed) => return VersionRule::Only(target),
+            Some(RolloutState::Completed) => return VersionRule::Moved(target),
             Some(RolloutState::RolledBack) => return VersionRule::Except(rollout.excluded()),
             _ => {}
         }
@@ -213,6 +271,9 @@
         if is_canary && has_session && self.is_on_other_version(service, point, &target, now) {
             return VersionRule::Except(rollout.excluded());
         }
+        if rollout.has_moved() {
+            return VersionRule::Moved(target);
+        }
         VersionRule::Only(target)
     }
 
@@ -344,6 +405,7 @@
             let bounds = RolloutBounds {
                 canary: self.canary_share(),
                 max_exposure: self.max_exposure,
+                report_lifetime: report_lifetime(self.fleet_size.load(Ordering::Relaxed)),
             };
             rollout.step(now, bounds, has_target, old_running, &mut due);
         }
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -113,17 +113,23 @@
     tried: &[u64],
     now: Millis,
 ) -> Vec<Arc<Server>> {
-    let ready: Vec<&Arc<Server>> = pool
+    let open: Vec<&Arc<Server>> = pool
         .iter()
         .filter(|server| state.takes_requests(server) && !server.is_resting(now))
-        .filter(|server| !tried.contains(&server.name_hash))
         .collect();
+    let mut ready = open.clone();
+    ready.retain(|server| !tried.contains(&server.name_hash));
     let mut allowed: Vec<&Arc<Server>> = ready
         .iter()
         .copied()
         .filter(|server| rule.allows(&server.entry.version))
         .collect();
-    if allowed.is_empty() && matches!(rule, VersionRule::Only(_)) {
+    if allowed.is_empty() && matches!(rule, VersionRule::Moved(_)) {
+        // Servers of the old version may stop at any moment.
+        allowed = open;
+        allowed.retain(|server| rule.allows(&server.entry.version));
+    }
+    if allowed.is_empty() && matches!(rule, VersionRule::Only(_) | VersionRule::Moved(_)) {
         // No server of the new version is ready yet.
         allowed = ready;
     }
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -179,9 +179,9 @@
                 }
             }
             StoreItem::RolloutStatus(status) => {
-                if self.rollouts.record_status(&status, now) {
-                    let rollout_state = format!("{:?}", status.state);
-                    self.log_event("rollout_status", &status.service, &rollout_state, &[]);
+                if self.record_rollout_status(&status, now) {
+                    let rollout_state = status.state.label();
+                    self.log_event("rollout_status", &status.service, rollout_state, &[]);
                 }
             }
             StoreItem::Host { name, address } => {
--- a/router/src/stored_blocks.rs
+++ b/router/src/stored_blocks.rs
@@ -143,9 +143,11 @@
     block: Block,
 ) {
     let committed = store.commit(transaction, KeyStorePurpose::Blocks).await;
-    let why = match committed {
-        Ok(outcome) => format!("{outcome:?}"),
-        Err(e) => e.to_string(),
-    };
-    state.log_block(event, block, &why);
+    match committed {
+        Ok(outcome) => {
+            let revision = outcome.revision().map(|it| ("revision", it as f64));
+            state.log_block_with(event, block, outcome.label(), revision.as_slice());
+        }
+        Err(e) => state.log_block(event, block, &e.to_string()),
+    }
 }
--- a/router/src/unfinished_attempts.rs
+++ b/router/src/unfinished_attempts.rs
@@ -106,6 +106,13 @@
         });
     }
 
+    /// Servers that were removed shortly before.
+    pub(crate) fn removed_servers(&self) -> Vec<Arc<Server>> {
+        let rows = self.rows.lock();
+        let removals = rows.removals.iter();
+        removals.map(|removal| removal.server.clone()).collect()
+    }
+
     /// Returns the attempts whose server was removed [`REMOVAL_DELAY`] ago, and drops what is
     /// outdated. `listed` returns how many servers of a zone are listed: if fewer are than were
     /// removed, the zone is cut off and its servers may still run.
--- a/storage/src/key_store.rs
+++ b/storage/src/key_store.rs
@@ -186,6 +186,24 @@
     Conflict,
 }
 
+impl CommitOutcome {
+    /// Returns the word for logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Done { .. } => "done",
+            Self::Conflict => "conflict",
+        }
+    }
+
+    /// Returns the revision of the store right after the transaction, if that was applied.
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            Self::Done { position } => Some(position.revision),
+            Self::Conflict => None,
+        }
+    }
+}
+
 /// Key-value store with prefix reads, prefix watches and transactions.
 pub trait KeyStore: Send + Sync {
     /// Reads one page of the items under `prefix`, starting after the key `after`.
