--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -204,8 +204,8 @@
     };
     let left = path.serve(listener, stop).await;
     if left > 0 {
-        let drain_limit = state.settings.drain_limit;
-        log::warn!("graceful shutdown: {left} connections were still open after {drain_limit:?}");
+        let limit_ms = state.settings.drain_limit.as_millis();
+        log::warn!("graceful shutdown: {left} connections were still open after {limit_ms} ms");
     }
     Ok(())
 }
--- a/host/tests/route_planned_ends.rs
+++ b/host/tests/route_planned_ends.rs
@@ -48,6 +48,17 @@
     assert_eq!(connection.read().status, 0, "the server stops");
 }
 
+/// Ends the other threads of a test if this one panics, which would otherwise wait for them.
+struct EndOnPanic<'a>(&'a AtomicBool);
+
+impl Drop for EndOnPanic<'_> {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.0.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 type Servers = Vec<(String, Arc<ScriptedServer>)>;
 
 fn add_servers(platform: &mut Platform, version: &str) -> Servers {
@@ -121,10 +132,12 @@
     let ordered_at = Instant::now();
     let platform = &platform;
     let is_over = AtomicBool::new(false);
+    let is_over = &is_over;
     let number = AtomicUsize::new(100);
     thread::scope(|scope| {
         for _ in 0..4 {
             scope.spawn(|| {
+                let _end = EndOnPanic(is_over);
                 while !is_over.load(Ordering::Relaxed) {
                     let number = number.fetch_add(1, Ordering::Relaxed);
                     let answer = send(platform, number, &format!("short-{number}"));
@@ -133,6 +146,7 @@
                 }
             });
         }
+        let _end = EndOnPanic(is_over);
         // Before the share grows, so that they run on the old version and past the completion.
         thread::sleep(Duration::from_millis(LIMIT_S * 780));
         let send_long = |number| scope.spawn(move || send(platform, number, LONG));
