--- a/host/src/controllers/admin.rs
+++ b/host/src/controllers/admin.rs
@@ -1,7 +1,7 @@
 //! HTTP endpoints for operators and probes: liveness, readiness, metrics, status, and ratings of
 //! answers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use clementinearch_border::Rating;
 use clementinearch_policy::plan::parse_model_reference;
@@ -20,6 +20,10 @@
 /// Most connections that operators and probes may have open at once.
 const MAX_CONNECTIONS: usize = 32;
 
+/// How long a client may send or read nothing. Each connection has a thread, so that without a limit
+/// a few silent ones would stop the readiness answer.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Handler of the admin endpoints.
 pub(crate) struct AdminServer {
     pub(crate) state: Arc<HostState>,
@@ -40,6 +44,7 @@
     let server = Server::new(move |req| admin.respond(req));
     let server = server
         .with_max_concurrent_connections(MAX_CONNECTIONS)
+        .with_global_timeout(CLIENT_TIMEOUT)
         .bind(address);
     server
         .spawn()
--- a/host/src/controllers/peer_server.rs
+++ b/host/src/controllers/peer_server.rs
@@ -1,6 +1,6 @@
 //! Server for calls from other entry hosts, and the digests and snapshots that gossip exchanges.
 
-use std::{future::Future, io, sync::Arc};
+use std::{future::Future, io, sync::Arc, time::Duration};
 
 use clementinearch_border::BillRecord;
 use clementinearch_policy::{
@@ -24,6 +24,9 @@
     shared::state::SharedState,
 };
 
+/// Pause after a failure to accept, which would otherwise come again at once.
+const ACCEPT_FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Handler of the peer protocol.
 #[derive(Clone)]
 pub(crate) struct PeerServer {
@@ -43,6 +46,7 @@
     Ok(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_FAILURE_PAUSE).await;
                 continue;
             };
             let calls = BaseChannel::with_defaults(framed(stream)).execute(server.clone().serve());
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -265,6 +265,8 @@
             gossip_period: settings.gossip_period,
             link_mbps: None,
             memory_bytes: settings.memory_mb * BYTES_PER_MB,
+            descriptors: settings.descriptors,
+            caller_connections: settings.caller_connections,
         },
         bounds: Bounds {
             retries: RETRY_LIMIT,
--- a/host/src/settings.rs
+++ b/host/src/settings.rs
@@ -64,6 +64,10 @@
     pub(crate) max_body_bytes: u64,
     /// Memory of the process, MB.
     pub(crate) memory_mb: u64,
+    /// Descriptors of the process; `None` for its own limit of open files.
+    pub(crate) descriptors: Option<u64>,
+    /// Most connections of callers; `None` for what the memory allows.
+    pub(crate) caller_connections: Option<u64>,
     /// Time limit for a caller to send the head of its request, to send the body, and to resume
     /// reading a stalled stream.
     pub(crate) caller_timeout: Duration,
@@ -80,6 +84,9 @@
 /// Memory that a process is taken to have unless its settings say otherwise, MB.
 const DEFAULT_MEMORY_MB: u64 = 512;
 
+/// Least number of descriptors and of callers' connections that a host can work with.
+const MIN_COUNT: u64 = 16;
+
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
 impl Settings {
@@ -158,6 +165,8 @@
                 drain_limit: limits.drain_limit,
                 max_body_bytes: limits.max_body_bytes,
                 memory_mb: limits.memory_mb,
+                descriptors: limits.descriptors,
+                caller_connections: limits.caller_connections,
                 caller_timeout: limits.caller_timeout,
                 token_timeout: limits.token_timeout,
                 default_deadline: limits.default_deadline,
@@ -178,6 +187,8 @@
     drain_limit: Duration,
     max_body_bytes: u64,
     memory_mb: u64,
+    descriptors: Option<u64>,
+    caller_connections: Option<u64>,
     caller_timeout: Duration,
     token_timeout: Duration,
     default_deadline: Duration,
@@ -194,6 +205,8 @@
             drain_limit: table.millis("drain_limit_ms", 0..=DAY_MS, Duration::from_secs(600)),
             max_body_bytes: table.number("max_body_bytes", 1..=1 << 30, 1 << 20),
             memory_mb: table.number("memory_mb", 1..=1 << 20, DEFAULT_MEMORY_MB),
+            descriptors: optional_count(table, "descriptors"),
+            caller_connections: optional_count(table, "caller_connections"),
             caller_timeout: table.millis(
                 "caller_timeout_ms",
                 10..=600_000,
@@ -209,6 +222,12 @@
     }
 }
 
+/// Reads a whole number from [`MIN_COUNT`]; `None` if it is absent or invalid.
+fn optional_count(table: &mut Table<'_>, key: &str) -> Option<u64> {
+    let count = table.number(key, MIN_COUNT..=1 << 20, 0);
+    (count > 0).then_some(count)
+}
+
 fn address(table: &mut Table<'_>, key: &str) -> SocketAddr {
     let unset = SocketAddr::from(([0, 0, 0, 0], 0));
     table.required(key, parse_address).unwrap_or(unset)
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claim;
 pub mod cold_pace;
 pub mod config_head;
+pub mod connection_bounds;
 pub mod connections;
 pub mod connectivity;
 pub mod crash_evidence;
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -54,6 +54,8 @@
     suspect_parts: usize,
     /// Prompt parts that are refused because they crash servers.
     blocked_parts: usize,
+    /// Connections of callers.
+    caller_connections: usize,
     /// Bytes of bodies that are held until they are complete or written.
     held_bytes: usize,
     /// Who holds most of them.
@@ -84,6 +86,7 @@
 
 /// Serves readiness probes: 200 if the host is ready and 503 otherwise, at any path.
 pub(crate) async fn serve_readiness(listener: Arc<TcpListener>, state: Arc<HostState>) {
+    let of = state.clone();
     let respond = move |_| {
         let status = if state.is_ready() {
             StatusCode::OK
@@ -92,7 +95,14 @@
         };
         ready(with_status(status, Bytes::new()))
     };
-    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(
+        &of,
+        &listener,
+        &of.connections.readiness,
+        IDLE_TIMEOUT,
+        respond,
+    )
+    .await;
 }
 
 /// Serves `/metrics` and `/status` to operators.
@@ -101,9 +111,17 @@
     state: Arc<HostState>,
     metrics: PrometheusHandle,
 ) {
+    let of = state.clone();
     let respond =
         move |req: Request<Incoming>| ready(operator_response(&state, &metrics, req.uri().path()));
-    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(
+        &of,
+        &listener,
+        &of.connections.operators,
+        IDLE_TIMEOUT,
+        respond,
+    )
+    .await;
 }
 
 fn operator_response(
@@ -148,6 +166,7 @@
         blocked_contents,
         suspect_parts,
         blocked_parts,
+        caller_connections: state.connections.callers.count(),
         held_bytes: state.body_memory.held(),
         largest_holders: largest.into_iter().map(HolderStatus::new).collect(),
     }
@@ -160,6 +179,13 @@
     let ejected = servers.iter().filter(|server| server.is_ejected(now));
     metrics::gauge!("clementinearch_requests_running").set(f64::from(running));
     metrics::gauge!("clementinearch_held_bytes").set(state.body_memory.held() as f64);
+    for account in state.connections.all() {
+        let listener = account.listener();
+        metrics::gauge!("clementinearch_connections", "listener" => listener)
+            .set(account.count() as f64);
+        metrics::gauge!("clementinearch_connection_head_bytes", "listener" => listener)
+            .set(account.head_bytes() as f64);
+    }
     metrics::gauge!("clementinearch_servers").set(servers.len() as f64);
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -1,14 +1,6 @@
 //! Listener for callers: reads requests within their limits and passes them to the pipeline.
 
-use std::{
-    convert::Infallible,
-    panic::AssertUnwindSafe,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
 use clementinearch_policy::{memory_shares::BodyOwner, routes::CallerLimits, time::Millis};
 use futures::FutureExt;
@@ -21,11 +13,18 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, sync::watch, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::timeout,
+};
 
 use crate::{
+    accept::{accept, wait_for_input, with_work},
     body_buffer::{BodyError, BodyLimit, read_held_body},
     call::{Call, CallHead, hash_bytes, origin_form},
+    connection_account::OpenConnection,
+    guarded_stream::GuardedStream,
     host_state::HostState,
     pipeline,
     refusal::Refusal,
@@ -65,8 +64,6 @@
 /// The server for callers' connections.
 pub(crate) struct Ingress {
     state: Arc<HostState>,
-    /// Number of open connections.
-    open: Arc<AtomicUsize>,
     /// Turns true when the drain starts.
     closing: watch::Receiver<bool>,
 }
@@ -74,31 +71,13 @@
 /// The handle that drains callers' connections: each is closed once its current request has ended.
 pub(crate) struct Drain {
     state: Arc<HostState>,
-    /// Number of open connections.
-    open: Arc<AtomicUsize>,
     close: watch::Sender<bool>,
 }
 
-/// An open connection, counted until it is dropped.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn count(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Drain {
     /// Number of open connections.
     pub(crate) fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        self.state.connections.callers.count()
     }
 
     /// Starts the drain and waits until all connections are closed, at most until `end`. Returns
@@ -117,26 +96,19 @@
     /// Creates the server for callers, and the handle that drains it.
     pub(crate) fn new(state: Arc<HostState>) -> (Self, Drain) {
         let (close, closing) = watch::channel(false);
-        let open: Arc<AtomicUsize> = Arc::default();
         let drain = Drain {
             state: state.clone(),
-            open: open.clone(),
             close,
         };
-        let ingress = Self {
-            state,
-            open,
-            closing,
-        };
+        let ingress = Self { state, closing };
         (ingress, drain)
     }
 
     /// Accepts connections until the task is aborted or the process ends.
     pub(crate) async fn run(&self, listener: &TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
+            let account = &self.state.connections.callers;
+            let (stream, open) = accept(&self.state, listener, account).await;
             if let Err(e) = crate::connections::set_caller_options(&stream) {
                 self.state
                     .log_event("caller_not_tuned", "", &e.to_string(), &[]);
@@ -144,39 +116,67 @@
             let idle = self.state.table().map_or(DEFAULT_IDLE_TIMEOUT, |table| {
                 table.limits.idle_timeout + table.limits.header_timeout
             });
-            let state = self.state.clone();
-            let service = service_fn(move |req| {
-                let state = state.clone();
-                async move { Ok::<_, Infallible>(respond(state, req).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(idle)
-                .max_buf_size(HEAD_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
-            let open = OpenConnection::count(&self.open);
-            let mut closing = self.closing.clone();
+            let (state, closing) = (self.state.clone(), self.closing.clone());
             tokio::spawn(async move {
-                let mut connection = std::pin::pin!(connection);
-                let closed = async move { closing.wait_for(|closing| *closing).await.is_ok() };
                 tokio::select! {
-                    // The caller sees a connection error itself.
-                    ended = connection.as_mut() => drop(ended),
-                    _ = closed => {
-                        connection.as_mut().graceful_shutdown();
-                        drop(connection.await);
-                    }
+                    biased;
+                    () = open.wait_until_closed() => {}
+                    () = serve_connection(state, stream, open.clone(), idle, closing) => {}
                 }
-                drop(open);
             });
         }
     }
 }
 
-async fn respond(state: Arc<HostState>, req: Request<Incoming>) -> Response<ResponseBody> {
+/// Serves a caller's connection to its end, or until `closing` turns true and its current request has
+/// ended.
+async fn serve_connection(
+    state: Arc<HostState>,
+    stream: TcpStream,
+    open: Arc<OpenConnection>,
+    idle: Duration,
+    mut closing: watch::Receiver<bool>,
+) {
+    let closed = async move { closing.wait_for(|closing| *closing).await.is_ok() };
+    let mut closed = std::pin::pin!(closed);
+    let has_input = tokio::select! {
+        has_input = wait_for_input(&stream, idle) => has_input,
+        _ = closed.as_mut() => false,
+    };
+    if !has_input {
+        return;
+    }
+    let of = open.clone();
+    let service = service_fn(move |req| {
+        let (state, open) = (state.clone(), of.clone());
+        async move { Ok::<_, Infallible>(respond(state, &open, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(GuardedStream::new(stream, open)), service);
+    // Boxed so that silent connections take little memory.
+    let mut connection = Box::pin(connection);
+    tokio::select! {
+        // The caller sees a connection error itself.
+        ended = connection.as_mut() => drop(ended),
+        _ = closed => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+}
+
+async fn respond(
+    state: Arc<HostState>,
+    open: &Arc<OpenConnection>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
+    open.begin_request().await;
     let (parts, body) = req.into_parts();
     let parts = Arc::new(parts);
-    let responding = AssertUnwindSafe(try_respond(&state, &parts, body)).catch_unwind();
+    let responding = AssertUnwindSafe(try_respond(&state, open, &parts, body)).catch_unwind();
     let response = tokio::select! {
         // What is refused at once keeps its reason.
         biased;
@@ -191,7 +191,9 @@
         close_after(&mut response);
         response
     });
-    if state.is_stopping() {
+    // Callers that send request after request would otherwise keep all connections at work, so that
+    // new callers are refused.
+    if state.is_stopping() || state.connections.callers.is_full() {
         close_after(&mut response);
     }
     metrics::counter!("clementinearch_answers_total", "status" => response.status().as_str().to_owned())
@@ -201,11 +203,15 @@
 
 async fn try_respond(
     state: &Arc<HostState>,
+    open: &Arc<OpenConnection>,
     parts: &Arc<request::Parts>,
     body: Incoming,
 ) -> Response<ResponseBody> {
     match read_call(state, parts, body).await {
-        Ok(call) => serve(state.clone(), call).await,
+        Ok(call) => {
+            let work = open.begin_work();
+            with_work(serve(state.clone(), call).await, work)
+        }
         Err((refusal, head)) => {
             let id = state.dialect.request_id(parts).unwrap_or_default();
             let mut response = refuse(state, &refusal, head.as_ref(), id);
--- a/router/src/internal_http.rs
+++ b/router/src/internal_http.rs
@@ -1,6 +1,6 @@
 //! Minimal HTTP server for health checks, operators and peer hosts.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -11,33 +11,68 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use crate::response_body::{ResponseBody, full_body};
+use crate::{
+    accept::{accept, wait_for_input, with_work},
+    connection_account::ConnectionAccount,
+    guarded_stream::GuardedStream,
+    host_state::HostState,
+    response_body::{ResponseBody, full_body},
+};
 
 /// Response of the internal server.
 pub(crate) type InternalResponse = Response<ResponseBody>;
 
-/// Serves connections until the process ends, calling `respond` with each request. A connection is
-/// closed if its next request does not come within `idle`.
-pub(crate) async fn serve<F, A>(listener: &TcpListener, idle: Duration, respond: F)
-where
+/// Longest wait for the first byte on a new connection: probes, operators and peers send their request
+/// as soon as they are connected.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves connections within the bounds of `account` until the process ends, calling `respond` with
+/// each request. A connection is closed if its next request does not come within `idle`.
+pub(crate) async fn serve<F, A>(
+    state: &HostState,
+    listener: &TcpListener,
+    account: &Arc<ConnectionAccount>,
+    idle: Duration,
+    respond: F,
+) where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = InternalResponse> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let (stream, open) = accept(state, listener, account).await;
         let respond = respond.clone();
+        let served = open.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let response = respond(req);
-            async move { Ok::<_, Infallible>(response.await) }
+            let (respond, served) = (respond.clone(), served.clone());
+            async move {
+                served.begin_request().await;
+                let work = served.begin_work();
+                Ok::<_, Infallible>(with_work(respond(req).await, work))
+            }
+        });
+        let first_byte = idle.min(FIRST_BYTE_TIMEOUT);
+        tokio::spawn(async move {
+            let serving = async {
+                if !wait_for_input(&stream, first_byte).await {
+                    return;
+                }
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(idle)
+                    .serve_connection(
+                        TokioIo::new(GuardedStream::new(stream, open.clone())),
+                        service,
+                    );
+                // The client sees a connection error itself. Boxed so that silent connections take
+                // little memory.
+                drop(Box::pin(connection).await);
+            };
+            tokio::select! {
+                biased;
+                () = open.wait_until_closed() => {}
+                () = serving => {}
+            }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
-            .serve_connection(TokioIo::new(stream), service);
-        // The client sees a connection error itself.
-        tokio::spawn(async move { drop(connection.await) });
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! items of the store, so that the path itself depends on neither. All hosts are equal: they agree
 //! through the key store, and gossip between them is only advisory.
 
+mod accept;
 mod active_request;
 mod admin;
 mod attempt;
@@ -14,6 +15,7 @@
 mod checked_stream;
 mod clock;
 mod cold_servers;
+mod connection_account;
 mod connections;
 #[cfg(test)]
 mod connections_tests;
@@ -32,6 +34,7 @@
 mod forwarding;
 mod gossip;
 mod gossip_event;
+mod guarded_stream;
 mod handover;
 mod health_tracking;
 mod hooks;
--- a/router/src/peer_view.rs
+++ b/router/src/peer_view.rs
@@ -125,6 +125,7 @@
 
 /// Serves peers until the process ends: this host's view, and requests that they forward.
 pub(crate) async fn serve(state: Arc<HostState>, listener: Arc<TcpListener>) {
+    let of = state.clone();
     let server = Arc::new(ViewServer {
         cache: ResponseCache::default(),
         pacer: Mutex::new(LinkPacer::new(state.settings.limits.link_mbps)),
@@ -139,7 +140,7 @@
             server.respond(req.uri()).await
         }
     };
-    internal_http::serve(&listener, IDLE_TIMEOUT, respond).await;
+    internal_http::serve(&of, &listener, &of.connections.peers, IDLE_TIMEOUT, respond).await;
 }
 
 impl ViewServer {
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -15,6 +15,9 @@
 /// Memory that a process is taken to have unless it is told, bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 128_000_000;
 
+/// Least number of descriptors and of callers' connections that a host can work with.
+const MIN_COUNT: u64 = 16;
+
 /// Shortest window in which retries are counted.
 const MIN_RETRY_WINDOW: Duration = Duration::from_secs(1);
 
@@ -56,6 +59,10 @@
     pub link_mbps: Option<f64>,
     /// Memory of the process, bytes.
     pub memory_bytes: u64,
+    /// Descriptors of the process; `None` for its own limit of open files.
+    pub descriptors: Option<u64>,
+    /// Most connections of callers; `None` for what the memory allows.
+    pub caller_connections: Option<u64>,
 }
 
 /// Bounds that hold for the whole fleet.
@@ -171,9 +178,17 @@
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
         link_mbps: table.parsed("link_mbps", parse_rate),
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
+        descriptors: optional_count(table, "descriptors"),
+        caller_connections: optional_count(table, "caller_connections"),
     }
 }
 
+/// Reads a whole number from [`MIN_COUNT`]; `None` if it is absent or invalid.
+fn optional_count(table: &mut Table<'_>, key: &str) -> Option<u64> {
+    let count = table.number(key, MIN_COUNT..=1 << 20, 0);
+    (count > 0).then_some(count)
+}
+
 fn read_bounds(table: &mut Table<'_>) -> Bounds {
     const DEFAULT_RETRY_RATIO: f64 = 0.2;
     const DEFAULT_RETRY_SLACK: f64 = 10.0;
