--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! items of the store, so that the path itself depends on neither. All hosts are equal: they agree
 //! through the key store, and gossip between them is only advisory.
 
+mod accept;
 mod active_request;
 mod admin;
 mod attempt;
@@ -16,6 +17,7 @@
 mod cold_servers;
 #[cfg(test)]
 mod cold_servers_tests;
+mod connection_account;
 mod connections;
 #[cfg(test)]
 mod connections_tests;
@@ -34,6 +36,7 @@
 mod forwarding;
 mod gossip;
 mod gossip_event;
+mod guarded_stream;
 mod handover;
 mod health_tracking;
 mod hooks;
