--- a/policy/src/placement.rs
+++ b/policy/src/placement.rs
@@ -48,6 +48,8 @@
     pub cached_tokens: f64,
     /// Its latency as a multiple of the route's mean; one if unknown.
     pub latency_ratio: f64,
+    /// Factor on the duration of its work at the moment; one if unknown.
+    pub slowdown: f64,
 }
 
 /// What the choice knows about the request.
@@ -76,12 +78,13 @@
     };
     if query.prompt_tokens == 0.0 {
         let share = busy / server.slots.max(1.0);
-        return (PLAIN_LOAD_COST_MS * share * server.latency_ratio + zone) + full;
+        let load = PLAIN_LOAD_COST_MS * share * server.slowdown;
+        return (load * server.latency_ratio + zone) + full;
     }
     let uncached = (query.prompt_tokens - server.cached_tokens).max(0.0);
     let prefill = uncached * (query.ms_per_token + PREFILL_COST_MS) + server.pending_ms;
     let interference = server.running * RUNNING_COST_MS + server.waiting * WAITING_COST_MS;
-    (prefill + interference) * server.latency_ratio + zone + full
+    (prefill + interference) * server.slowdown * server.latency_ratio + zone + full
 }
 
 /// Returns the rank of a server for a part of a prompt, from the hashes of both.
--- a/policy/tests/placement.rs
+++ b/policy/tests/placement.rs
@@ -21,6 +21,7 @@
         pending_ms: 0.0,
         cached_tokens: 0.0,
         latency_ratio: 1.0,
+        slowdown: 1.0,
     }
 }
 
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -14,6 +14,7 @@
 use crate::{
     host_state::HostState,
     internal_http::{self, InternalResponse, with_status},
+    server_loads::load_ages,
 };
 
 /// Time that an idle connection of a probe or an operator is kept open.
@@ -165,6 +166,9 @@
     metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
     metrics::gauge!("clementinearch_servers_cold").set(state.cold_servers(now) as f64);
     metrics::gauge!("clementinearch_zones_evacuated").set(state.evacuations.zones().len() as f64);
+    let (load_age, unknown) = load_ages(&servers, now);
+    metrics::gauge!("clementinearch_load_age_seconds").set(load_age.as_secs_f64());
+    metrics::gauge!("clementinearch_servers_load_unknown").set(unknown as f64);
     metrics::gauge!("clementinearch_reaches_servers")
         .set(f64::from(u8::from(!state.has_lost_servers())));
     metrics::gauge!("clementinearch_hosts_heard").set(state.fleet.lock().live_hosts(now) as f64);
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -6,6 +6,7 @@
     forwarding_support::ForwardingSupport,
     names::{FastMap, Name},
     placement::affinity_rank,
+    shared_load::{NEAR_PEERS, crossing_probability},
     time::Millis,
 };
 use clementinearch_storage::StorePosition;
@@ -50,6 +51,8 @@
     pub(crate) link_mbps: u32,
     /// Whether it says that it serves forwarded requests.
     pub(crate) serves_forwarded: bool,
+    /// Whether it says that it reads messages on the servers' load.
+    pub(crate) reads_loads: bool,
 }
 
 /// A peer that a request may be forwarded to.
@@ -72,6 +75,7 @@
     /// Rate of its link, Mbit/s; zero if it is not known.
     link_mbps: u32,
     forwarding: ForwardingSupport,
+    reads_loads: bool,
 }
 
 /// The entry hosts that this one knows.
@@ -121,6 +125,7 @@
                 has_lost_servers: false,
                 link_mbps: 0,
                 forwarding: ForwardingSupport::default(),
+                reads_loads: false,
             });
             peer.address = address;
         }
@@ -139,6 +144,7 @@
             peer.has_lost_servers = info.has_lost_servers;
             peer.link_mbps = info.link_mbps;
             peer.forwarding.record_report(info.serves_forwarded);
+            peer.reads_loads = info.reads_loads;
         }
     }
 
@@ -216,6 +222,29 @@
         targets
     }
 
+    /// Addresses to send a message on the servers' load to: a few random live peers in the own zone
+    /// and now and then one in each other zone.
+    pub(crate) fn load_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let mut near = Vec::new();
+        let mut remote: FastMap<&Name, Vec<SocketAddr>> = FastMap::default();
+        for (_, peer) in self.live_peers(now).filter(|(_, peer)| peer.reads_loads) {
+            match &peer.zone {
+                Some(zone) if *zone != self.zone => {
+                    remote.entry(zone).or_default().push(peer.address);
+                }
+                _ => near.push(peer.address),
+            }
+        }
+        let probability = crossing_probability(near.len() + 1);
+        let mut targets = fastrand::choose_multiple(near, NEAR_PEERS);
+        for addresses in remote.into_values() {
+            if fastrand::f64() < probability {
+                targets.extend(fastrand::choice(addresses));
+            }
+        }
+        targets
+    }
+
     /// Addresses to send the next report to, in random order: those of [`Self::report_targets`],
     /// peers that were newly met in the own zone and, if this host reads the store for the zone,
     /// all others there, which would otherwise not always know that it does. Peers of an unknown
--- a/router/src/fleet_tests.rs
+++ b/router/src/fleet_tests.rs
@@ -59,6 +59,7 @@
                 has_lost_servers: lost.contains(&host),
                 link_mbps: 0,
                 serves_forwarded: true,
+                reads_loads: true,
             };
             fleets[host_at(target)].record_peer(info, now);
         }
@@ -289,6 +290,7 @@
                     has_lost_servers: false,
                     link_mbps: mbps(peer),
                     serves_forwarded: true,
+                    reads_loads: true,
                 };
                 fleet.record_peer(info, now);
             }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -11,6 +11,7 @@
     link_pacer::{GOSSIP_LINK_SHARE, event_batch_time, send_time},
     names::{FastSet, Name},
     part_evidence::PartRow,
+    shared_load::SHARE_PERIOD,
     time::Millis,
 };
 use clementinearch_storage::StorePosition;
@@ -29,6 +30,7 @@
     rollout::RolloutReport,
     rollouts::SessionVersion,
     server_limits::{LimitRow, limit_rows, merge_limits, merge_refusal_limits, refusal_limit_rows},
+    server_loads::{LoadMessage, load_message, merge_loads},
 };
 
 /// Largest datagram that is read, bytes. Reports with the evidence of a rollout on many routes are
@@ -53,6 +55,8 @@
     Prefills(Vec<Prefill>),
     Sessions(Vec<SessionVersion>),
     Parts(Vec<PartRow>),
+    /// Goes only to hosts that say that they read it.
+    Loads(LoadMessage),
 }
 
 /// The periodic report of a host on itself, its rollouts and suspect requests.
@@ -81,6 +85,10 @@
     /// first one that does, say nothing.
     #[serde(default)]
     serves_forwarded: bool,
+    /// Whether the host reads messages on the servers' load. Hosts of earlier versions log datagrams
+    /// of a kind that they do not know.
+    #[serde(default)]
+    reads_loads: bool,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -96,6 +104,8 @@
     events: mpsc::UnboundedReceiver<GossipEvent>,
     prefills: Vec<Prefill>,
     sessions: Vec<SessionVersion>,
+    /// When peers were last told of the servers' load.
+    loads_told_at: Millis,
     /// Prompt parts of which there is news.
     parts: FastSet<u64>,
     /// Whether a new report is to be built and sent.
@@ -118,6 +128,7 @@
             events,
             prefills: Vec::new(),
             sessions: Vec::new(),
+            loads_told_at: Millis(0),
             parts: FastSet::default(),
             is_report_due: true,
             report: Vec::new(),
@@ -131,6 +142,7 @@
         let mut next_report = Instant::now();
         let mut next_events = next_report;
         let mut next_send = next_report;
+        let mut next_loads = next_report;
         loop {
             let has_events =
                 !self.prefills.is_empty() || !self.sessions.is_empty() || !self.parts.is_empty();
@@ -154,6 +166,10 @@
                     next_report = Instant::now() + self.state.settings.limits.gossip_period;
                     self.is_report_due = true;
                 }
+                () = sleep_until(next_loads) => {
+                    next_loads = Instant::now() + SHARE_PERIOD;
+                    self.send_loads().await;
+                }
                 () = sleep_until(next_send), if self.has_report_to_send() => {
                     next_send = Instant::now() + self.send_report().await;
                 }
@@ -192,6 +208,20 @@
         EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
     }
 
+    /// Sends what has become known of the servers' load since the last time to a few peers.
+    async fn send_loads(&mut self) {
+        let now = self.state.now();
+        let since = std::mem::replace(&mut self.loads_told_at, now);
+        let peers = self.state.fleet.lock().load_targets(now);
+        if peers.is_empty() {
+            return;
+        }
+        if let Some(message) = load_message(&self.state, since, now) {
+            let bytes = self.send(&Datagram::Loads(message), &peers).await;
+            metrics::counter!("clementinearch_load_bytes_total").increment(bytes as u64);
+        }
+    }
+
     /// Sends the evidence on prompt parts of which there is news, to peers in all zones.
     async fn send_part_evidence(&mut self, now: Millis) {
         let parts: Vec<u64> = self.parts.drain().collect();
@@ -226,6 +256,7 @@
             has_lost_servers: state.has_lost_servers(),
             link_mbps: state.fleet.lock().link_mbps(),
             serves_forwarded: true,
+            reads_loads: true,
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
@@ -259,17 +290,21 @@
         )
     }
 
-    async fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) {
+    /// Sends a datagram to each peer. Returns the bytes that were sent, without packet headers.
+    async fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) -> usize {
         match serde_json::to_vec(datagram) {
             Ok(bytes) => {
                 for peer in peers {
                     // An unreachable peer is tried again with the next datagram.
                     let _ = self.socket.send_to(&bytes, peer).await;
                 }
+                bytes.len() * peers.len()
+            }
+            Err(e) => {
+                let state = &self.state;
+                state.log_event("word_not_written", "", &e.to_string(), &[]);
+                0
             }
-            Err(e) => self
-                .state
-                .log_event("word_not_written", "", &e.to_string(), &[]),
         }
     }
 }
@@ -291,6 +326,7 @@
                 state.rollouts.record_peer_session(session, now);
             }
         }
+        Ok(Datagram::Loads(message)) => merge_loads(state, &message, now),
         Ok(Datagram::Parts(rows)) => return state.merge_part_rows(&rows, now),
         Ok(Datagram::Report(report)) => return receive_report(state, *report),
         Err(e) => state.log_event("word_unreadable", "", &e.to_string(), &[]),
@@ -333,6 +369,7 @@
         has_lost_servers: report.has_lost_servers,
         link_mbps: report.link_mbps,
         serves_forwarded: report.serves_forwarded,
+        reads_loads: report.reads_loads,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -62,6 +62,7 @@
 mod sent_attempt;
 mod server;
 mod server_limits;
+mod server_loads;
 mod server_places;
 mod server_rests;
 mod server_selection;
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -3,11 +3,13 @@
 use std::{any::Any, collections::VecDeque, net::SocketAddr, time::Duration};
 
 use clementinearch_policy::{
+    load_rows::{LoadRow, ServerLoad, server_key},
     names::{FastMap, Name},
     placement::PREFIX_CACHE_LIFETIME,
     relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
     server_limit::Pacer,
+    shared_load::{OwnLoad, SharedLoad, slowdown_factor},
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -81,6 +83,8 @@
     pub waiting: u32,
     /// Maximum number of concurrently running requests.
     pub slots: u32,
+    /// Duration of work relative to normal, percent; none if the server does not name it.
+    pub slowdown: Option<u32>,
 }
 
 /// What this host has observed of a server.
@@ -91,6 +95,8 @@
     local_running: u32,
     /// The latest load report, `local_running` at that time, and the time.
     report: Option<(LoadReport, u32, Millis)>,
+    /// The load as peers told it.
+    shared: SharedLoad,
     /// Remaining prefill time of this host's prompts, milliseconds.
     local_prefill_ms: f64,
     /// When the server is expected to finish prefill for the peers' prompts.
@@ -130,6 +136,23 @@
 }
 
 impl Observations {
+    /// Time until the prompts of the own zone's hosts that this host knows of are prefilled,
+    /// milliseconds.
+    fn zone_prefill_ms(&self, now: Millis) -> f64 {
+        self.local_prefill_ms + self.peer_prefill_until.since(now).as_secs_f64() * 1_000.0
+    }
+
+    /// Load and its time by the last response to this host.
+    fn own_load(&self) -> Option<(ServerLoad, Millis)> {
+        let (report, _, at) = self.report?;
+        let load = ServerLoad {
+            running: report.running,
+            waiting: report.waiting,
+            slowdown: report.slowdown,
+        };
+        Some((load, at))
+    }
+
     fn record_parts(&mut self, parts: impl Iterator<Item = u64>, size: usize, now: Millis) {
         for part in parts {
             if self.parts.insert((part, size), now).is_none() {
@@ -166,6 +189,8 @@
     pub(crate) pending_ms: f64,
     /// Latency as a multiple of the mean latency; 1.0 if unknown.
     pub(crate) latency_ratio: f64,
+    /// Factor on the duration of work at the moment; 1.0 if unknown.
+    pub(crate) slowdown: f64,
 }
 
 impl Server {
@@ -193,6 +218,7 @@
         *next.observed.lock() = Observations {
             health: observed.health,
             report: observed.report,
+            shared: observed.shared.without_requests(),
             last_contact: observed.last_contact,
             parts: std::mem::take(&mut observed.parts),
             parts_in_order: std::mem::take(&mut observed.parts_in_order),
@@ -334,6 +360,7 @@
         let mut observed = self.observed.lock();
         observed.local_running += 1;
         observed.local_prefill_ms += prefill_ms;
+        observed.shared.begin_request(prefill_ms, now);
         if observed.health.is_trial_due(now) {
             observed.health.begin_trial(now);
         }
@@ -347,7 +374,9 @@
 
     /// Stops counting a request of this host.
     pub(crate) fn end_request(&self) {
-        self.observed.lock().local_running -= 1;
+        let mut observed = self.observed.lock();
+        observed.local_running -= 1;
+        observed.shared.end_request();
     }
 
     /// Number of requests of this host that run on the server.
@@ -439,29 +468,70 @@
         self.observed.lock().latency.record(latency_ms, mean_ms);
     }
 
-    /// Estimates the current load from the last report and the requests sent or finished since.
+    /// Estimates the current load from the latest report, to this host or to a peer, and the requests
+    /// that this host sent or finished since.
     pub(crate) fn load(&self, now: Millis) -> LoadEstimate {
         let observed = self.observed.lock();
         let local = f64::from(observed.local_running);
-        let (running, waiting) = match observed.report {
-            Some((report, local_then, at)) if now.since(at) <= REPORT_LIFETIME => {
-                let change = local - f64::from(local_then);
-                let total = f64::from(report.running) + f64::from(report.waiting) + change;
-                let total = total.max(local);
-                let waiting = (total - f64::from(report.slots)).max(0.0);
-                (total - waiting, waiting)
-            }
-            _ => (local, 0.0),
-        };
+        let report = observed
+            .report
+            .filter(|(_, _, at)| now.since(*at) <= REPORT_LIFETIME);
+        let own = report.map(|(report, local_then, at)| {
+            let change = local - f64::from(local_then);
+            let total = f64::from(report.running) + f64::from(report.waiting) + change;
+            (total, report.slots, report.slowdown, at)
+        });
+        let told = observed.shared.load(now).map(|(load, at, change)| {
+            let total = f64::from(load.running) + f64::from(load.waiting) + change;
+            (total, self.entry.slots, load.slowdown, at)
+        });
+        // Of two reports of the same time, the one to this host has the server's own slots.
+        let newest = [told, own].into_iter().flatten().max_by_key(|it| it.3);
+        let (running, waiting) = newest.map_or((local, 0.0), |(total, slots, _, _)| {
+            let total = total.max(local);
+            let waiting = (total - f64::from(slots)).max(0.0);
+            (total - waiting, waiting)
+        });
+        let slowdown = newest.and_then(|(_, _, percent, at)| {
+            percent.map(|percent| slowdown_factor(percent, now.since(at)))
+        });
         LoadEstimate {
             running,
             waiting,
-            pending_ms: observed.local_prefill_ms
-                + observed.peer_prefill_until.since(now).as_secs_f64() * 1_000.0,
+            pending_ms: observed
+                .shared
+                .pending_ms(observed.zone_prefill_ms(now), now),
             latency_ratio: observed.latency.ratio(),
+            slowdown: slowdown.unwrap_or(1.0),
         }
     }
 
+    /// Age of the latest load report, to this host or to a peer; none if no report counts any more.
+    pub(crate) fn load_age(&self, now: Millis) -> Option<Duration> {
+        let observed = self.observed.lock();
+        let told = observed.shared.load(now).map(|(_, at, _)| now.since(at));
+        let own = observed.report.map(|(_, _, at)| now.since(at));
+        let own = own.filter(|age| *age <= REPORT_LIFETIME);
+        told.into_iter().chain(own).min()
+    }
+
+    /// Records a row that a peer sent on the hosts of `zone`, none for the own one.
+    pub(crate) fn merge_load(&self, zone: Option<&Name>, row: &LoadRow, now: Millis) {
+        self.observed.lock().shared.merge(zone, row, now);
+    }
+
+    /// Returns the rows on what has become known of the load after `since`, for peers, with the zone
+    /// that they are on, none for the own one.
+    pub(crate) fn load_rows(&self, since: Millis, now: Millis) -> Vec<(Option<Name>, LoadRow)> {
+        let observed = self.observed.lock();
+        let own = OwnLoad {
+            report: observed.own_load(),
+            pending_ms: observed.zone_prefill_ms(now),
+        };
+        let key = server_key(self.name_hash);
+        observed.shared.rows(key, &own, since, now)
+    }
+
     /// Records that a peer sent a prompt with the `shared` parts, whose prefill takes `span`.
     pub(crate) fn record_peer_prefill(
         &self,
@@ -472,6 +542,7 @@
     ) {
         let mut observed = self.observed.lock();
         observed.peer_prefill_until = observed.peer_prefill_until.max(now).after(span);
+        observed.shared.record_peer_prompt(now);
         observed.record_parts(shared.iter().copied(), size, now);
     }
 
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -178,6 +178,7 @@
             pending_ms: load.pending_ms,
             cached_tokens: cached.max(expected),
             latency_ratio: load.latency_ratio,
+            slowdown: load.slowdown,
         }
     };
     servers.iter().enumerate().map(view).collect()
