--- a/policy/src/load_rows.rs
+++ b/policy/src/load_rows.rs
@@ -52,7 +52,7 @@
     pub server: u32,
     /// The server's newest load, and the age of the response that named it.
     pub load: Option<(ServerLoad, Duration)>,
-    /// Time until the prompts of one zone's hosts are prefilled, and the age of that estimate: the
+    /// Time until the prompts that were sent there are prefilled, and the age of that estimate: the
     /// time is counted from now, but was estimated earlier.
     pub pending: Option<(Duration, Duration)>,
 }
--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -8,7 +8,6 @@
 
 use crate::{
     load_rows::{LoadRow, ServerLoad},
-    names::Name,
     time::Millis,
 };
 
@@ -26,9 +25,20 @@
 /// each time, so that none has to be replaced when it fails.
 const CROSSING_HOSTS: f64 = 3.0;
 
-/// Most rows in a message: 1.1 KB, so that a host of 83 sends less than 15 KB/s and no datagram is
-/// fragmented.
-pub const MAX_ROWS: usize = 60;
+/// Most rows in a message: 0.8 KB, so that a host of 83 sends less than 15 KB/s, prompts included,
+/// and no datagram is fragmented.
+pub const MAX_ROWS: usize = 44;
+
+/// Prefill from which all hosts are told of a prompt at once: rows come too late for the requests
+/// that would be sent behind it in the next half second.
+pub const LONG_PREFILL: Duration = Duration::from_millis(100);
+
+/// Largest number of peers in a zone that are told of a long prompt at once.
+pub const LONG_PREFILL_PEERS: usize = 32;
+
+/// Time after which the number of running requests that a server named tells little. Hosts that
+/// all prefer the server with the lowest old number overrun it.
+const RUNNING_SPAN: Duration = Duration::from_millis(300);
 
 /// Time for which a machine is slowed. The probability that it still is falls evenly to zero.
 const SLOW_SPAN: Duration = Duration::from_millis(600);
@@ -39,10 +49,10 @@
 /// Pending prefill that is told again in each period, since it outlives its word.
 const LONG_PENDING_MS: f64 = 1_000.0;
 
-/// Most zones of which estimates are kept for a server.
-const MAX_ZONES: usize = 8;
+/// Number of hosts that are told of all prompts for a server, so that one may fail.
+pub const TRACKERS: usize = 2;
 
-/// Most of this host's requests to one server that are remembered.
+/// Most requests to one server that are remembered.
 const MAX_BEGUN: usize = 256;
 
 /// Probability that a host of a zone of `zone_hosts` sends to another zone in a period.
@@ -57,14 +67,39 @@
     1.0 + (f64::from(percent) / 100.0 - 1.0).max(0.0) * probability
 }
 
+/// Number of servers, chosen at random, of which a host of a large fleet takes the best. Hosts that
+/// know the same would all choose the same server before they hear of each other's requests.
+const SAMPLED_SERVERS: usize = 8;
+
+/// Number of hosts from which on servers are sampled.
+const MIN_SAMPLING_HOSTS: usize = 32;
+
+/// Number of servers that a host of a fleet of `hosts` compares for a request.
+pub fn sample_size(hosts: usize) -> usize {
+    if hosts < MIN_SAMPLING_HOSTS {
+        usize::MAX
+    } else {
+        SAMPLED_SERVERS
+    }
+}
+
+/// Returns the estimated number of running requests, which approaches the mean of the pool with the
+/// age of the load; an unknown age stands for no load.
+pub fn settled_running(running: f64, mean: f64, age: Option<Duration>) -> f64 {
+    let weight = age.map_or(0.0, |age| {
+        (-age.as_secs_f64() / RUNNING_SPAN.as_secs_f64()).exp()
+    });
+    mean + (running - mean) * weight
+}
+
 /// What this host itself knows of a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnLoad {
     /// Load by the last response to this host, and when that came.
     pub report: Option<(ServerLoad, Millis)>,
-    /// Time until the prompts of the own zone's hosts that this host knows of are prefilled,
-    /// milliseconds.
-    pub pending_ms: f64,
+    /// Time until the prompts that this host knows of are prefilled, milliseconds, if it is a tracker
+    /// of the server: hosts tell trackers of all prompts, and others of a part of them.
+    pub pending_ms: Option<f64>,
 }
 
 /// A load that a peer passed on.
@@ -78,11 +113,9 @@
     ended_then: u64,
 }
 
-/// Peers' estimate of when the prompts of one zone's hosts are prefilled.
-#[derive(Clone, Debug)]
+/// An estimate of when all prompts that were sent to the server are prefilled.
+#[derive(Clone, Copy, Debug)]
 struct PendingWord {
-    /// The zone; none for the own one.
-    zone: Option<Name>,
     until: Millis,
     estimated_at: Millis,
     heard_at: Millis,
@@ -98,23 +131,25 @@
     }
 }
 
-/// A request of this host.
+/// A request that was sent to the server.
 #[derive(Clone, Copy, Debug)]
 struct Begun {
     at: Millis,
     prefill_ms: f64,
+    /// Whether this host sent it.
+    is_own: bool,
 }
 
 /// A server's load as peers told it, and this host's requests since.
 #[derive(Clone, Debug, Default)]
 pub struct SharedLoad {
     load: Option<LoadWord>,
-    pending: Vec<PendingWord>,
-    /// This host's requests within the lifetime of words, oldest first.
+    pending: Option<PendingWord>,
+    /// Requests of this host, and peers' that it heard of, within the lifetime of words, oldest first.
     begun: VecDeque<Begun>,
     /// Number of this host's requests that have ended.
     ended: u64,
-    /// When a prompt of the own zone's hosts was last counted.
+    /// When a prompt was last counted.
     prompt_at: Millis,
 }
 
@@ -129,6 +164,15 @@
 
     /// Counts a request of this host, whose prompt takes `prefill_ms` to prefill.
     pub fn begin_request(&mut self, prefill_ms: f64, now: Millis) {
+        self.record_begun(prefill_ms, true, now);
+    }
+
+    /// Records that a peer sent a prompt that takes `prefill_ms` to prefill.
+    pub fn record_peer_prompt(&mut self, prefill_ms: f64, now: Millis) {
+        self.record_begun(prefill_ms, false, now);
+    }
+
+    fn record_begun(&mut self, prefill_ms: f64, is_own: bool, now: Millis) {
         if prefill_ms > 0.0 {
             self.prompt_at = now;
         }
@@ -139,6 +183,7 @@
         self.begun.push_back(Begun {
             at: now,
             prefill_ms,
+            is_own,
         });
     }
 
@@ -151,14 +196,13 @@
         self.begun.iter().filter(move |begun| begun.at > at)
     }
 
-    /// Records that a peer of the own zone sent a prompt to the server.
-    pub fn record_peer_prompt(&mut self, now: Millis) {
-        self.prompt_at = now;
+    /// Whether a prompt was counted after `since`.
+    pub fn has_new_prompt(&self, since: Millis) -> bool {
+        self.prompt_at > since
     }
 
-    /// Records a row that a peer sent on the hosts of `zone`, none for the own one. Older words than
-    /// the known ones have no effect.
-    pub fn merge(&mut self, zone: Option<&Name>, row: &LoadRow, now: Millis) {
+    /// Records a row that a peer sent. Older words than the known ones have no effect.
+    pub fn merge(&mut self, row: &LoadRow, now: Millis) {
         if let Some((load, age)) = row.load.filter(|(_, age)| *age <= WORD_LIFETIME) {
             let at = before(now, age);
             if self
@@ -175,7 +219,6 @@
         }
         if let Some((left, age)) = row.pending.filter(|(_, age)| *age <= WORD_LIFETIME) {
             self.merge_pending(PendingWord {
-                zone: zone.cloned(),
                 until: now.after(left),
                 estimated_at: before(now, age),
                 heard_at: now,
@@ -183,21 +226,17 @@
         }
     }
 
-    /// Keeps the latest end that a zone's hosts expect: each knows of a part of the prompts only.
+    /// Keeps the latest end that trackers expect: one that has just started does not know of all
+    /// prompts.
     fn merge_pending(&mut self, word: PendingWord) {
-        let now = word.heard_at;
-        let known = self.pending.iter_mut().find(|it| it.zone == word.zone);
-        if let Some(known) = known {
-            if !known.is_believed(now) || word.until > known.until.after(LEAST_NEWS) {
-                *known = word;
-            }
-            return;
-        }
-        if self.pending.len() >= MAX_ZONES {
-            self.pending.retain(|it| it.is_believed(now));
-        }
-        if self.pending.len() < MAX_ZONES {
-            self.pending.push(word);
+        let is_news = self.pending.is_none_or(|known| {
+            let is_newer = word.estimated_at > known.estimated_at.after(LEAST_NEWS);
+            !known.is_believed(word.heard_at)
+                || word.until > known.until.after(LEAST_NEWS)
+                || is_newer && word.until.after(LEAST_NEWS) > known.until
+        });
+        if is_news {
+            self.pending = Some(word);
         }
     }
 
@@ -206,59 +245,32 @@
     /// its way are still counted.
     pub fn load(&self, now: Millis) -> Option<(ServerLoad, Millis, f64)> {
         let word = self.load.filter(|it| now.since(it.at) <= WORD_LIFETIME)?;
-        let begun = self.begun_since(word.at).count() as f64;
+        let begun = self.begun_since(word.at);
+        let begun = begun.filter(|begun| begun.is_own).count() as f64;
         let ended = (self.ended - word.ended_then) as f64;
         Some((word.load, word.at, begun - ended))
     }
 
     /// Time until all prompts that were sent to the server are prefilled, milliseconds, where this
-    /// host itself knows of `own_ms` for prompts of its own zone. Zones' prompts add up, whereas
-    /// hosts of one zone tell of the same prompts.
+    /// host itself knows of `own_ms`. Prompts since a tracker's estimate are added to it.
     pub fn pending_ms(&self, own_ms: f64, now: Millis) -> f64 {
-        let mut zone_ms = own_ms;
-        let mut others_ms = 0.0;
-        for word in self.pending.iter().filter(|it| it.is_believed(now)) {
-            if word.zone.is_some() {
-                others_ms += word.left_ms(now);
-            } else {
-                let sent = self.begun_since(word.estimated_at);
-                let sent_ms: f64 = sent.map(|begun| begun.prefill_ms).sum();
-                zone_ms = zone_ms.max(word.left_ms(now) + sent_ms);
-            }
-        }
-        zone_ms + others_ms
+        let Some(word) = self.pending.filter(|it| it.is_believed(now)) else {
+            return own_ms;
+        };
+        let since = self.begun_since(word.estimated_at);
+        let since_ms: f64 = since.map(|begun| begun.prefill_ms).sum();
+        own_ms.max(word.left_ms(now) + since_ms)
     }
 
-    /// Returns the rows on what has become known after `since`, with the zone whose hosts' prompts
-    /// they count; none for the own one, whose row has the load too.
-    pub fn rows(
-        &self,
-        server: u32,
-        own: &OwnLoad,
-        since: Millis,
-        now: Millis,
-    ) -> Vec<(Option<Name>, LoadRow)> {
-        let mut rows = Vec::new();
+    /// Returns the row on what has become known after `since`, if anything has.
+    pub fn row(&self, server: u32, own: &OwnLoad, since: Millis, now: Millis) -> Option<LoadRow> {
         let load = self.load_to_tell(own, since, now);
-        let pending = self.zone_pending_to_tell(own, load.is_some(), since, now);
-        if load.is_some() || pending.is_some() {
-            let row = LoadRow {
-                server,
-                load,
-                pending,
-            };
-            rows.push((None, row));
-        }
-        let others = self.pending.iter().filter(|word| word.zone.is_some());
-        for word in others.filter(|it| it.heard_at > since && it.is_believed(now)) {
-            let row = LoadRow {
-                server,
-                load: None,
-                pending: Some((word.until.since(now), now.since(word.estimated_at))),
-            };
-            rows.push((word.zone.clone(), row));
-        }
-        rows
+        let pending = self.pending_to_tell(own, since, now);
+        (load.is_some() || pending.is_some()).then_some(LoadRow {
+            server,
+            load,
+            pending,
+        })
     }
 
     fn load_to_tell(
@@ -275,18 +287,16 @@
         (heard_at > since && age <= WORD_LIFETIME).then_some((load, age))
     }
 
-    fn zone_pending_to_tell(
+    fn pending_to_tell(
         &self,
         own: &OwnLoad,
-        is_told: bool,
         since: Millis,
         now: Millis,
     ) -> Option<(Duration, Duration)> {
-        let is_news = is_told || self.prompt_at > since || own.pending_ms >= LONG_PENDING_MS;
-        let own_ms = if is_news { own.pending_ms } else { 0.0 };
-        let told = self.pending.iter().find(|word| word.zone.is_none());
-        let told = told.filter(|it| (is_told || it.heard_at > since) && it.is_believed(now));
-        match told {
+        let is_told = |ms: &f64| self.has_new_prompt(since) || *ms >= LONG_PENDING_MS;
+        let own_ms = own.pending_ms.filter(is_told).unwrap_or(0.0);
+        let told = self.pending.filter(|it| it.heard_at > since);
+        match told.filter(|it| it.is_believed(now)) {
             Some(word) if word.left_ms(now) > own_ms => {
                 Some((word.until.since(now), now.since(word.estimated_at)))
             }
--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -6,10 +6,10 @@
 use clementinearch_policy::{
     load_rows::{LoadRow, MAX_REQUESTS, ServerLoad, pack, server_key, unpack},
     names::Name,
-    placement::{PlacementQuery, ServerView, choose_server, placement_cost},
+    placement::{PlacementQuery, ServerView, affinity_rank, choose_server, placement_cost},
     shared_load::{
-        MAX_ROWS, NEAR_PEERS, OwnLoad, SHARE_PERIOD, SharedLoad, WORD_LIFETIME,
-        crossing_probability, slowdown_factor,
+        LONG_PREFILL, MAX_ROWS, NEAR_PEERS, OwnLoad, SHARE_PERIOD, SharedLoad, TRACKERS,
+        WORD_LIFETIME, crossing_probability, sample_size, settled_running, slowdown_factor,
     },
     time::Millis,
 };
@@ -97,7 +97,7 @@
         for row in unpack(&STANDARD_NO_PAD.encode([&[1], &*bytes].concat())) {
             let (load, _) = row.load.unwrap_or((load(0), ms(0)));
             assert!(load.running <= MAX_REQUESTS && load.waiting <= MAX_REQUESTS);
-            SharedLoad::default().merge(None, &row, Millis(rng.u64(..)));
+            SharedLoad::default().merge(&row, Millis(rng.u64(..)));
         }
     }
 }
@@ -107,21 +107,20 @@
 fn a_word_is_not_believed_beyond_its_lifetime() {
     let start = Millis(100_000);
     let mut hosts = vec![SharedLoad::default(); 4];
-    hosts[0].merge(None, &row(9, ms(0)), start);
+    hosts[0].merge(&row(9, ms(0)), start);
     let mut now = start;
     while now.since(start) <= WORD_LIFETIME * 2 {
         now = now.after(ms(50));
         for host in 0..4 {
-            let rows = hosts[host].rows(7, &OwnLoad::default(), Millis(now.0 - 51), now);
-            let packed: Vec<LoadRow> = rows.into_iter().map(|(_, row)| row).collect();
-            for row in unpack(&pack(&packed)) {
-                hosts[(host + 1) % 4].merge(None, &row, now.after(ms(2)));
+            let row = hosts[host].row(7, &OwnLoad::default(), Millis(now.0 - 51), now);
+            for row in unpack(&pack(row.as_slice())) {
+                hosts[(host + 1) % 4].merge(&row, now.after(ms(2)));
             }
         }
         let is_old = now.since(start) > WORD_LIFETIME;
         assert!(!is_old || hosts.iter().all(|it| it.load(now).is_none()));
     }
-    hosts[0].merge(None, &row(9, WORD_LIFETIME + ms(10)), now);
+    hosts[0].merge(&row(9, WORD_LIFETIME + ms(10)), now);
     assert!(hosts[0].load(now).is_none());
 }
 
@@ -130,8 +129,8 @@
     let now = Millis(100_000);
     let mut known = SharedLoad::default();
     known.begin_request(0.0, Millis(now.0 - 500));
-    known.merge(None, &row(9, ms(200)), now);
-    known.merge(None, &row(4, ms(900)), now);
+    known.merge(&row(9, ms(200)), now);
+    known.merge(&row(4, ms(900)), now);
     known.begin_request(0.0, now);
     assert_eq!(
         known.load(now).map(|it| (it.0.running, it.2)),
@@ -139,33 +138,55 @@
     );
     known.end_request();
     assert_eq!(known.load(now).map(|it| it.2), Some(0.0));
-    known.merge(None, &row(5, ms(0)), now.after(ms(50)));
+    known.merge(&row(5, ms(0)), now.after(ms(50)));
     assert_eq!(
         known.load(now.after(ms(50))).map(|it| it.0.running),
         Some(5)
     );
 }
 
-/// Prompts of other zones' hosts are not heard by prefill events; those of the own zone are, and must
-/// not count twice.
+/// A host hears by prefill events of a part of the prompts only, and of none of other zones' hosts.
+/// What it hears after a tracker's estimate must be added, and what it heard before must not.
 #[test]
-fn pending_prefill_adds_up_over_zones_but_not_over_the_hosts_of_one() {
+fn pending_prefill_is_the_trackers_and_the_prompts_since() {
     let now = Millis(100_000);
-    let (b, c): (Name, Name) = ("b".into(), "c".into());
     let mut known = SharedLoad::default();
-    known.merge(None, &pending_row(ms(300), ms(0)), now);
+    known.record_peer_prompt(70.0, Millis(now.0 - 500));
+    known.merge(&pending_row(ms(300), ms(100)), now);
+    known.merge(&pending_row(ms(100), ms(0)), now);
     assert_eq!(known.pending_ms(200.0, now), 300.0);
-    known.merge(Some(&b), &pending_row(ms(100), ms(0)), now);
-    known.merge(Some(&b), &pending_row(ms(150), ms(0)), now);
-    known.merge(Some(&c), &pending_row(ms(50), ms(0)), now);
-    assert_eq!(known.pending_ms(200.0, now), 500.0);
+    assert_eq!(known.pending_ms(400.0, now), 400.0);
     let later = now.after(ms(100));
     known.begin_request(80.0, later);
-    assert_eq!(known.pending_ms(280.0, later), 280.0 + 50.0);
-    assert_eq!(known.pending_ms(0.0, now.after(ms(10_000))), 0.0);
-    known.merge(Some(&b), &pending_row(ms(60_000), ms(0)), now);
-    let expired = now.after(WORD_LIFETIME + ms(1));
-    assert_eq!(known.pending_ms(0.0, expired), 0.0);
+    known.record_peer_prompt(20.0, later);
+    assert_eq!(known.pending_ms(200.0, later), 300.0);
+    assert_eq!(known.pending_ms(5.0, now.after(ms(10_000))), 5.0);
+    known.merge(&pending_row(ms(60_000), ms(0)), later);
+    let expired = later.after(WORD_LIFETIME + ms(1));
+    assert_eq!(known.pending_ms(0.0, expired), 0.0, "a wrong word ends");
+}
+
+/// A host that is no tracker does not know of all prompts, so that its estimate would be too low.
+#[test]
+fn only_trackers_estimate_and_others_pass_on() {
+    let now = Millis(100_000);
+    let since = Millis(now.0 - 250);
+    let mut known = SharedLoad::default();
+    known.record_peer_prompt(70.0, now);
+    let mut own = OwnLoad::default();
+    assert!(known.row(7, &own, since, now).is_none());
+    own.pending_ms = Some(70.0);
+    let row = known.row(7, &own, since, now).unwrap();
+    assert_eq!(row.pending, Some((ms(70), ms(0))));
+    let mut other = SharedLoad::default();
+    other.merge(&row, now);
+    let passed = other.row(7, &OwnLoad::default(), since, now.after(ms(30)));
+    assert_eq!(passed.unwrap().pending, Some((ms(40), ms(30))));
+    assert!(
+        other
+            .row(7, &OwnLoad::default(), now, now.after(ms(30)))
+            .is_none()
+    );
 }
 
 #[test]
@@ -216,7 +237,9 @@
 const HOSTS: usize = 83;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Servers of each zone. The demand of the first one is above what its servers take.
-const SERVERS: [usize; 3] = [16, 37, 37];
+const SERVERS: [usize; 3] = [6, 27, 27];
+/// Length of a prefill event without prompt parts, with packet headers.
+const PREFILL_BYTES: usize = 110;
 const DECODE_MS: u64 = 1_000;
 
 struct HostView {
@@ -227,6 +250,19 @@
     peers_until: Millis,
 }
 
+fn server_zone(server: usize) -> usize {
+    let zone_a = usize::from(server >= SERVERS[0]);
+    zone_a + usize::from(server >= SERVERS[0] + SERVERS[1])
+}
+
+/// The hosts of the server's zone that are told of all its prompts.
+fn trackers(server: usize) -> Vec<usize> {
+    let mut hosts: Vec<usize> = (server_zone(server)..HOSTS).step_by(3).collect();
+    hosts.sort_by_key(|host| Reverse(affinity_rank(server as u64 * 7_919, *host as u64 * 104_729)));
+    hosts.truncate(TRACKERS);
+    hosts
+}
+
 /// Result of a simulation: sorted waits before a prefill starts, milliseconds, and bytes that a host
 /// sends per second on the servers' load.
 struct Outcome {
@@ -250,14 +286,24 @@
     }
 }
 
+/// Returns when work that takes `left` milliseconds at normal speed ends, if it begins at `at`.
+fn end_of_work(server: usize, mut at: f64, mut left: f64) -> f64 {
+    loop {
+        let factor = f64::from(slowdown(server, at as u64)) / 100.0;
+        if left <= 1.0 / factor {
+            return at + left * factor;
+        }
+        left -= 1.0 / factor;
+        at += 1.0;
+    }
+}
+
 /// Simulates hosts that each receive 5 requests per second, a quarter of them long ones.
 fn simulate(knowledge: Knowledge, seed: u64) -> Outcome {
     const SPAN_MS: u64 = 15_000;
-    const SCALE: f64 = 2.5;
     let mut rng = fastrand::Rng::with_seed(seed);
     let zones: Vec<Name> = ZONES.iter().map(|zone| (*zone).into()).collect();
-    let server_zones: Vec<usize> = (0..3).flat_map(|z| vec![z; SERVERS[z]]).collect();
-    let servers = server_zones.len();
+    let servers = SERVERS.iter().sum();
     let new_view = |_| HostView {
         shared: SharedLoad::default(),
         report: None,
@@ -273,6 +319,8 @@
     let mut running = vec![0_u32; servers];
     // Time, server, host, prefill in microseconds; none at the end of the request.
     let mut events: BinaryHeap<(Reverse<u64>, usize, usize, Option<u64>)> = BinaryHeap::new();
+    // Prefill events: time, receiver, server, prefill in microseconds.
+    let mut news: BinaryHeap<(Reverse<u64>, usize, usize, u64)> = BinaryHeap::new();
     let (mut waits, mut bytes, mut ages) = (Vec::new(), 0, (0.0, 0));
     let period = SHARE_PERIOD.as_millis() as u64;
     for t in 10_000..10_000 + SPAN_MS {
@@ -298,6 +346,15 @@
                 running[server] -= 1;
             }
         }
+        while let Some(&(Reverse(at), peer, server, prefill_us)) = news.peek() {
+            if at > t {
+                break;
+            }
+            news.pop();
+            let view = &mut hosts[peer][server];
+            view.peers_until = view.peers_until.max(now).after(ms(prefill_us / 1_000));
+            view.shared.record_peer_prompt(prefill_us as f64 / 1e3, now);
+        }
         for host in 0..HOSTS {
             if knowledge == Knowledge::Shared && (t + host as u64 * 37) % period == 0 {
                 bytes += share(&mut hosts, host, &zones, &zone_of, now, &mut rng);
@@ -311,8 +368,9 @@
             } else {
                 400.0 + 3_000.0 * rng.f64().powi(2)
             };
-            let ms_per_token = SCALE * if rng.f64() < 0.4 { 0.035 } else { 0.004 };
-            let views: Vec<ServerView> = (0..servers)
+            let ms_per_token = if rng.f64() < 0.4 { 0.035 } else { 0.004 };
+            let mut load_ages = vec![None; servers];
+            let mut views: Vec<ServerView> = (0..servers)
                 .map(|server| {
                     let view = &hosts[host][server];
                     let (running, pending_ms, slowdown, age) = match knowledge {
@@ -325,10 +383,11 @@
                         _ => estimate(view, now),
                     };
                     if let Some(age) = age {
+                        load_ages[server] = Some(ms(age as u64));
                         ages = (ages.0 + age, ages.1 + 1);
                     }
                     ServerView {
-                        zone: zones[server_zones[server]].clone(),
+                        zone: zones[server_zone(server)].clone(),
                         running,
                         pending_ms,
                         slowdown,
@@ -336,19 +395,31 @@
                     }
                 })
                 .collect();
+            if knowledge == Knowledge::Shared {
+                settle(&mut views, &load_ages);
+            }
             let query = PlacementQuery {
                 zone: ZONES[zone_of(host)],
                 prompt_tokens: tokens,
                 ms_per_token,
             };
-            let server = choose_server(&views, &query, rng.usize(..servers)).unwrap();
+            let size = if knowledge == Knowledge::Shared {
+                sample_size(HOSTS)
+            } else {
+                servers
+            };
+            // In the order of the servers, as the router leaves them.
+            let mut sample = rng.choose_multiple(0..servers, size);
+            sample.sort_unstable();
+            let sampled: Vec<ServerView> = sample.iter().map(|it| views[*it].clone()).collect();
+            let offset = rng.usize(..servers);
+            let server = sample[choose_server(&sampled, &query, offset).unwrap()];
             let begin = busy_until[server].max(t as f64);
             if t >= 12_000 {
                 waits.push(begin - t as f64);
             }
             let prefill_ms = tokens * ms_per_token;
-            let factor = f64::from(slowdown(server, begin as u64)) / 100.0;
-            busy_until[server] = begin + prefill_ms * factor;
+            busy_until[server] = end_of_work(server, begin, prefill_ms);
             running[server] += 1;
             let prefill_us = (prefill_ms * 1e3) as u64;
             let done_at = busy_until[server].ceil() as u64;
@@ -358,12 +429,24 @@
             view.prefill_ms += prefill_us as f64 / 1e3;
             view.shared.begin_request(prefill_ms, now);
             let near = (0..HOSTS).filter(|it| *it != host && zone_of(*it) == zone_of(host));
-            let mut near: Vec<usize> = near.collect();
-            rng.shuffle(&mut near);
-            for peer in near.into_iter().take(16) {
-                let view = &mut hosts[peer][server];
-                view.peers_until = view.peers_until.max(now).after(ms(prefill_ms as u64));
-                view.shared.record_peer_prompt(now);
+            let mut told: Vec<usize> = near.collect();
+            rng.shuffle(&mut told);
+            let is_shared = knowledge == Knowledge::Shared;
+            if is_shared && ms(prefill_ms as u64) >= LONG_PREFILL {
+                told = (0..HOSTS).filter(|it| *it != host).collect();
+                bytes += PREFILL_BYTES * (HOSTS - 1 - 16);
+            } else {
+                told.truncate(16);
+                let more = trackers(server).into_iter();
+                let more = more.filter(|it| is_shared && *it != host && !told.contains(it));
+                let more: Vec<usize> = more.collect();
+                bytes += PREFILL_BYTES * more.len();
+                told.extend(more);
+            }
+            for peer in told {
+                let is_near = zone_of(peer) == zone_of(host);
+                let at = t + if is_near { 20 } else { 45 };
+                news.push((Reverse(at), peer, server, prefill_us));
             }
         }
     }
@@ -375,6 +458,16 @@
     }
 }
 
+/// As the router does where peers told of the load.
+fn settle(views: &mut [ServerView], ages: &[Option<Duration>]) {
+    let known = views.iter().zip(ages).filter(|(_, age)| age.is_some());
+    let running: Vec<f64> = known.map(|(view, _)| view.running).collect();
+    let mean = running.iter().sum::<f64>() / running.len().max(1) as f64;
+    for (view, age) in views.iter_mut().zip(ages) {
+        view.running = settled_running(view.running, mean, *age);
+    }
+}
+
 fn own_prefill_ms(view: &HostView, now: Millis) -> f64 {
     view.prefill_ms + view.peers_until.since(now).as_secs_f64() * 1e3
 }
@@ -407,12 +500,13 @@
 ) -> usize {
     let since = Millis(now.0 - SHARE_PERIOD.as_millis() as u64);
     let own_zone = &zones[zone_of(host)];
-    let rows = hosts[host].iter().enumerate().flat_map(|(server, view)| {
+    let rows = hosts[host].iter().enumerate().filter_map(|(server, view)| {
+        let is_tracker = trackers(server).contains(&host);
         let own = OwnLoad {
             report: view.report.map(|(load, at, _)| (load, at)),
-            pending_ms: own_prefill_ms(view, now),
+            pending_ms: is_tracker.then(|| own_prefill_ms(view, now)),
         };
-        view.shared.rows(server as u32, &own, since, now)
+        view.shared.row(server as u32, &own, since, now)
     });
     let rows = rng.choose_multiple(rows, MAX_ROWS);
     let mut targets = Vec::new();
@@ -424,26 +518,13 @@
             targets.extend(rng.choose_multiple(in_zone, 1));
         }
     }
-    let mut bytes = 28 + r#"{"Loads":{"r":[]}}"#.len();
-    for zone in zones {
-        let of_zone = rows
-            .iter()
-            .filter(|(it, _)| it.as_ref().unwrap_or(own_zone) == zone);
-        let of_zone: Vec<LoadRow> = of_zone.map(|(_, row)| *row).collect();
-        if of_zone.is_empty() {
-            continue;
-        }
-        let text = pack(&of_zone);
-        bytes += text.len() + zone.len() + r#"["",""],"#.len();
-        for target in &targets {
-            let zone = Some(zone).filter(|zone| **zone != zones[zone_of(*target)]);
-            for row in unpack(&text) {
-                hosts[*target][row.server as usize]
-                    .shared
-                    .merge(zone, &row, now);
-            }
+    let text = pack(&rows);
+    for target in &targets {
+        for row in unpack(&text) {
+            hosts[*target][row.server as usize].shared.merge(&row, now);
         }
     }
+    let bytes = 28 + r#"{"Loads":{"r":""}}"#.len() + text.len();
     bytes * targets.len()
 }
 
@@ -451,7 +532,7 @@
 /// short prompts wait behind long ones there.
 #[test]
 fn prompts_wait_less_when_hosts_share_what_they_know() {
-    for seed in 0..2 {
+    for seed in 0..3 {
         let [own, shared, ideal] = [Knowledge::Own, Knowledge::Shared, Knowledge::Ideal]
             .map(|knowledge| simulate(knowledge, seed));
         let p99 = |outcome: &Outcome| outcome.quantile(0.99);
@@ -468,6 +549,6 @@
             shared.bytes_per_s
         );
         assert!(shared.bytes_per_s <= 15_000.0);
-        assert!(p99(&shared) < p99(&own));
+        assert!(p99(&shared) < 0.7 * p99(&own), "seed {seed}");
     }
 }
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -6,7 +6,7 @@
     forwarding_support::ForwardingSupport,
     names::{FastMap, Name},
     placement::affinity_rank,
-    shared_load::{NEAR_PEERS, crossing_probability},
+    shared_load::{LONG_PREFILL_PEERS, NEAR_PEERS, TRACKERS, crossing_probability},
     time::Millis,
 };
 use clementinearch_storage::StorePosition;
@@ -222,19 +222,62 @@
         targets
     }
 
-    /// Addresses to send a message on the servers' load to: a few random live peers in the own zone
-    /// and now and then one in each other zone.
-    pub(crate) fn load_targets(&self, now: Millis) -> Vec<SocketAddr> {
-        let mut near = Vec::new();
+    /// Addresses of the hosts that are told of all prompts for a server of this zone, and whether this
+    /// host is one: live hosts of the zone, or of the fleet if the zone has none.
+    pub(crate) fn trackers(
+        &self,
+        zone: &Name,
+        server: u64,
+        now: Millis,
+    ) -> (Vec<SocketAddr>, bool) {
+        let rank = |name: &str| affinity_rank(server, hash_bytes(name.as_bytes()));
+        let readers = || self.live_peers(now).filter(|(_, peer)| peer.reads_loads);
+        let in_zone = |peer: &Peer| peer.zone.as_ref() == Some(zone);
+        let is_own_zone = *zone == self.zone;
+        let has_hosts = is_own_zone || readers().any(|(_, peer)| in_zone(peer));
+        let candidates = readers().filter(|(_, peer)| !has_hosts || in_zone(peer));
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = candidates
+            .map(|(name, peer)| (rank(name), Some(peer.address)))
+            .collect();
+        if is_own_zone || !has_hosts {
+            ranked.push((rank(&self.own_name), None));
+        }
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        ranked.truncate(TRACKERS);
+        let is_own = ranked.iter().any(|(_, address)| address.is_none());
+        (ranked.into_iter().filter_map(|it| it.1).collect(), is_own)
+    }
+
+    /// Addresses of peers of the own zone to tell of a long prompt at once.
+    pub(crate) fn near_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let (near, _) = self.targets_by_zone(now);
+        fastrand::choose_multiple(near, LONG_PREFILL_PEERS)
+    }
+
+    /// Addresses of one peer in each other zone, which tells its zone of a long prompt.
+    pub(crate) fn zone_relays(&self, now: Millis) -> Vec<SocketAddr> {
+        let remote = self.remote_readers(now).into_values();
+        remote.filter_map(fastrand::choice).collect()
+    }
+
+    /// Live peers of each other zone that read messages on the servers' load.
+    fn remote_readers(&self, now: Millis) -> FastMap<&Name, Vec<SocketAddr>> {
         let mut remote: FastMap<&Name, Vec<SocketAddr>> = FastMap::default();
         for (_, peer) in self.live_peers(now).filter(|(_, peer)| peer.reads_loads) {
-            match &peer.zone {
-                Some(zone) if *zone != self.zone => {
-                    remote.entry(zone).or_default().push(peer.address);
-                }
-                _ => near.push(peer.address),
+            if let Some(zone) = peer.zone.as_ref().filter(|zone| **zone != self.zone) {
+                remote.entry(zone).or_default().push(peer.address);
             }
         }
+        remote
+    }
+
+    /// Addresses to send a message on the servers' load to: a few random live peers in the own zone
+    /// and now and then one in each other zone.
+    pub(crate) fn load_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let readers = self.live_peers(now).filter(|(_, peer)| peer.reads_loads);
+        let near = readers.filter(|(_, peer)| self.is_near(peer));
+        let near: Vec<SocketAddr> = near.map(|(_, peer)| peer.address).collect();
+        let remote = self.remote_readers(now);
         let probability = crossing_probability(near.len() + 1);
         let mut targets = fastrand::choose_multiple(near, NEAR_PEERS);
         for addresses in remote.into_values() {
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -103,6 +103,8 @@
     socket: UdpSocket,
     events: mpsc::UnboundedReceiver<GossipEvent>,
     prefills: Vec<Prefill>,
+    /// Prompts of other zones' hosts, of which the own zone's are to be told.
+    relayed: Vec<Prefill>,
     sessions: Vec<SessionVersion>,
     /// When peers were last told of the servers' load.
     loads_told_at: Millis,
@@ -127,6 +129,7 @@
             socket,
             events,
             prefills: Vec::new(),
+            relayed: Vec::new(),
             sessions: Vec::new(),
             loads_told_at: Millis(0),
             parts: FastSet::default(),
@@ -144,8 +147,10 @@
         let mut next_send = next_report;
         let mut next_loads = next_report;
         loop {
-            let has_events =
-                !self.prefills.is_empty() || !self.sessions.is_empty() || !self.parts.is_empty();
+            let has_events = !self.prefills.is_empty()
+                || !self.relayed.is_empty()
+                || !self.sessions.is_empty()
+                || !self.parts.is_empty();
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
                     if let Ok((length, peer)) = received {
@@ -180,6 +185,7 @@
     fn buffer(&mut self, event: GossipEvent) {
         match event {
             GossipEvent::Prefill(prefill) => self.prefills.push(prefill),
+            GossipEvent::RelayedPrefill(prefill) => self.relayed.push(prefill),
             GossipEvent::Session(session) => self.sessions.push(session),
             GossipEvent::PartEvidence(parts) => self.parts.extend(parts),
             // Sent without a batch.
@@ -201,11 +207,67 @@
             datagrams += peers.len();
         }
         peers.truncate(PEERS_PER_PERIOD);
-        for chunk in std::mem::take(&mut self.prefills).chunks(ROWS_PER_DATAGRAM) {
-            self.send(&Datagram::Prefills(chunk.to_vec()), &peers).await;
+        let prefills = std::mem::take(&mut self.prefills);
+        let (long, short): (Vec<_>, Vec<_>) = prefills.into_iter().partition(Prefill::is_long);
+        datagrams += self.send_prefills(&short, &peers).await;
+        datagrams += self.send_to_trackers(&short, &peers, now).await;
+        // Other zones' trackers hear of long prompts from the relays, and must not hear of them twice.
+        let near = self.state.fleet.lock().near_targets(now);
+        datagrams += self.send_prefills(&long, &near).await;
+        datagrams += self
+            .send_to_trackers(&self.of_own_zone(&long), &near, now)
+            .await;
+        let relays = self.state.fleet.lock().zone_relays(now);
+        let to_relay: Vec<Prefill> = long.iter().map(Prefill::to_relay).collect();
+        datagrams += self.send_prefills(&to_relay, &relays).await;
+        let relayed = std::mem::take(&mut self.relayed);
+        datagrams += self.send_prefills(&relayed, &near).await;
+        datagrams += self
+            .send_to_trackers(&self.of_own_zone(&relayed), &near, now)
+            .await;
+        EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
+    }
+
+    /// Sends prefills to all `peers`. Returns the number of datagrams.
+    async fn send_prefills(&self, prefills: &[Prefill], peers: &[SocketAddr]) -> usize {
+        let mut datagrams = 0;
+        for chunk in prefills.chunks(ROWS_PER_DATAGRAM) {
+            self.send(&Datagram::Prefills(chunk.to_vec()), peers).await;
             datagrams += peers.len();
         }
-        EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
+        datagrams
+    }
+
+    /// Prefills on servers of the own zone.
+    fn of_own_zone(&self, prefills: &[Prefill]) -> Vec<Prefill> {
+        let is_near = |prefill: &&Prefill| {
+            let server = self.state.servers.by_hash(prefill.server);
+            server.is_some_and(|server| server.entry.zone == self.state.settings.zone)
+        };
+        prefills.iter().filter(is_near).cloned().collect()
+    }
+
+    /// Sends each prefill to the trackers of its server that are not among `told`. Returns the
+    /// number of datagrams.
+    async fn send_to_trackers(
+        &self,
+        prefills: &[Prefill],
+        told: &[SocketAddr],
+        now: Millis,
+    ) -> usize {
+        let mut datagrams = 0;
+        for prefill in prefills {
+            let Some(server) = self.state.servers.by_hash(prefill.server) else {
+                continue;
+            };
+            let zone = &server.entry.zone;
+            let (mut trackers, _) = self.state.fleet.lock().trackers(zone, prefill.server, now);
+            trackers.retain(|address| !told.contains(address));
+            datagrams += self
+                .send_prefills(std::slice::from_ref(prefill), &trackers)
+                .await;
+        }
+        datagrams
     }
 
     /// Sends what has become known of the servers' load since the last time to a few peers.
@@ -314,10 +376,13 @@
     let now = state.now();
     match serde_json::from_slice::<Datagram>(datagram) {
         Ok(Datagram::Prefills(prefills)) => {
-            for prefill in prefills {
+            for mut prefill in prefills {
                 if let Some(server) = state.servers.by_hash(prefill.server) {
                     let span = Duration::from_millis(u64::from(prefill.ms)).min(MAX_PREFILL);
                     server.record_peer_prefill(&prefill.shared, prefill.size, span, now);
+                    if std::mem::take(&mut prefill.is_to_relay) {
+                        state.enqueue_gossip(GossipEvent::RelayedPrefill(prefill));
+                    }
                 }
             }
         }
--- a/router/src/gossip_event.rs
+++ b/router/src/gossip_event.rs
@@ -1,5 +1,8 @@
 //! Events on the data path that a host gossips to its peers without waiting for its next report.
 
+use std::time::Duration;
+
+use clementinearch_policy::shared_load::LONG_PREFILL;
 use serde::{Deserialize, Serialize};
 
 use crate::rollouts::SessionVersion;
@@ -9,6 +12,8 @@
 pub(crate) enum GossipEvent {
     /// A server was sent a prompt.
     Prefill(Prefill),
+    /// A peer of another zone sent a server a long prompt, and peers of the own zone are to be told.
+    RelayedPrefill(Prefill),
     /// There is news of prompt parts that may crash servers.
     PartEvidence(Vec<u64>),
     /// What the host reports about itself has changed, and peers need it at once.
@@ -32,4 +37,24 @@
     /// Ids of the prompt parts that other requests may share.
     #[serde(rename = "p")]
     pub(crate) shared: Vec<u64>,
+    /// Whether the receiver tells the other hosts of its zone.
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_to_relay: bool,
+}
+
+impl Prefill {
+    /// Whether all hosts are told of the prompt at once.
+    pub(crate) fn is_long(&self) -> bool {
+        Duration::from_millis(u64::from(self.ms)) >= LONG_PREFILL
+    }
+
+    /// Returns the event for the host that tells another zone. Prompt parts are left out: few of its
+    /// requests go to servers of this zone.
+    pub(crate) fn to_relay(&self) -> Self {
+        Self {
+            shared: Vec::new(),
+            is_to_relay: true,
+            ..self.clone()
+        }
+    }
 }
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -136,9 +136,8 @@
 }
 
 impl Observations {
-    /// Time until the prompts of the own zone's hosts that this host knows of are prefilled,
-    /// milliseconds.
-    fn zone_prefill_ms(&self, now: Millis) -> f64 {
+    /// Time until the prompts that this host itself knows of are prefilled, milliseconds.
+    fn known_prefill_ms(&self, now: Millis) -> f64 {
         self.local_prefill_ms + self.peer_prefill_until.since(now).as_secs_f64() * 1_000.0
     }
 
@@ -191,6 +190,10 @@
     pub(crate) latency_ratio: f64,
     /// Factor on the duration of work at the moment; 1.0 if unknown.
     pub(crate) slowdown: f64,
+    /// Age of the load report; none if no report counts.
+    pub(crate) age: Option<Duration>,
+    /// Whether peers told of the load.
+    pub(crate) is_told: bool,
 }
 
 impl Server {
@@ -500,36 +503,39 @@
             waiting,
             pending_ms: observed
                 .shared
-                .pending_ms(observed.zone_prefill_ms(now), now),
+                .pending_ms(observed.known_prefill_ms(now), now),
             latency_ratio: observed.latency.ratio(),
             slowdown: slowdown.unwrap_or(1.0),
+            age: newest.map(|it| now.since(it.3)),
+            is_told: told.is_some(),
         }
     }
 
-    /// Age of the latest load report, to this host or to a peer; none if no report counts any more.
-    pub(crate) fn load_age(&self, now: Millis) -> Option<Duration> {
-        let observed = self.observed.lock();
-        let told = observed.shared.load(now).map(|(_, at, _)| now.since(at));
-        let own = observed.report.map(|(_, _, at)| now.since(at));
-        let own = own.filter(|age| *age <= REPORT_LIFETIME);
-        told.into_iter().chain(own).min()
+    /// Records a row that a peer sent.
+    pub(crate) fn merge_load(&self, row: &LoadRow, now: Millis) {
+        self.observed.lock().shared.merge(row, now);
+    }
+
+    /// Whether peers told of the server's load.
+    pub(crate) fn is_load_told(&self, now: Millis) -> bool {
+        self.observed.lock().shared.load(now).is_some()
     }
 
-    /// Records a row that a peer sent on the hosts of `zone`, none for the own one.
-    pub(crate) fn merge_load(&self, zone: Option<&Name>, row: &LoadRow, now: Millis) {
-        self.observed.lock().shared.merge(zone, row, now);
+    /// Whether a prompt for the server was counted after `since`.
+    pub(crate) fn has_prefill_news(&self, since: Millis, now: Millis) -> bool {
+        let observed = self.observed.lock();
+        observed.shared.has_new_prompt(since) || observed.known_prefill_ms(now) > 0.0
     }
 
-    /// Returns the rows on what has become known of the load after `since`, for peers, with the zone
-    /// that they are on, none for the own one.
-    pub(crate) fn load_rows(&self, since: Millis, now: Millis) -> Vec<(Option<Name>, LoadRow)> {
+    /// Returns the row on what has become known of the load after `since`, for peers.
+    pub(crate) fn load_row(&self, is_tracker: bool, since: Millis, now: Millis) -> Option<LoadRow> {
         let observed = self.observed.lock();
         let own = OwnLoad {
             report: observed.own_load(),
-            pending_ms: observed.zone_prefill_ms(now),
+            pending_ms: is_tracker.then(|| observed.known_prefill_ms(now)),
         };
         let key = server_key(self.name_hash);
-        observed.shared.rows(key, &own, since, now)
+        observed.shared.row(key, &own, since, now)
     }
 
     /// Records that a peer sent a prompt with the `shared` parts, whose prefill takes `span`.
@@ -542,7 +548,8 @@
     ) {
         let mut observed = self.observed.lock();
         observed.peer_prefill_until = observed.peer_prefill_until.max(now).after(span);
-        observed.shared.record_peer_prompt(now);
+        let prefill_ms = span.as_secs_f64() * 1_000.0;
+        observed.shared.record_peer_prompt(prefill_ms, now);
         observed.record_parts(shared.iter().copied(), size, now);
     }
 
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -3,41 +3,40 @@
 use std::{sync::Arc, time::Duration};
 
 use clementinearch_policy::{
-    load_rows::{LoadRow, pack, server_key, unpack},
-    names::{FastMap, Name},
-    shared_load::MAX_ROWS,
+    load_rows::{pack, server_key, unpack},
+    names::FastMap,
+    placement::ServerView,
+    shared_load::{MAX_ROWS, sample_size, settled_running},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{host_state::HostState, server::Server};
+use crate::{
+    host_state::HostState,
+    server::{LoadEstimate, Server},
+};
 
 /// A message on the servers' load.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct LoadMessage {
-    /// Packed rows by the zone whose hosts' prompts they count.
+    /// Packed rows.
     #[serde(rename = "r")]
-    rows: Vec<(Name, String)>,
+    rows: String,
 }
 
 /// Returns what has become known of the servers' load after `since`; none if nothing has. If that is
 /// more than one message holds, it is a random part.
 pub(crate) fn load_message(state: &HostState, since: Millis, now: Millis) -> Option<LoadMessage> {
     let servers = state.servers.all();
-    let rows = servers
-        .iter()
-        .flat_map(|server| server.load_rows(since, now));
-    let rows = fastrand::choose_multiple(rows, MAX_ROWS);
-    let mut by_zone: FastMap<Name, Vec<LoadRow>> = FastMap::default();
-    for (zone, row) in rows {
-        let zone = zone.unwrap_or_else(|| state.settings.zone.clone());
-        by_zone.entry(zone).or_default().push(row);
-    }
-    let rows: Vec<(Name, String)> = by_zone
-        .into_iter()
-        .map(|(zone, rows)| (zone, pack(&rows)))
-        .collect();
-    (!rows.is_empty()).then_some(LoadMessage { rows })
+    let row = |server: &Arc<Server>| {
+        let is_tracker = server.has_prefill_news(since, now) && {
+            let fleet = state.fleet.lock();
+            fleet.trackers(&server.entry.zone, server.name_hash, now).1
+        };
+        server.load_row(is_tracker, since, now)
+    };
+    let rows = fastrand::choose_multiple(servers.iter().filter_map(row), MAX_ROWS);
+    (!rows.is_empty()).then(|| LoadMessage { rows: pack(&rows) })
 }
 
 /// Records what a peer tells of the servers' load. Rows on servers that this host does not know, or
@@ -51,19 +50,58 @@
             .and_modify(|it| *it = None)
             .or_insert(Some(server));
     }
-    for (zone, rows) in &message.rows {
-        let zone = Some(zone).filter(|zone| **zone != state.settings.zone);
-        for row in unpack(rows) {
-            if let Some(Some(server)) = by_key.get(&row.server) {
-                server.merge_load(zone, &row, now);
-            }
+    for row in unpack(&message.rows) {
+        if let Some(Some(server)) = by_key.get(&row.server) {
+            server.merge_load(&row, now);
+        }
+    }
+}
+
+/// Returns the estimated load of servers of one pool. If peers told of any, running requests count
+/// by the age of the report. Without peers the estimates are those of the servers alone.
+pub(crate) fn load_estimates(servers: &[Arc<Server>], now: Millis) -> Vec<LoadEstimate> {
+    let mut loads: Vec<LoadEstimate> = servers.iter().map(|server| server.load(now)).collect();
+    let known = loads.iter().filter(|load| load.age.is_some());
+    let (total, count) = known.fold((0.0, 0_u32), |(total, count), load| {
+        (total + load.running, count + 1)
+    });
+    if loads.iter().any(|load| load.is_told) {
+        let mean = total / f64::from(count.max(1));
+        for (load, server) in loads.iter_mut().zip(servers) {
+            let running = settled_running(load.running, mean, load.age);
+            load.running = running.max(f64::from(server.local_running()));
         }
     }
+    loads
+}
+
+/// Leaves a random part of the servers and those that may have a part of the prompt cached, if peers
+/// told of the load of any and the fleet is large.
+pub(crate) fn sample_servers(
+    state: &HostState,
+    servers: &mut Vec<Arc<Server>>,
+    views: &mut Vec<ServerView>,
+    now: Millis,
+) {
+    let size = sample_size(state.fleet.lock().known_hosts());
+    if servers.len() <= size || !servers.iter().any(|server| server.is_load_told(now)) {
+        return;
+    }
+    let mut is_kept: Vec<bool> = views.iter().map(|view| view.cached_tokens > 0.0).collect();
+    for index in fastrand::choose_multiple(0..servers.len(), size) {
+        is_kept[index] = true;
+    }
+    let mut kept = is_kept.iter();
+    servers.retain(|_| kept.next() == Some(&true));
+    let mut kept = is_kept.iter();
+    views.retain(|_| kept.next() == Some(&true));
 }
 
 /// Mean age of the latest load reports that count, and the number of servers without one.
 pub(crate) fn load_ages(servers: &[Arc<Server>], now: Millis) -> (Duration, usize) {
-    let ages: Vec<Duration> = servers.iter().filter_map(|it| it.load_age(now)).collect();
+    let ages = servers.iter().filter_map(|server| server.load(now).age);
+    let ages: Vec<Duration> = ages.collect();
     let total: Duration = ages.iter().sum();
-    (total / ages.len().max(1) as u32, servers.len() - ages.len())
+    let mean = total / ages.len().max(1) as u32;
+    (mean, servers.len() - ages.len())
 }
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -14,6 +14,7 @@
     in_flight::InFlight,
     rollouts::VersionRule,
     server::{Permit, Server},
+    server_loads::{load_estimates, sample_servers},
     server_places::retain_placed,
 };
 
@@ -63,6 +64,7 @@
     eligible.retain(|server| state.is_within_limit(server, now));
     retain_placed(state, &pool, &mut eligible, now);
     let mut views = server_views(call, &eligible, size, now);
+    sample_servers(state, &mut eligible, &mut views, now);
     let query = PlacementQuery {
         zone: &state.settings.zone,
         prompt_tokens: call
@@ -94,6 +96,7 @@
             ms: in_flight.expected_prefill().as_millis() as u32,
             size,
             shared: prompt.shared_parts().collect(),
+            is_to_relay: false,
         }));
     }
     Some(ChosenServer {
@@ -158,8 +161,9 @@
     let shared = prompt.and_then(|prompt| prompt.shared_prefix());
     let shared_tokens = prompt.map_or(0.0, |prompt| prompt.shared_tokens());
     let ranks = shared.map(|part| top_two_ranks(part, servers));
+    let loads = load_estimates(servers, now);
     let view = |(index, server): (usize, &Arc<Server>)| {
-        let load = server.load(now);
+        let load = loads[index];
         let cached = prompt.map_or(0.0, |prompt| server.cached_tokens(prompt, size, now));
         let expected = match (prompt, ranks) {
             (Some(_), Some((first, _))) if first == index => {
