--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -552,3 +552,67 @@
         assert!(p99(&shared) < 0.7 * p99(&own), "seed {seed}");
     }
 }
+
+/// A word that takes longer to spread is no better than a host's own last response.
+#[test]
+fn a_response_is_known_in_half_a_second_and_across_zones_in_one() {
+    const PROBES: u64 = 20;
+    let mut rng = fastrand::Rng::with_seed(3);
+    let zones: Vec<Name> = ZONES.iter().map(|zone| (*zone).into()).collect();
+    let zone_of = |host: usize| host % 3;
+    let new_view = |_| HostView {
+        shared: SharedLoad::default(),
+        report: None,
+        running: 0,
+        prefill_ms: 0.0,
+        peers_until: Millis(0),
+    };
+    let mut hosts: Vec<Vec<HostView>> = (0..HOSTS)
+        .map(|_| (0..90).map(new_view).collect())
+        .collect();
+    // Delays of hosts in the zone of the probe and in others.
+    let mut delays = [Vec::new(), Vec::new()];
+    for probe in 0..PROBES {
+        let begin = 10_000 + probe * 4_000;
+        let origin = rng.usize(..HOSTS);
+        for t in begin..begin + 4_000 {
+            let now = Millis(t);
+            if t == begin + 1_000 {
+                hosts[origin][89].report = Some((load(probe as u32), now, 0));
+            }
+            // All hosts together hear from each other server 4.6 times a second.
+            if rng.f64() < 0.415 {
+                let (host, server) = (rng.usize(..HOSTS), rng.usize(..89));
+                hosts[host][server].report = Some((load(1), now, 0));
+            }
+            for host in 0..HOSTS {
+                let knows = |hosts: &[Vec<HostView>], host: usize| {
+                    hosts[host][89].shared.load(now).map(|it| it.0.running) == Some(probe as u32)
+                };
+                if (t + host as u64 * 37) % 250 != 0 {
+                    continue;
+                }
+                let before: Vec<bool> = (0..HOSTS).map(|it| knows(&hosts, it)).collect();
+                share(&mut hosts, host, &zones, &zone_of, now, &mut rng);
+                for peer in (0..HOSTS).filter(|it| *it != origin) {
+                    if !before[peer] && knows(&hosts, peer) {
+                        let is_remote = zone_of(peer) != zone_of(origin);
+                        delays[usize::from(is_remote)].push(t - begin - 1_000);
+                    }
+                }
+            }
+        }
+    }
+    let expected = [28 * PROBES as usize, 55 * PROBES as usize];
+    let share_within = |zone: usize, ms: u64| {
+        let count = delays[zone].iter().filter(|delay| **delay <= ms).count();
+        count as f64 / expected[zone] as f64
+    };
+    for ms in [250, 500, 750, 1_000, 1_500, 2_000] {
+        println!(
+            "{ms} ms: {:.2} {:.2}",
+            share_within(0, ms),
+            share_within(1, ms)
+        );
+    }
+}
