--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -14,8 +14,8 @@
 /// Age up to which peers' words count, by the time of the response or of the estimate.
 pub const WORD_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Time from one message to peers to the next. Three peers a period reach half of a zone of 28 hosts
-/// after 0.3 s and nearly all after 0.5 s.
+/// Time from one message to peers to the next. In a simulated fleet of 83 hosts two thirds of a zone
+/// know a response after 0.5 s, and four fifths of the hosts of other zones after 1 s.
 pub const SHARE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Number of peers in the own zone that a message goes to.
--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -356,7 +356,7 @@
             view.shared.record_peer_prompt(prefill_us as f64 / 1e3, now);
         }
         for host in 0..HOSTS {
-            if knowledge == Knowledge::Shared && (t + host as u64 * 37) % period == 0 {
+            if knowledge == Knowledge::Shared && (t + host as u64 * 37).is_multiple_of(period) {
                 bytes += share(&mut hosts, host, &zones, &zone_of, now, &mut rng);
             }
             if rng.f64() >= 5.0 / 1_000.0 {
@@ -553,9 +553,10 @@
     }
 }
 
-/// A word that takes longer to spread is no better than a host's own last response.
+/// A word that takes longer to spread is no better than a host's own last response. Each response is
+/// passed on once, so that some hosts learn only of the server's next one.
 #[test]
-fn a_response_is_known_in_half_a_second_and_across_zones_in_one() {
+fn most_hosts_know_a_response_in_half_a_second_and_across_zones_in_one() {
     const PROBES: u64 = 20;
     let mut rng = fastrand::Rng::with_seed(3);
     let zones: Vec<Name> = ZONES.iter().map(|zone| (*zone).into()).collect();
@@ -589,7 +590,7 @@
                 let knows = |hosts: &[Vec<HostView>], host: usize| {
                     hosts[host][89].shared.load(now).map(|it| it.0.running) == Some(probe as u32)
                 };
-                if (t + host as u64 * 37) % 250 != 0 {
+                if !(t + host as u64 * 37).is_multiple_of(250) {
                     continue;
                 }
                 let before: Vec<bool> = (0..HOSTS).map(|it| knows(&hosts, it)).collect();
@@ -608,11 +609,7 @@
         let count = delays[zone].iter().filter(|delay| **delay <= ms).count();
         count as f64 / expected[zone] as f64
     };
-    for ms in [250, 500, 750, 1_000, 1_500, 2_000] {
-        println!(
-            "{ms} ms: {:.2} {:.2}",
-            share_within(0, ms),
-            share_within(1, ms)
-        );
-    }
+    let (near, remote) = (share_within(0, 500), share_within(1, 1_000));
+    println!("{near:.2} of the zone in 0.5 s, {remote:.2} of the others in 1 s");
+    assert!(near >= 0.6 && remote >= 0.7, "{near} {remote}");
 }
