--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -6,6 +6,7 @@
     forwarding_support::ForwardingSupport,
     names::{FastMap, Name},
     placement::affinity_rank,
+    shared_load::{LONG_PREFILL_PEERS, NEAR_PEERS, TRACKERS, crossing_probability},
     time::Millis,
 };
 use clementinearch_storage::StorePosition;
@@ -50,6 +51,8 @@
     pub(crate) link_mbps: u32,
     /// Whether it says that it serves forwarded requests.
     pub(crate) serves_forwarded: bool,
+    /// Whether it says that it reads messages on the servers' load.
+    pub(crate) reads_loads: bool,
 }
 
 /// A peer that a request may be forwarded to.
@@ -74,6 +77,7 @@
     /// Rate of its link, Mbit/s; zero if it is not known.
     link_mbps: u32,
     forwarding: ForwardingSupport,
+    reads_loads: bool,
 }
 
 /// The entry hosts that this one knows.
@@ -123,6 +127,7 @@
                 has_lost_servers: false,
                 link_mbps: 0,
                 forwarding: ForwardingSupport::default(),
+                reads_loads: false,
             });
             peer.address = address;
         }
@@ -141,6 +146,7 @@
             peer.has_lost_servers = info.has_lost_servers;
             peer.link_mbps = info.link_mbps;
             peer.forwarding.record_report(info.serves_forwarded);
+            peer.reads_loads = info.reads_loads;
         }
     }
 
@@ -218,6 +224,72 @@
         targets
     }
 
+    /// Addresses of the hosts that are told of all prompts for a server of this zone, and whether this
+    /// host is one: live hosts of the zone, or of the fleet if the zone has none.
+    pub(crate) fn trackers(
+        &self,
+        zone: &Name,
+        server: u64,
+        now: Millis,
+    ) -> (Vec<SocketAddr>, bool) {
+        let rank = |name: &str| affinity_rank(server, hash_bytes(name.as_bytes()));
+        let readers = || self.live_peers(now).filter(|(_, peer)| peer.reads_loads);
+        let in_zone = |peer: &Peer| peer.zone.as_ref() == Some(zone);
+        let is_own_zone = *zone == self.zone;
+        let has_hosts = is_own_zone || readers().any(|(_, peer)| in_zone(peer));
+        let candidates = readers().filter(|(_, peer)| !has_hosts || in_zone(peer));
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = candidates
+            .map(|(name, peer)| (rank(name), Some(peer.address)))
+            .collect();
+        if is_own_zone || !has_hosts {
+            ranked.push((rank(&self.own_name), None));
+        }
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        ranked.truncate(TRACKERS);
+        let is_own = ranked.iter().any(|(_, address)| address.is_none());
+        (ranked.into_iter().filter_map(|it| it.1).collect(), is_own)
+    }
+
+    /// Addresses of peers of the own zone to tell of a long prompt at once.
+    pub(crate) fn near_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let (near, _) = self.targets_by_zone(now);
+        fastrand::choose_multiple(near, LONG_PREFILL_PEERS)
+    }
+
+    /// Addresses of one peer in each other zone, which tells its zone of a long prompt.
+    pub(crate) fn zone_relays(&self, now: Millis) -> Vec<SocketAddr> {
+        let remote = self.remote_readers(now).into_values();
+        remote.filter_map(fastrand::choice).collect()
+    }
+
+    /// Live peers of each other zone that read messages on the servers' load.
+    fn remote_readers(&self, now: Millis) -> FastMap<&Name, Vec<SocketAddr>> {
+        let mut remote: FastMap<&Name, Vec<SocketAddr>> = FastMap::default();
+        for (_, peer) in self.live_peers(now).filter(|(_, peer)| peer.reads_loads) {
+            if let Some(zone) = peer.zone.as_ref().filter(|zone| **zone != self.zone) {
+                remote.entry(zone).or_default().push(peer.address);
+            }
+        }
+        remote
+    }
+
+    /// Addresses to send a message on the servers' load to: a few random live peers in the own zone
+    /// and now and then one in each other zone.
+    pub(crate) fn load_targets(&self, now: Millis) -> Vec<SocketAddr> {
+        let readers = self.live_peers(now).filter(|(_, peer)| peer.reads_loads);
+        let near = readers.filter(|(_, peer)| self.is_near(peer));
+        let near: Vec<SocketAddr> = near.map(|(_, peer)| peer.address).collect();
+        let remote = self.remote_readers(now);
+        let probability = crossing_probability(near.len() + 1);
+        let mut targets = fastrand::choose_multiple(near, NEAR_PEERS);
+        for addresses in remote.into_values() {
+            if fastrand::f64() < probability {
+                targets.extend(fastrand::choice(addresses));
+            }
+        }
+        targets
+    }
+
     /// Addresses to send the next report to, in random order: those of [`Self::report_targets`],
     /// peers that were newly met in the own zone and, if this host reads the store for the zone,
     /// all others there, which would otherwise not always know that it does. Peers of an unknown
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -11,6 +11,7 @@
     link_pacer::{GOSSIP_LINK_SHARE, event_batch_time, send_time},
     names::{FastSet, Name},
     part_evidence::PartRow,
+    shared_load::SHARE_PERIOD,
     time::Millis,
 };
 use clementinearch_storage::StorePosition;
@@ -29,6 +30,7 @@
     rollout::RolloutReport,
     rollouts::SessionVersion,
     server_limits::{LimitRow, limit_rows, merge_limits, merge_refusal_limits, refusal_limit_rows},
+    server_loads::{LoadMessage, load_message, merge_loads},
 };
 
 /// Largest datagram that is read, bytes. Reports with the evidence of a rollout on many routes are
@@ -53,6 +55,8 @@
     Prefills(Vec<Prefill>),
     Sessions(Vec<SessionVersion>),
     Parts(Vec<PartRow>),
+    /// Goes only to hosts that say that they read it.
+    Loads(LoadMessage),
 }
 
 /// The periodic report of a host on itself, its rollouts and suspect requests.
@@ -81,6 +85,10 @@
     /// first one that does, say nothing.
     #[serde(default)]
     serves_forwarded: bool,
+    /// Whether the host reads messages on the servers' load. Hosts of earlier versions log datagrams
+    /// of a kind that they do not know.
+    #[serde(default)]
+    reads_loads: bool,
     /// Limits of servers, by what any host heard last.
     #[serde(default)]
     server_limits: Vec<LimitRow>,
@@ -95,7 +103,11 @@
     socket: UdpSocket,
     events: mpsc::UnboundedReceiver<GossipEvent>,
     prefills: Vec<Prefill>,
+    /// Prompts of other zones' hosts, of which the own zone's are to be told.
+    relayed: Vec<Prefill>,
     sessions: Vec<SessionVersion>,
+    /// When peers were last told of the servers' load.
+    loads_told_at: Millis,
     /// Prompt parts of which there is news.
     parts: FastSet<u64>,
     /// Whether a new report is to be built and sent.
@@ -117,7 +129,9 @@
             socket,
             events,
             prefills: Vec::new(),
+            relayed: Vec::new(),
             sessions: Vec::new(),
+            loads_told_at: Millis(0),
             parts: FastSet::default(),
             is_report_due: true,
             report: Vec::new(),
@@ -131,9 +145,12 @@
         let mut next_report = Instant::now();
         let mut next_events = next_report;
         let mut next_send = next_report;
+        let mut next_loads = next_report;
         loop {
-            let has_events =
-                !self.prefills.is_empty() || !self.sessions.is_empty() || !self.parts.is_empty();
+            let has_events = !self.prefills.is_empty()
+                || !self.relayed.is_empty()
+                || !self.sessions.is_empty()
+                || !self.parts.is_empty();
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
                     if let Ok((length, peer)) = received {
@@ -154,6 +171,10 @@
                     next_report = Instant::now() + self.state.settings.limits.gossip_period;
                     self.is_report_due = true;
                 }
+                () = sleep_until(next_loads) => {
+                    next_loads = Instant::now() + SHARE_PERIOD;
+                    self.send_loads().await;
+                }
                 () = sleep_until(next_send), if self.has_report_to_send() => {
                     next_send = Instant::now() + self.send_report().await;
                 }
@@ -164,6 +185,7 @@
     fn buffer(&mut self, event: GossipEvent) {
         match event {
             GossipEvent::Prefill(prefill) => self.prefills.push(prefill),
+            GossipEvent::RelayedPrefill(prefill) => self.relayed.push(prefill),
             GossipEvent::Session(session) => self.sessions.push(session),
             GossipEvent::PartEvidence(parts) => self.parts.extend(parts),
             // Sent without a batch.
@@ -185,11 +207,81 @@
             datagrams += peers.len();
         }
         peers.truncate(PEERS_PER_PERIOD);
-        for chunk in std::mem::take(&mut self.prefills).chunks(ROWS_PER_DATAGRAM) {
-            self.send(&Datagram::Prefills(chunk.to_vec()), &peers).await;
+        let prefills = std::mem::take(&mut self.prefills);
+        let (long, short): (Vec<_>, Vec<_>) = prefills.into_iter().partition(Prefill::is_long);
+        datagrams += self.send_prefills(&short, &peers).await;
+        datagrams += self.send_to_trackers(&short, &peers, now).await;
+        // Other zones' trackers hear of long prompts from the relays, and must not hear of them twice.
+        let near = self.state.fleet.lock().near_targets(now);
+        datagrams += self.send_prefills(&long, &near).await;
+        datagrams += self
+            .send_to_trackers(&self.of_own_zone(&long), &near, now)
+            .await;
+        let relays = self.state.fleet.lock().zone_relays(now);
+        let to_relay: Vec<Prefill> = long.iter().map(Prefill::to_relay).collect();
+        datagrams += self.send_prefills(&to_relay, &relays).await;
+        let relayed = std::mem::take(&mut self.relayed);
+        datagrams += self.send_prefills(&relayed, &near).await;
+        datagrams += self
+            .send_to_trackers(&self.of_own_zone(&relayed), &near, now)
+            .await;
+        EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
+    }
+
+    /// Sends prefills to all `peers`. Returns the number of datagrams.
+    async fn send_prefills(&self, prefills: &[Prefill], peers: &[SocketAddr]) -> usize {
+        let mut datagrams = 0;
+        for chunk in prefills.chunks(ROWS_PER_DATAGRAM) {
+            self.send(&Datagram::Prefills(chunk.to_vec()), peers).await;
             datagrams += peers.len();
         }
-        EVENT_BATCH_PERIOD.max(event_batch_time(datagrams))
+        datagrams
+    }
+
+    /// Prefills on servers of the own zone.
+    fn of_own_zone(&self, prefills: &[Prefill]) -> Vec<Prefill> {
+        let is_near = |prefill: &&Prefill| {
+            let server = self.state.servers.by_hash(prefill.server);
+            server.is_some_and(|server| server.entry.zone == self.state.settings.zone)
+        };
+        prefills.iter().filter(is_near).cloned().collect()
+    }
+
+    /// Sends each prefill to the trackers of its server that are not among `told`. Returns the
+    /// number of datagrams.
+    async fn send_to_trackers(
+        &self,
+        prefills: &[Prefill],
+        told: &[SocketAddr],
+        now: Millis,
+    ) -> usize {
+        let mut datagrams = 0;
+        for prefill in prefills {
+            let Some(server) = self.state.servers.by_hash(prefill.server) else {
+                continue;
+            };
+            let zone = &server.entry.zone;
+            let (mut trackers, _) = self.state.fleet.lock().trackers(zone, prefill.server, now);
+            trackers.retain(|address| !told.contains(address));
+            datagrams += self
+                .send_prefills(std::slice::from_ref(prefill), &trackers)
+                .await;
+        }
+        datagrams
+    }
+
+    /// Sends what has become known of the servers' load since the last time to a few peers.
+    async fn send_loads(&mut self) {
+        let now = self.state.now();
+        let since = std::mem::replace(&mut self.loads_told_at, now);
+        let peers = self.state.fleet.lock().load_targets(now);
+        if peers.is_empty() {
+            return;
+        }
+        if let Some(message) = load_message(&self.state, since, now) {
+            let bytes = self.send(&Datagram::Loads(message), &peers).await;
+            metrics::counter!("clementinearch_load_bytes_total").increment(bytes as u64);
+        }
     }
 
     /// Sends the evidence on prompt parts of which there is news, to peers in all zones.
@@ -226,6 +318,7 @@
             has_lost_servers: state.has_lost_servers(),
             link_mbps: state.fleet.lock().link_mbps(),
             serves_forwarded: true,
+            reads_loads: true,
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
@@ -259,17 +352,21 @@
         )
     }
 
-    async fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) {
+    /// Sends a datagram to each peer. Returns the bytes that were sent, without packet headers.
+    async fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) -> usize {
         match serde_json::to_vec(datagram) {
             Ok(bytes) => {
                 for peer in peers {
                     // An unreachable peer is tried again with the next datagram.
                     let _ = self.socket.send_to(&bytes, peer).await;
                 }
+                bytes.len() * peers.len()
+            }
+            Err(e) => {
+                let state = &self.state;
+                state.log_event("word_not_written", "", &e.to_string(), &[]);
+                0
             }
-            Err(e) => self
-                .state
-                .log_event("word_not_written", "", &e.to_string(), &[]),
         }
     }
 }
@@ -279,10 +376,13 @@
     let now = state.now();
     match serde_json::from_slice::<Datagram>(datagram) {
         Ok(Datagram::Prefills(prefills)) => {
-            for prefill in prefills {
+            for mut prefill in prefills {
                 if let Some(server) = state.servers.by_hash(prefill.server) {
                     let span = Duration::from_millis(u64::from(prefill.ms)).min(MAX_PREFILL);
                     server.record_peer_prefill(&prefill.shared, prefill.size, span, now);
+                    if std::mem::take(&mut prefill.is_to_relay) {
+                        state.enqueue_gossip(GossipEvent::RelayedPrefill(prefill));
+                    }
                 }
             }
         }
@@ -291,6 +391,7 @@
                 state.rollouts.record_peer_session(session, now);
             }
         }
+        Ok(Datagram::Loads(message)) => merge_loads(state, &message, now),
         Ok(Datagram::Parts(rows)) => return state.merge_part_rows(&rows, now),
         Ok(Datagram::Report(report)) => return receive_report(state, *report),
         Err(e) => state.log_event("word_unreadable", "", &e.to_string(), &[]),
@@ -333,6 +434,7 @@
         has_lost_servers: report.has_lost_servers,
         link_mbps: report.link_mbps,
         serves_forwarded: report.serves_forwarded,
+        reads_loads: report.reads_loads,
     };
     state.fleet.lock().record_peer(peer, now);
     reply
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -69,6 +69,7 @@
 mod server;
 mod server_limits;
 mod server_pace;
+mod server_loads;
 mod server_places;
 mod server_rests;
 mod server_selection;
