--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -265,6 +265,7 @@
             gossip_period: settings.gossip_period,
             link_mbps: None,
             memory_bytes: settings.memory_mb * BYTES_PER_MB,
+            ramp_up: false,
         },
         bounds: Bounds {
             retries: RETRY_LIMIT,
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod server_limit;
 pub mod session;
 pub mod sizing;
+pub mod slow_start;
 pub mod subset;
 pub mod time;
 pub mod toml_reader;
--- a/router/src/admin.rs
+++ b/router/src/admin.rs
@@ -164,6 +164,7 @@
     metrics::gauge!("clementinearch_servers_left_alone").set(ejected.count() as f64);
     metrics::gauge!("clementinearch_servers_resting").set(state.resting_servers(now) as f64);
     metrics::gauge!("clementinearch_servers_cold").set(state.cold_servers(now) as f64);
+    metrics::gauge!("clementinearch_servers_ramping").set(state.ramping_servers(now) as f64);
     metrics::gauge!("clementinearch_zones_evacuated").set(state.evacuations.zones().len() as f64);
     metrics::gauge!("clementinearch_reaches_servers")
         .set(f64::from(u8::from(!state.has_lost_servers())));
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -8,6 +8,7 @@
     names::Name,
     rollout_evidence::Outcome,
     server_health::AttemptOutcome,
+    slow_start::RampAnswer,
     time::{Millis, nearest_span},
 };
 use http_body_util::Full;
@@ -369,6 +370,9 @@
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     // Another server has the address now, so the addressed one is gone.
                     record_server_outcome(&self.state, server, AttemptOutcome::Unreachable, now);
+                } else {
+                    let bad = RampAnswer::Bad;
+                    self.state.record_ramp_answer(server, bad, now, now);
                 }
                 Some(AttemptResult::NotRun {
                     why: "server refused",
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::{server_health::AttemptOutcome, time::Millis};
+use clementinearch_policy::{
+    server_health::AttemptOutcome, slow_start::RampAnswer, time::Millis,
+};
 
 use crate::{connections::connect, host_state::HostState, server::Server};
 
@@ -19,6 +21,12 @@
     if outcome == AttemptOutcome::Unreachable {
         mark_zone_if_unreachable(state, server, now);
     }
+    let was_ejected = server.is_ejected(now) || server.is_trial_due(now);
+    match outcome {
+        AttemptOutcome::Good if was_ejected => state.begin_ramp(server, "trial succeeded", now),
+        AttemptOutcome::Good => {}
+        _ => state.record_ramp_answer(server, RampAnswer::Bad, now, now),
+    }
     if server.record_outcome(outcome, pool_rate, now) {
         let rate = server.failure_rate();
         state.log_event(
@@ -84,6 +92,7 @@
                     server.record_connected(state.now());
                     state.record_server_connected(state.now());
                     state.log_event("server_in_reach", &server.entry.name, "", &[]);
+                    state.begin_ramp(&server, "in reach", state.now());
                 }
             });
         }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -67,6 +67,7 @@
 mod server_selection;
 mod servers;
 mod settings;
+mod slow_start;
 mod store_items;
 mod stored_blocks;
 mod stream_begin;
--- a/router/src/response_evaluation.rs
+++ b/router/src/response_evaluation.rs
@@ -163,6 +163,12 @@
     fn record_latency(&self, server: &Server, latency: Duration) {
         let route = &self.call.head.route.name;
         let latency_ms = latency.as_secs_f64() * 1_000.0;
+        self.state.record_ramp_latency(
+            server,
+            latency_ms,
+            self.usual_latency_ms(),
+            self.state.now(),
+        );
         if let Some(mean_ms) = self.state.latencies_ms.get(route, self.size) {
             server.record_latency(latency_ms, mean_ms);
         }
@@ -171,6 +177,14 @@
         }
     }
 
+    /// Time to the first event or the complete response that is usual and expected, milliseconds, as
+    /// far as it is known.
+    fn usual_latency_ms(&self) -> Option<f64> {
+        let route = &self.call.head.route.name;
+        let mean_ms = self.state.latencies_ms.get(route, self.size)?;
+        Some(mean_ms.max(self.expected_latency().as_secs_f64() * 1_000.0))
+    }
+
     /// Whether the server runs the target version of a rollout in progress, whose responses must not
     /// shift what they are compared with.
     fn is_on_target(&self, server: &Server) -> bool {
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -8,6 +8,7 @@
     relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
     server_limit::Pacer,
+    slow_start::Ramp,
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -118,6 +119,8 @@
     refusal_limit: Option<NamedLimit>,
     /// Spaces this host's requests while the server names a limit.
     pacer: Pacer,
+    /// The slow start of the server, from its begin to its end.
+    ramp: Option<Ramp>,
 }
 
 /// What a server said of its limit.
@@ -203,6 +206,7 @@
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
             pacer: observed.pacer,
+            ramp: observed.ramp,
             sequence: next.entry.sequence,
             ..Observations::default()
         };
@@ -268,6 +272,11 @@
         self.observed.lock().cold_until > now
     }
 
+    /// Reads or changes the server's slow start.
+    pub(crate) fn with_ramp<T>(&self, f: impl FnOnce(&mut Option<Ramp>) -> T) -> T {
+        f(&mut self.observed.lock().ramp)
+    }
+
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
     pub(crate) fn has_lapsed_entry(&self) -> bool {
         self.observed.lock().has_lapsed_entry
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -62,7 +62,9 @@
     let mut eligible = eligible_servers(state, &pool, call, &rule, tried, now);
     eligible.retain(|server| state.is_within_limit(server, now));
     retain_placed(state, &pool, &mut eligible, now);
+    let mut set_aside = state.set_aside_ramping(&mut eligible, now);
     let mut views = server_views(call, &eligible, size, now);
+    state.narrow_ramping(&eligible, &mut views, now);
     let query = PlacementQuery {
         zone: &state.settings.zone,
         prompt_tokens: call
@@ -78,10 +80,17 @@
     while !state.take_turn(&eligible[index], now) {
         eligible.remove(index);
         views.remove(index);
+        if eligible.is_empty() {
+            // A slow start alone is no reason to refuse a request.
+            eligible = std::mem::take(&mut set_aside);
+            views = server_views(call, &eligible, size, now);
+            state.narrow_ramping(&eligible, &mut views, now);
+        }
         index = choose_server(&views, &query, offset)?;
     }
     let server = eligible[index].clone();
     state.take_place(&pool, &server, now);
+    state.record_ramp_sent(&server, now);
     let uncached_tokens = (query.prompt_tokens - views[index].cached_tokens).max(0.0);
     if let Some(prompt) = &call.head.prompt {
         server.record_parts(prompt, size, now);
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -56,6 +56,8 @@
     pub link_mbps: Option<f64>,
     /// Memory of the process, bytes.
     pub memory_bytes: u64,
+    /// Whether servers that start or recover get their requests in a slow start.
+    pub ramp_up: bool,
 }
 
 /// Bounds that hold for the whole fleet.
@@ -171,6 +173,7 @@
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
         link_mbps: table.parsed("link_mbps", parse_rate),
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
+        ramp_up: table.flag("ramp_up", false),
     }
 }
 
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -145,6 +145,8 @@
                 let name = entry.name.clone();
                 let version = entry.version.clone();
                 let known = self.servers.get(&name);
+                // Servers that are found at the host's own start have been running for long.
+                let is_first = self.servers.pool(&entry.service).is_empty();
                 let change = self.servers.update(entry, now);
                 if let (EntryChange::Restarted, Some(known)) = (change, known) {
                     self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
@@ -165,6 +167,14 @@
                 if may_be_cold && let Some(server) = self.servers.get(&name) {
                     self.record_entry_cold(&server, change == EntryChange::Restarted, now);
                 }
+                let starts = match change {
+                    EntryChange::New if !is_first => Some("new"),
+                    EntryChange::Restarted => Some("restarted"),
+                    _ => None,
+                };
+                if let (Some(why), Some(server)) = (starts, self.servers.get(&name)) {
+                    self.begin_ramp(&server, why, now);
+                }
                 return match change {
                     EntryChange::Outdated => Applied::Outdated,
                     EntryChange::Unchanged => Applied::Irrelevant,
