--- a/policy/tests/slow_start.rs
+++ b/policy/tests/slow_start.rs
@@ -28,6 +28,8 @@
     is_slow: fn(u64) -> bool,
     /// Times at which the servers start, again if there are several.
     starts: &'static [u64],
+    /// Whether hosts tell each other the servers' loads, twice a second.
+    shares_loads: bool,
 }
 
 /// What a run of 40 s showed of the servers that started.
@@ -53,6 +55,7 @@
     let mut ramps: Vec<Vec<Option<Ramp>>> = vec![vec![None; servers]; hosts];
     let mut own = vec![vec![0_u32; servers]; hosts];
     let mut reports: Vec<Vec<Option<(f64, Millis)>>> = vec![vec![None; servers]; hosts];
+    let mut shared = vec![0_u32; servers];
     let mut ratios = vec![vec![RelativeLatency::default(); servers]; hosts];
     let mut total = vec![0_u32; servers];
     let mut running: Vec<(u64, u64, usize, usize)> = Vec::new();
@@ -66,6 +69,9 @@
     let mut full_steps = 0;
     for at in (0..40_000).step_by(STEP_MS as usize) {
         let now = Millis(1_000 + at);
+        if case.shares_loads && at % 500 == 0 {
+            shared.clone_from(&total);
+        }
         let is_slow = (case.is_slow)(at);
         if is_slow {
             (warm_since, seen.full_ms, full_steps) = (at, None, 0);
@@ -98,7 +104,8 @@
             let host = rng.usize(..hosts);
             let load = |server: usize| {
                 let others = reports[host][server].filter(|it| now.since(it.1).as_secs() < 3);
-                others.map_or(0.0, |it| it.0) + f64::from(own[host][server])
+                let known = others.map_or(0.0, |it| it.0) + f64::from(own[host][server]);
+                known.max(f64::from(shared[server]))
             };
             let is_open = |server: usize| {
                 let own = own[host][server];
@@ -148,24 +155,132 @@
     seen
 }
 
-fn compare(name: &str, case: &Case) -> Vec<[Seen; 3]> {
-    let runs = HOSTS.map(|hosts| {
+/// Runs a case for each size of the fleet with each pace, and prints what was seen.
+fn compare(name: &str, case: &Case) -> [[Seen; 3]; 3] {
+    HOSTS.map(|hosts| {
         [Pace::None, Pace::Fixed(10_000.0), Pace::Ramp].map(|pace| {
             let seen = run(case, hosts, pace);
             println!("{name}, {hosts} hosts, {pace:?}: {seen:.1?}");
             seen
         })
-    });
-    runs.into()
+    })
+}
+
+const ONE: Case = Case {
+    starting: 1,
+    warm: 20,
+    is_slow: |_| false,
+    starts: &[0],
+    shares_loads: false,
+};
+
+/// Guards against a flood of a server that is slow at first, and against one that is left idle.
+#[test]
+fn a_server_that_is_slow_at_first_is_not_flooded_and_fully_used_later() {
+    let is_slow: fn(u64) -> bool = |at| at < 5_000;
+    for [none, fixed, ramp] in compare("slow start", &Case { is_slow, ..ONE }) {
+        assert!(ramp.overshoot <= none.overshoot / 8.0);
+        assert!(ramp.overshoot <= fixed.overshoot + 1.0);
+        assert!(ramp.wait_ms < none.wait_ms);
+        assert!(ramp.full_ms.is_some_and(|it| it <= 15_000));
+    }
+    let (starting, warm) = (30, 30);
+    let thirty = Case {
+        starting,
+        warm,
+        is_slow,
+        ..ONE
+    };
+    for [none, fixed, ramp] in compare("thirty at once", &thirty) {
+        assert!(ramp.overshoot <= none.overshoot / 8.0);
+        assert!(ramp.wait_ms < fixed.wait_ms && ramp.wait_ms < none.wait_ms);
+        assert!(ramp.full_ms.is_some_and(|it| it <= 15_000));
+    }
+}
+
+/// Guards against a ramp that wastes a server which is as fast as ever.
+#[test]
+fn a_server_that_recovers_is_fully_used_soon() {
+    let [seven, many, most] = compare("recovery", &ONE);
+    for [_, fixed, ramp] in [seven, many] {
+        assert!(ramp.full_ms < fixed.full_ms);
+    }
+    // Of 320 hosts each must wait for its part, since it has no answers.
+    assert!(most[2].full_ms.is_some_and(|it| it <= 20_000));
+}
+
+/// Guards against a ramp that ends by time although the server is still slow. If no host knows of
+/// other hosts' requests, 320 of them try the server within seconds; known loads stop that.
+#[test]
+fn a_server_that_is_never_fast_is_not_flooded() {
+    let never = Case {
+        is_slow: |_| true,
+        ..ONE
+    };
+    for [_, fixed, ramp] in &compare("never fast", &never)[..2] {
+        assert!(ramp.overshoot <= fixed.overshoot / 2.0);
+        assert!(ramp.wait_ms < fixed.wait_ms);
+    }
+    let shared = Case {
+        shares_loads: true,
+        ..never
+    };
+    for [none, _, ramp] in compare("never fast, shared loads", &shared) {
+        assert!(ramp.overshoot <= 12.0);
+        assert!(ramp.wait_ms < none.wait_ms);
+    }
+}
+
+/// Guards against a limit that a server gains in its good times and is flooded with in bad ones.
+#[test]
+fn a_server_that_flaps_is_not_flooded() {
+    let flapping = Case {
+        is_slow: |at| at % 10_000 < 3_000,
+        starts: &[0, 10_000, 20_000, 30_000],
+        ..ONE
+    };
+    for [none, _, ramp] in compare("flaps", &flapping) {
+        assert!(ramp.overshoot <= none.overshoot / 3.0);
+        assert!(ramp.wait_ms < none.wait_ms);
+    }
+}
+
+/// Guards against hosts that together send more than the limit, or nothing.
+#[test]
+fn the_parts_of_all_hosts_add_up_to_the_limit() {
+    for hosts in HOSTS {
+        for limit in [1.0, 2.9, 16.0, 400.0] {
+            let parts = (0..hosts).map(|rank| HostPlace { rank, hosts }.part(limit));
+            assert_eq!(parts.sum::<u32>(), limit as u32);
+        }
+    }
 }
 
+/// Guards against a false report that opens a server, and against answers that are no numbers.
 #[test]
-fn figures() {
-    let slow: fn(u64) -> bool = |at| at < 5_000;
-    let one = |is_slow, starts| Case { starting: 1, warm: 20, is_slow, starts };
-    compare("slow start", &one(slow, &[0]));
-    compare("recovery", &one(|_| false, &[0]));
-    compare("never fast", &one(|_| true, &[0]));
-    compare("flaps", &one(|at| at % 10_000 < 3_000, &[0, 10_000, 20_000, 30_000]));
-    compare("thirty", &Case { starting: 30, warm: 30, is_slow: slow, starts: &[0] });
+fn false_reports_and_odd_latencies_raise_no_limit_beyond_the_slots() {
+    let place = HostPlace { rank: 0, hosts: 7 };
+    let now = Millis(1_000);
+    for running in [f64::NAN, f64::INFINITY, -1.0, 1e9] {
+        let mut ramp = Ramp::new(SLOTS, place, now);
+        ramp.record(RampAnswer::Timely, running, now, now);
+        assert!((2.0..=16.0).contains(&ramp.limit(now)), "{running}");
+    }
+    for expected in [f64::NAN, -1.0] {
+        assert_ne!(RampAnswer::of_latency(1.0, expected), RampAnswer::Bad);
+    }
+}
+
+/// Guards against a server that stays slow and is turned to by all hosts in the same second, and
+/// against a ramp that never ends.
+#[test]
+fn ramps_without_answers_end_late_and_one_host_after_the_other() {
+    let ends = |rank, after| {
+        let ramp = Ramp::new(SLOTS, HostPlace { rank, hosts: 83 }, Millis(0));
+        ramp.end(Millis(after))
+    };
+    assert_eq!(ends(0, 59_999), None);
+    assert_eq!(ends(0, 60_000), Some(RampEnd::Expired));
+    assert_eq!(ends(82, 100_000), None);
+    assert_eq!(ends(82, 120_000), Some(RampEnd::Expired));
 }
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -2,9 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::{
-    server_health::AttemptOutcome, slow_start::RampAnswer, time::Millis,
-};
+use clementinearch_policy::{server_health::AttemptOutcome, slow_start::RampAnswer, time::Millis};
 
 use crate::{connections::connect, host_state::HostState, server::Server};
 
--- a/router/src/slow_start.rs
+++ b/router/src/slow_start.rs
@@ -134,6 +134,9 @@
 
     /// Records that this host sends a request to the server.
     pub(crate) fn record_ramp_sent(&self, server: &Server, now: Millis) {
+        if !self.settings.limits.ramp_up {
+            return;
+        }
         server.with_ramp(|ramp| {
             if let Some(ramp) = ramp {
                 ramp.record_sent(now);
@@ -164,7 +167,7 @@
         sent_at: Millis,
         now: Millis,
     ) {
-        if server.with_ramp(|ramp| ramp.is_none()) {
+        if !self.settings.limits.ramp_up || server.with_ramp(|ramp| ramp.is_none()) {
             return;
         }
         let running = server.load(now).running;
