--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod session;
 pub mod shared_load;
 pub mod sizing;
+pub mod slow_start;
 pub mod subset;
 pub mod time;
 pub mod toml_reader;
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -9,6 +9,7 @@
     relative_latency::RelativeLatency,
     server_health::{AttemptOutcome, ServerHealth},
     shared_load::{OwnLoad, SharedLoad, slowdown_factor},
+    slow_start::Ramp,
     time::Millis,
 };
 use parking_lot::Mutex;
@@ -120,6 +121,8 @@
     limit: Option<NamedLimit>,
     /// The refusals per second that the server bears, as it said last.
     refusal_limit: Option<NamedLimit>,
+    /// The slow start of the server, from its begin to its end.
+    ramp: Option<Ramp>,
 }
 
 /// What a server said of its limit.
@@ -234,6 +237,7 @@
             resting_until: observed.resting_until,
             limit: observed.limit,
             refusal_limit: observed.refusal_limit,
+            ramp: observed.ramp,
             sequence: next.entry.sequence,
             ..Observations::default()
         };
@@ -285,6 +289,11 @@
         !self.rest_left(now).is_zero()
     }
 
+    /// Reads or changes the server's slow start.
+    pub(crate) fn with_ramp<T>(&self, f: impl FnOnce(&mut Option<Ramp>) -> T) -> T {
+        f(&mut self.observed.lock().ramp)
+    }
+
     /// Whether the server's entry lapsed while the store was unavailable, so that it may be gone.
     pub(crate) fn has_lapsed_entry(&self) -> bool {
         self.observed.lock().has_lapsed_entry
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -63,6 +63,8 @@
     pub descriptors: Option<u64>,
     /// Most connections of callers; `None` for what the memory allows.
     pub caller_connections: Option<u64>,
+    /// Whether servers that start or recover get their requests in a slow start.
+    pub ramp_up: bool,
 }
 
 /// Bounds that hold for the whole fleet.
@@ -185,6 +187,7 @@
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
         descriptors: optional_count(table, "descriptors"),
         caller_connections: optional_count(table, "caller_connections"),
+        ramp_up: table.flag("ramp_up", false),
     }
 }
 
--- a/router/src/store_items.rs
+++ b/router/src/store_items.rs
@@ -158,6 +158,8 @@
                 let version = entry.version.clone();
                 let known = self.servers.get(&name);
                 let is_other_start = self.servers.names_other_start(&entry);
+                // Servers that are found at the host's own start have been running for long.
+                let is_first = self.servers.pool(&entry.service).is_empty();
                 let change = self.servers.update(entry, now);
                 if let (EntryChange::Restarted, Some(known)) = (change, known) {
                     self.record_crashes(self.unfinished_attempts.on_restart(&known, now));
@@ -179,6 +181,14 @@
                     let is_other_start = is_other_start && change != EntryChange::Outdated;
                     self.record_entry_cold(&server, is_other_start, now);
                 }
+                let starts = match change {
+                    EntryChange::New if !is_first => Some("new"),
+                    EntryChange::Restarted => Some("restarted"),
+                    _ => None,
+                };
+                if let (Some(why), Some(server)) = (starts, self.servers.get(&name)) {
+                    self.begin_ramp(&server, why, now);
+                }
                 return match change {
                     EntryChange::Outdated => Applied::Outdated,
                     EntryChange::Unchanged => Applied::Irrelevant,
