--- a/host/src/cmd/route.rs
+++ b/host/src/cmd/route.rs
@@ -23,6 +23,9 @@
 /// Variable with the memory of the process, MB; see [`LINK_RATE_VARIABLE`].
 const MEMORY_VARIABLE: &str = "CLEMENTINEARCH_MEMORY_MB";
 
+/// Variable with the regions of the zones, a JSON object of texts by zone.
+const REGIONS_VARIABLE: &str = "CLEMENTINEARCH_REGIONS";
+
 /// Variable with the path of the settings, where no option names it or the option's file is missing.
 const SETTINGS_VARIABLE: &str = "CLEMENTINEARCH_SETTINGS";
 
@@ -53,7 +56,9 @@
             .with_link_rate(&variable(LINK_RATE_VARIABLE))
             .map_err(invalid(LINK_RATE_VARIABLE))?
             .with_memory(&variable(MEMORY_VARIABLE))
-            .map_err(invalid(MEMORY_VARIABLE))?;
+            .map_err(invalid(MEMORY_VARIABLE))?
+            .with_regions(&variable(REGIONS_VARIABLE))
+            .map_err(invalid(REGIONS_VARIABLE))?;
         if self.check {
             println!(
                 "{source}: settings of entry host {} are valid",
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -1144,10 +1144,6 @@
             ("bounds.exposureShare", "0.15".to_owned()),
         ];
         let mut text = template;
-        // A platform without regions has no zones to list.
-        if let Some(begin) = text.find("{{#zones}}") {
-            text.truncate(begin);
-        }
         for (field, value) in values {
             text = text.replace(&format!("{{{{{field}}}}}"), &value);
         }
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -280,7 +280,7 @@
             };
         }
         if let Some(load) = head.load {
-            server.record_load(load, now);
+            state.record_load(&server, load, now);
         }
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_marks(&server, &head, parts.status, now);
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -208,6 +208,11 @@
         }
         peers.truncate(PEERS_PER_PERIOD);
         let prefills = std::mem::take(&mut self.prefills);
+        if !self.state.shares_loads() {
+            self.relayed.clear();
+            datagrams += self.send_prefills(&prefills, &peers).await;
+            return EVENT_BATCH_PERIOD.max(event_batch_time(datagrams));
+        }
         let (long, short): (Vec<_>, Vec<_>) = prefills.into_iter().partition(Prefill::is_long);
         datagrams += self.send_prefills(&short, &peers).await;
         datagrams += self.send_to_trackers(&short, &peers, now).await;
@@ -274,6 +279,9 @@
     async fn send_loads(&mut self) {
         let now = self.state.now();
         let since = std::mem::replace(&mut self.loads_told_at, now);
+        if !self.state.shares_loads() {
+            return;
+        }
         let peers = self.state.fleet.lock().load_targets(now);
         if peers.is_empty() {
             return;
@@ -318,7 +326,7 @@
             has_lost_servers: state.has_lost_servers(),
             link_mbps: state.fleet.lock().link_mbps(),
             serves_forwarded: true,
-            reads_loads: true,
+            reads_loads: state.shares_loads(),
             server_limits: limit_rows(state, now),
             refusal_limits: refusal_limit_rows(state, now),
         };
--- a/router/src/host_state.rs
+++ b/router/src/host_state.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -97,6 +97,8 @@
     table: RwLock<Option<Arc<RoutingTable>>>,
     table_changed: Notify,
     pub(crate) view_changed: Notify,
+    /// Whether a server has named how long work takes there at the moment.
+    pub(crate) has_named_slowdown: AtomicBool,
     /// Number of servers chosen so far, by which equal servers are chosen in turn.
     pub(crate) placements: AtomicUsize,
     pub(crate) view_reads: ViewReads,
@@ -153,6 +155,7 @@
             event_gap_logs: MovingAverages::with_weight(USUAL_GAP_WEIGHT),
             table: RwLock::default(),
             table_changed: Notify::new(),
+            has_named_slowdown: AtomicBool::new(false),
             placements: AtomicUsize::new(0),
             view_reads: ViewReads::default(),
             last_store_contact_ms: AtomicU64::new(0),
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -1,6 +1,9 @@
 //! The servers' load, as this host tells its peers and hears it from them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use clementinearch_policy::{
     load_rows::{pack, server_key, unpack},
@@ -13,7 +16,7 @@
 
 use crate::{
     host_state::HostState,
-    server::{LoadEstimate, Server},
+    server::{LoadEstimate, LoadReport, Server},
 };
 
 /// A message on the servers' load.
@@ -24,6 +27,29 @@
     rows: String,
 }
 
+impl HostState {
+    /// Whether hosts share what they know of the servers' load: where servers name how long work
+    /// takes at the moment, or are cold after a start, they are too uneven for a host that hears of
+    /// each once in ten seconds. Other fleets are spared the messages.
+    pub(crate) fn shares_loads(&self) -> bool {
+        self.has_named_slowdown.load(Ordering::Relaxed) || self.has_cold_pace()
+    }
+
+    /// Whether a service names a pace for its cold servers.
+    pub(crate) fn has_cold_pace(&self) -> bool {
+        let table = self.table();
+        table.is_some_and(|table| table.services.values().any(|it| it.cold_pace.is_some()))
+    }
+
+    /// Records the load that a server reported with a response.
+    pub(crate) fn record_load(&self, server: &Server, load: LoadReport, now: Millis) {
+        if load.slowdown.is_some() {
+            self.has_named_slowdown.store(true, Ordering::Relaxed);
+        }
+        server.record_load(load, now);
+    }
+}
+
 /// Returns what has become known of the servers' load after `since`; none if nothing has. If that is
 /// more than one message holds, it is a random part.
 pub(crate) fn load_message(state: &HostState, since: Millis, now: Millis) -> Option<LoadMessage> {
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -128,6 +128,23 @@
         Ok(self)
     }
 
+    /// Adds regions of zones from a JSON object of texts by zone, for zones that the file names none
+    /// for. An empty text names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the text.
+    pub fn with_regions(mut self, text: &str) -> Result<Self, String> {
+        if !text.is_empty() {
+            let regions: FastMap<Name, Name> =
+                serde_json::from_str(text).map_err(|e| format!("`{text}`: {e}"))?;
+            for (zone, region) in regions {
+                self.regions.entry(zone).or_insert(region);
+            }
+        }
+        Ok(self)
+    }
+
     /// Parses and checks settings in TOML; `source` names the file in findings. A figure without a
     /// value, which a template leaves where its source has none, counts as absent.
     ///
