--- a/policy/src/connection_bounds.rs
+++ b/policy/src/connection_bounds.rs
@@ -31,6 +31,10 @@
 const MAX_READINESS: u64 = 64;
 const MAX_OPERATORS: u64 = 32;
 
+/// Least bounds that a small memory gives: some connections, and two of the largest heads.
+const MIN_CONNECTIONS: u64 = 64;
+const MIN_HEAD_BYTES: usize = 128 << 10;
+
 /// Part of a listener's connections that is kept for new ones, whose first request has not been
 /// accepted yet; the rest is kept for those that have had one.
 const NEW_DIVISOR: usize = 4;
@@ -62,13 +66,14 @@
     /// replaces the bound on callers' connections that the memory gives.
     pub fn new(memory: u64, descriptors: u64, callers: Option<u64>) -> Self {
         let connection = CONNECTION_BYTES as u64;
-        let head_bytes = (memory / HEADS_MEMORY_DIVISOR) as usize;
+        let head_bytes = ((memory / HEADS_MEMORY_DIVISOR) as usize).max(MIN_HEAD_BYTES);
         let limits = |most: u64, divisor: u64| ConnectionLimits {
             connections: most.min(descriptors / divisor).max(1) as usize,
             head_bytes,
         };
-        let callers = callers.unwrap_or(memory / CALLERS_MEMORY_DIVISOR / connection);
-        let peers = (memory / PEERS_MEMORY_DIVISOR / connection).min(MAX_PEERS);
+        let callers =
+            callers.unwrap_or((memory / CALLERS_MEMORY_DIVISOR / connection).max(MIN_CONNECTIONS));
+        let peers = (memory / PEERS_MEMORY_DIVISOR / connection).clamp(MIN_CONNECTIONS, MAX_PEERS);
         Self {
             callers: limits(callers, CALLERS_DESCRIPTORS_DIVISOR),
             readiness: limits(MAX_READINESS, OTHERS_DESCRIPTORS_DIVISOR),
--- a/router/src/connection_account.rs
+++ b/router/src/connection_account.rs
@@ -128,6 +128,7 @@
             closer,
             is_blocked: AtomicBool::new(false),
             is_working: AtomicBool::new(false),
+            has_request: AtomicBool::new(false),
             head_bytes: AtomicUsize::new(0),
             flushed: Notify::new(),
         }))
@@ -201,6 +202,8 @@
     is_blocked: AtomicBool,
     /// Whether a request is being served.
     is_working: AtomicBool,
+    /// Whether the head of a request has been read whose response is not begun.
+    has_request: AtomicBool,
     /// Bytes read since the last request began.
     head_bytes: AtomicUsize,
     /// Notified when the client has read what was written.
@@ -215,7 +218,8 @@
 
     /// Records bytes that were read. Returns whether another connection was told to close for them.
     pub(crate) fn record_read(&self, bytes: usize) -> bool {
-        if self.is_working.load(Ordering::Relaxed) {
+        // Bodies are held within the memory for bodies.
+        if self.has_request.load(Ordering::Relaxed) {
             return false;
         }
         let all = self.head_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
@@ -241,10 +245,16 @@
         while self.is_blocked.load(Ordering::Relaxed) {
             self.flushed.notified().await;
         }
+        self.has_request.store(true, Ordering::Relaxed);
         self.head_bytes.store(0, Ordering::Relaxed);
         self.set_head_bytes(0);
     }
 
+    /// Records that the response to a request begins, so that what comes next is another request.
+    pub(crate) fn end_request(&self) {
+        self.has_request.store(false, Ordering::Relaxed);
+    }
+
     /// Records that a complete, accepted request is served from now on, until the result is dropped.
     pub(crate) fn begin_work(self: &Arc<Self>) -> Work {
         self.is_working.store(true, Ordering::Relaxed);
--- a/router/src/ingress.rs
+++ b/router/src/ingress.rs
@@ -183,6 +183,7 @@
         response = responding => response.map_err(|_| PANICKED),
         () = state.wait_for_stop_responses() => Err(PLANNED_STOP),
     };
+    open.end_request();
     let mut response = response.unwrap_or_else(|reason| {
         // How far the request got is not known.
         let refusal = Refusal::MayHaveRun { reason };
--- a/router/src/internal_http.rs
+++ b/router/src/internal_http.rs
@@ -47,7 +47,9 @@
             async move {
                 served.begin_request().await;
                 let work = served.begin_work();
-                Ok::<_, Infallible>(with_work(respond(req).await, work))
+                let response = respond(req).await;
+                served.end_request();
+                Ok::<_, Infallible>(with_work(response, work))
             }
         });
         let first_byte = idle.min(FIRST_BYTE_TIMEOUT);
