--- a/policy/src/load_rows.rs
+++ b/policy/src/load_rows.rs
@@ -23,7 +23,11 @@
 pub const MAX_SLOWDOWN: u32 = 1_000;
 
 /// Unit of the duration of work in a row, percent.
-const SLOWDOWN_STEP: u32 = 5;
+const SLOWDOWN_STEP: u32 = 10;
+
+/// Number of durations of work in a row, none included. They share a byte with the outcome, so that
+/// longer ones count as 840 percent.
+const SLOWDOWNS: u8 = 85;
 
 /// Unit of ages in a row, milliseconds.
 const AGE_STEP_MS: u64 = 10;
@@ -31,6 +35,11 @@
 /// Age in a row that stands for no figure.
 const NO_FIGURE: u8 = u8::MAX;
 
+/// Outcomes of responses in a row.
+const NO_OUTCOME: u8 = 0;
+const SUCCESS: u8 = 1;
+const FAILURE: u8 = 2;
+
 /// Number of bits of the numbers of requests.
 const REQUEST_BITS: u32 = 12;
 
@@ -43,6 +52,8 @@
     pub waiting: u32,
     /// Duration of work relative to normal, percent; none if the server does not name it.
     pub slowdown: Option<u32>,
+    /// Whether the response was a failure of the server; none if it did not run the request.
+    pub has_failed: Option<bool>,
 }
 
 /// What one host tells others of a server.
@@ -80,10 +91,15 @@
     });
     let (running, waiting, slowdown) = load.map_or((0, 0, 0), |load| {
         let steps = load.slowdown.map_or(0, |it| it.min(MAX_SLOWDOWN));
-        let steps = steps.div_ceil(SLOWDOWN_STEP) as u8;
+        let steps = (steps.div_ceil(SLOWDOWN_STEP) as u8).min(SLOWDOWNS - 1);
         let bounded = |number: u32| number.min(MAX_REQUESTS);
         (bounded(load.running), bounded(load.waiting), steps)
     });
+    let outcome = match load.and_then(|load| load.has_failed) {
+        None => NO_OUTCOME,
+        Some(false) => SUCCESS,
+        Some(true) => FAILURE,
+    };
     let (pending, pending_age) = row.pending.map_or((0, NO_FIGURE), |(span, age)| {
         (span.min(MAX_PENDING).as_millis() as u16, pack_age(age))
     });
@@ -91,7 +107,7 @@
     buf.extend(row.server.to_le_bytes());
     buf.extend(&requests.to_le_bytes()[..3]);
     buf.extend(pending.to_le_bytes());
-    buf.extend([slowdown, load_age, pending_age]);
+    buf.extend([outcome * SLOWDOWNS + slowdown, load_age, pending_age]);
 }
 
 /// Rounds an age up, with one step more for the way: a row that is passed on never gets younger, so
@@ -128,20 +144,24 @@
         high,
         ms_low,
         ms_high,
-        slowdown,
+        work,
         load_age,
         pending_age,
     ] = *row;
     let requests = u32::from_le_bytes([low, middle, high, 0]);
+    let (outcome, slowdown) = (work / SLOWDOWNS, work % SLOWDOWNS);
+    let slowdown = u32::from(slowdown) * SLOWDOWN_STEP;
     let load = ServerLoad {
         running: requests & ((1 << REQUEST_BITS) - 1),
         waiting: requests >> REQUEST_BITS,
-        slowdown: Some(u32::from(slowdown) * SLOWDOWN_STEP).filter(|it| *it != 0),
+        slowdown: Some(slowdown).filter(|it| *it != 0),
+        has_failed: (outcome != NO_OUTCOME).then_some(outcome == FAILURE),
     };
     let pending = Duration::from_millis(u64::from(u16::from_le_bytes([ms_low, ms_high])));
     let is_sane = load.running <= MAX_REQUESTS
         && load.waiting <= MAX_REQUESTS
         && load.slowdown.is_none_or(|it| it <= MAX_SLOWDOWN)
+        && outcome <= FAILURE
         && pending <= MAX_PENDING;
     let age = |steps: u8| {
         (steps != NO_FIGURE).then(|| Duration::from_millis(u64::from(steps) * AGE_STEP_MS))
--- a/policy/src/placement.rs
+++ b/policy/src/placement.rs
@@ -11,6 +11,10 @@
 /// Delay that each running request adds to the first event of a new one, milliseconds.
 const RUNNING_COST_MS: f64 = 6.0;
 
+/// The same delay where hosts share what they know of all servers' load. The number of requests
+/// that run then also shows how slow a server is.
+const SHARED_RUNNING_COST_MS: f64 = 12.0;
+
 /// Delay that each waiting request adds to the first event of a new one, milliseconds.
 const WAITING_COST_MS: f64 = 60.0;
 
@@ -61,6 +65,8 @@
     pub prompt_tokens: f64,
     /// Prefill time of one token on the chosen model, milliseconds.
     pub ms_per_token: f64,
+    /// Whether the servers' load is known from the responses to all hosts.
+    pub is_load_shared: bool,
 }
 
 /// Returns the expected delay of a request on a server, including penalties, in milliseconds.
@@ -83,6 +89,12 @@
     }
     let uncached = (query.prompt_tokens - server.cached_tokens).max(0.0);
     let prefill = uncached * (query.ms_per_token + PREFILL_COST_MS) + server.pending_ms;
+    if query.is_load_shared {
+        let interference =
+            server.running * SHARED_RUNNING_COST_MS + server.waiting * WAITING_COST_MS;
+        // The few latencies that one host has seen of a server are noise beside its load.
+        return (prefill + interference) * server.slowdown + zone + full;
+    }
     let interference = server.running * RUNNING_COST_MS + server.waiting * WAITING_COST_MS;
     (prefill + interference) * server.slowdown * server.latency_ratio + zone + full
 }
--- a/policy/src/server_health.rs
+++ b/policy/src/server_health.rs
@@ -12,6 +12,10 @@
 /// Weight of the latest outcome in the moving average of the failure rate.
 const LATEST_OUTCOME_WEIGHT: f64 = 0.2;
 
+/// Weight of the latest outcome that another host had. All hosts hear the same ones, so that it
+/// takes more of them to leave a server alone everywhere at once.
+const HEARD_OUTCOME_WEIGHT: f64 = 0.1;
+
 /// Excess over the pool's failure rate above which a server is ejected.
 const EJECTION_EXCESS_RATE: f64 = 0.25;
 
@@ -63,6 +67,16 @@
         }
     }
 
+    /// Records the outcome of a response to another host. Unlike a response to this host, a success
+    /// does not end an ejection: a server that fails in part succeeds in between.
+    pub fn record_heard(&mut self, has_failed: bool, pool_rate: f64, now: Millis) {
+        let failed = f64::from(u8::from(has_failed));
+        self.failure_rate += HEARD_OUTCOME_WEIGHT * (failed - self.failure_rate);
+        if has_failed && self.failure_rate > pool_rate + EJECTION_EXCESS_RATE {
+            self.eject(now);
+        }
+    }
+
     fn eject(&mut self, now: Millis) {
         // Concurrent failures extend the ejection only once.
         if self.ejected_until.is_some_and(|until| now < until) {
@@ -77,6 +91,13 @@
         self.probe_at.get_or_insert(now.after(PROBE_PERIOD));
     }
 
+    /// Ejects the server because another one has its address.
+    pub fn record_replaced(&mut self, now: Millis) {
+        self.probe_at = None;
+        self.ejection_duration = MAX_EJECTION;
+        self.ejected_until = Some(now.after(MAX_EJECTION));
+    }
+
     /// Returns whether a probe is due; if so, claims it, so that concurrent callers get `false`.
     pub fn begin_probe(&mut self, now: Millis) -> bool {
         let is_due = self.probe_at.is_some_and(|at| now >= at);
--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -201,8 +201,10 @@
         self.prompt_at > since
     }
 
-    /// Records a row that a peer sent. Older words than the known ones have no effect.
-    pub fn merge(&mut self, row: &LoadRow, now: Millis) {
+    /// Records a row that a peer sent. Older words than the known ones have no effect. Returns whether
+    /// the response that the row tells of was a failure, if it is news.
+    pub fn merge(&mut self, row: &LoadRow, now: Millis) -> Option<bool> {
+        let mut has_failed = None;
         if let Some((load, age)) = row.load.filter(|(_, age)| *age <= WORD_LIFETIME) {
             let at = before(now, age);
             if self
@@ -215,6 +217,7 @@
                     heard_at: now,
                     ended_then: self.ended,
                 });
+                has_failed = load.has_failed;
             }
         }
         if let Some((left, age)) = row.pending.filter(|(_, age)| *age <= WORD_LIFETIME) {
@@ -224,6 +227,7 @@
                 heard_at: now,
             });
         }
+        has_failed
     }
 
     /// Keeps the latest end that trackers expect: one that has just started does not know of all
--- a/policy/tests/placement.rs
+++ b/policy/tests/placement.rs
@@ -30,6 +30,7 @@
         zone: "a",
         prompt_tokens,
         ms_per_token,
+        is_load_shared: false,
     }
 }
 
--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -23,6 +23,7 @@
         running,
         waiting: 0,
         slowdown: Some(250),
+        has_failed: None,
     }
 }
 
@@ -205,6 +206,7 @@
             zone: "a",
             prompt_tokens: tokens,
             ms_per_token: 0.035,
+            is_load_shared: true,
         };
         assert!(placement_cost(&slowed, &query) > placement_cost(&normal, &query));
     }
@@ -337,6 +339,7 @@
                     running: running[server],
                     waiting: 0,
                     slowdown: Some(slowdown(server, t)),
+                    has_failed: None,
                 };
                 view.report = Some((load, now, view.running));
                 events.push((Reverse(t + DECODE_MS), server, host, None));
@@ -402,6 +405,7 @@
                 zone: ZONES[zone_of(host)],
                 prompt_tokens: tokens,
                 ms_per_token,
+                is_load_shared: knowledge != Knowledge::Own,
             };
             let size = if knowledge == Knowledge::Shared {
                 sample_size(HOSTS)
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -280,7 +280,9 @@
             };
         }
         if let Some(load) = head.load {
-            state.record_load(&server, load, now);
+            let has_run = matches!(head.verdict, Verdict::Answered | Verdict::Failed);
+            let has_failed = has_run.then(|| parts.status.is_server_error());
+            state.record_load(&server, load, has_failed, now);
         }
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_marks(&server, &head, parts.status, now);
@@ -388,8 +390,9 @@
             Verdict::Answered => None,
             Verdict::NotRun => {
                 if status == StatusCode::MISDIRECTED_REQUEST {
-                    // Another server has the address now, so the addressed one is gone.
-                    record_server_outcome(&self.state, server, AttemptOutcome::Unreachable, now);
+                    // Another server has the address now, so the addressed one is gone, though the
+                    // address accepts connections.
+                    server.mark_replaced(now);
                 } else {
                     let bad = RampAnswer::Bad;
                     self.state.record_ramp_answer(server, bad, now, now);
--- a/router/src/health_tracking.rs
+++ b/router/src/health_tracking.rs
@@ -6,6 +6,12 @@
 
 use crate::{connections::connect, host_state::HostState, server::Server};
 
+/// Mean share of failed attempts at the servers of a pool, from 0 to 1.
+pub(crate) fn failure_rate(pool: &[Arc<Server>]) -> f64 {
+    let rates: f64 = pool.iter().map(|server| server.failure_rate()).sum();
+    rates / pool.len().max(1) as f64
+}
+
 /// Records the outcome of an attempt, and logs if it ejects the server from selection.
 pub(crate) fn record_server_outcome(
     state: &HostState,
@@ -13,9 +19,7 @@
     outcome: AttemptOutcome,
     now: Millis,
 ) {
-    let pool = state.servers.pool(&server.entry.service);
-    let rates: f64 = pool.iter().map(|server| server.failure_rate()).sum();
-    let pool_rate = rates / pool.len().max(1) as f64;
+    let pool_rate = failure_rate(&state.servers.pool(&server.entry.service));
     if outcome == AttemptOutcome::Unreachable {
         mark_zone_if_unreachable(state, server, now);
     }
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -94,6 +94,8 @@
     health: ServerHealth,
     /// Requests of this host that run on the server.
     local_running: u32,
+    /// Whether the response with the latest load report was a failure; none if nothing ran.
+    has_failed: Option<bool>,
     /// The latest load report, `local_running` at that time, and the time.
     report: Option<(LoadReport, u32, Millis)>,
     /// The load as peers told it.
@@ -147,6 +149,7 @@
             running: report.running,
             waiting: report.waiting,
             slowdown: report.slowdown,
+            has_failed: self.has_failed,
         };
         Some((load, at))
     }
@@ -228,6 +231,7 @@
         *next.observed.lock() = Observations {
             health: observed.health,
             report: observed.report,
+            has_failed: observed.has_failed,
             shared: observed.shared.without_requests(),
             last_contact: observed.last_contact,
             parts: std::mem::take(&mut observed.parts),
@@ -330,6 +334,11 @@
         observed.last_contact = observed.last_contact.max(now);
     }
 
+    /// Leaves the server alone, since another one has its address.
+    pub(crate) fn mark_replaced(&self, now: Millis) {
+        self.observed.lock().health.record_replaced(now);
+    }
+
     /// Stops taking the server for unreachable.
     pub(crate) fn forget_unreachable(&self) {
         self.observed.lock().health.record_reachable();
@@ -432,9 +441,10 @@
         self.named_limit().and_then(|limit| limit.per_s)
     }
 
-    /// Records the load that the server reported with a response.
-    pub(crate) fn record_load(&self, report: LoadReport, now: Millis) {
+    /// Records the load that the server reported with a response, and whether that was a failure.
+    pub(crate) fn record_load(&self, report: LoadReport, has_failed: Option<bool>, now: Millis) {
         let mut observed = self.observed.lock();
+        observed.has_failed = has_failed;
         let local_running = observed.local_running;
         observed.report = Some((report, local_running, now));
     }
@@ -498,8 +508,11 @@
     }
 
     /// Records a row that a peer sent.
-    pub(crate) fn merge_load(&self, row: &LoadRow, now: Millis) {
-        self.observed.lock().shared.merge(row, now);
+    pub(crate) fn merge_load(&self, row: &LoadRow, pool_rate: f64, now: Millis) {
+        let mut observed = self.observed.lock();
+        if let Some(has_failed) = observed.shared.merge(row, now) {
+            observed.health.record_heard(has_failed, pool_rate, now);
+        }
     }
 
     /// Whether peers told of the server's load.
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -7,7 +7,7 @@
 
 use clementinearch_policy::{
     load_rows::{pack, server_key, unpack},
-    names::FastMap,
+    names::{FastMap, Name},
     placement::ServerView,
     shared_load::{MAX_ROWS, sample_size, settled_running},
     time::Millis,
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    health_tracking::failure_rate,
     host_state::HostState,
     server::{LoadEstimate, LoadReport, Server},
 };
@@ -41,12 +42,18 @@
         table.is_some_and(|table| table.services.values().any(|it| it.cold_pace.is_some()))
     }
 
-    /// Records the load that a server reported with a response.
-    pub(crate) fn record_load(&self, server: &Server, load: LoadReport, now: Millis) {
+    /// Records the load that a server reported with a response, and whether that was a failure.
+    pub(crate) fn record_load(
+        &self,
+        server: &Server,
+        load: LoadReport,
+        has_failed: Option<bool>,
+        now: Millis,
+    ) {
         if load.slowdown.is_some() {
             self.has_named_slowdown.store(true, Ordering::Relaxed);
         }
-        server.record_load(load, now);
+        server.record_load(load, has_failed, now);
     }
 }
 
@@ -76,9 +83,14 @@
             .and_modify(|it| *it = None)
             .or_insert(Some(server));
     }
+    let mut pool_rates: FastMap<Name, f64> = FastMap::default();
     for row in unpack(&message.rows) {
         if let Some(Some(server)) = by_key.get(&row.server) {
-            server.merge_load(&row, now);
+            let service = &server.entry.service;
+            let pool_rate = *pool_rates
+                .entry(service.clone())
+                .or_insert_with(|| failure_rate(&state.servers.pool(service)));
+            server.merge_load(&row, pool_rate, now);
         }
     }
 }
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -75,6 +75,7 @@
             .as_ref()
             .map_or(0.0, |prompt| f64::from(prompt.tokens)),
         ms_per_token: state.ms_per_token(&call.service, size),
+        is_load_shared: eligible.iter().any(|server| server.is_load_told(now)),
     };
     let offset = state.placements.fetch_add(1, Ordering::Relaxed);
     let mut index = choose_server(&views, &query, offset)?;
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -1,6 +1,7 @@
 //! The registry of backend servers on one host, indexed by name, service and name hash.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -299,8 +300,17 @@
         let by_name = self.by_name.read();
         let mut by_hash = FastMap::default();
         let mut pools: FastMap<Name, Vec<Arc<Server>>> = FastMap::default();
+        let mut latest: FastMap<SocketAddr, u64> = FastMap::default();
+        for server in by_name.values() {
+            let at = latest.entry(server.entry.address).or_default();
+            *at = server.entry.incarnation.max(*at);
+        }
         for server in by_name.values() {
             by_hash.insert(server.name_hash, server.clone());
+            // A later start at the address shows that this server is gone; its entry lapses later.
+            if server.entry.incarnation < latest[&server.entry.address] {
+                continue;
+            }
             pools
                 .entry(server.entry.service.clone())
                 .or_default()
