--- a/host/src/cmd/route.rs
+++ b/host/src/cmd/route.rs
@@ -23,6 +23,9 @@
 /// Variable with the memory of the process, MB; see [`LINK_RATE_VARIABLE`].
 const MEMORY_VARIABLE: &str = "CLEMENTINEARCH_MEMORY_MB";
 
+/// Variable with the milliseconds after which an evacuated zone gets no more requests.
+const EVACUATION_VARIABLE: &str = "CLEMENTINEARCH_EVACUATION_MS";
+
 /// Variable with the regions of the zones, a JSON object of texts by zone.
 const REGIONS_VARIABLE: &str = "CLEMENTINEARCH_REGIONS";
 
@@ -57,6 +60,8 @@
             .map_err(invalid(LINK_RATE_VARIABLE))?
             .with_memory(&variable(MEMORY_VARIABLE))
             .map_err(invalid(MEMORY_VARIABLE))?
+            .with_evacuation(&variable(EVACUATION_VARIABLE))
+            .map_err(invalid(EVACUATION_VARIABLE))?
             .with_regions(&variable(REGIONS_VARIABLE))
             .map_err(invalid(REGIONS_VARIABLE))?;
         if self.check {
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -267,6 +267,7 @@
             memory_bytes: settings.memory_mb * BYTES_PER_MB,
             descriptors: settings.descriptors,
             caller_connections: settings.caller_connections,
+            evacuation: None,
             ramp_up: false,
         },
         bounds: Bounds {
--- a/host/tests/route_evacuation.rs
+++ b/host/tests/route_evacuation.rs
@@ -121,7 +121,8 @@
     let mut platform = Platform::new();
     let emptied = add_in_zone(&mut platform, "a", "orders", |_, it| ok(it));
     add_in_zone(&mut platform, "b", "orders", |_, it| ok(it));
-    platform.start_hosts(1);
+    platform.launch_host_with("evacuation_ms = \"5000\"\n");
+    wait_until("the host is ready", || platform.hosts[0].is_ready());
     let host = &platform.hosts[0];
     call_all([host], 4, "before");
     host.signal("STOP");
@@ -147,7 +148,8 @@
 fn a_host_that_resumes_without_a_store_goes_on_with_the_last_orders() {
     let mut platform = Platform::new();
     add_in_zone(&mut platform, "a", "orders", |_, it| ok(it));
-    platform.start_hosts(1);
+    platform.launch_host_with("evacuation_ms = \"5000\"\n");
+    wait_until("the host is ready", || platform.hosts[0].is_ready());
     let host = &platform.hosts[0];
     host.store_endpoint.set_mode(EndpointMode::Refusing);
     host.signal("STOP");
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -6,6 +6,7 @@
     findings::Findings,
     names::{FastMap, Name},
     retry_budget::RetryLimit,
+    time::span_from_millis,
     toml_reader::{Table, read_document},
 };
 
@@ -61,6 +62,8 @@
     pub memory_bytes: u64,
     /// Descriptors of the process; `None` for its own limit of open files.
     pub descriptors: Option<u64>,
+    /// Time after which an evacuated zone gets no more requests; `None` if zones are not evacuated.
+    pub evacuation: Option<Duration>,
     /// Most connections of callers; `None` for what the memory allows.
     pub caller_connections: Option<u64>,
     /// Whether servers that start or recover get their requests in a slow start.
@@ -128,6 +131,19 @@
         Ok(self)
     }
 
+    /// Sets the time after which an evacuated zone gets no more requests, from a text in
+    /// milliseconds, unless the file names one. An empty text names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the text.
+    pub fn with_evacuation(mut self, text: &str) -> Result<Self, String> {
+        if self.limits.evacuation.is_none() && !text.is_empty() {
+            self.limits.evacuation = Some(parse_millis(text)?);
+        }
+        Ok(self)
+    }
+
     /// Adds regions of zones from a JSON object of texts by zone, for zones that the file names none
     /// for. An empty text names none.
     ///
@@ -203,6 +219,7 @@
         link_mbps: table.parsed("link_mbps", parse_rate),
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
         descriptors: optional_count(table, "descriptors"),
+        evacuation: table.parsed("evacuation_ms", parse_millis),
         caller_connections: optional_count(table, "caller_connections"),
         ramp_up: table.flag("ramp_up", false),
     }
@@ -253,6 +270,10 @@
     }
 }
 
+fn parse_millis(text: &str) -> Result<Duration, String> {
+    span_from_millis(parse_non_negative(text)?).map_err(|e| e.to_string())
+}
+
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     let value: f64 = text
         .parse()
--- a/router/src/view_reads.rs
+++ b/router/src/view_reads.rs
@@ -54,10 +54,10 @@
 
 impl HostState {
     /// Whether this host resumed after a freeze and has read neither the store nor a peer's view
-    /// since. It matters where servers are cold after a start or a zone is evacuated, for which a
+    /// since. It matters where servers are cold after a start or zones may be evacuated, for which a
     /// request that leaves by an outdated view is one too many.
     pub(crate) fn is_view_outdated(&self, now: Millis) -> bool {
-        if !self.has_cold_pace() && self.evacuations.zones().is_empty() {
+        if !self.has_cold_pace() && self.settings.limits.evacuation.is_none() {
             return false;
         }
         let resumed_at = self.running_clock.lock().last_stall_end(MIN_FREEZE, now);
