--- a/host/src/controllers/peer_server.rs
+++ b/host/src/controllers/peer_server.rs
@@ -6,12 +6,17 @@
 use clementinearch_policy::{
     catalogue::Bodies, ledger::PageId, membership::Member, names::Name, time::Millis,
 };
+use clementinearch_router::{ConnectionAccount, OpenConnection};
 use futures::StreamExt;
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::yield_now,
+    time::timeout,
+};
 
 use crate::{
     clock,
@@ -39,36 +44,60 @@
     pub(crate) shared: Arc<SharedState>,
 }
 
-/// Binds the peer address. The returned future serves peers without end.
+/// Binds the peer address. The returned future serves peers without end, within the bounds of `account`.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
-pub(crate) async fn serve(server: PeerServer) -> io::Result<impl Future<Output = ()>> {
+pub(crate) async fn serve(
+    server: PeerServer,
+    account: Arc<ConnectionAccount>,
+) -> io::Result<impl Future<Output = ()>> {
     let listener = TcpListener::bind(server.state.settings.peers).await?;
     Ok(async move {
         loop {
+            if account.is_closing() {
+                yield_now().await;
+            }
             let Ok((stream, _)) = listener.accept().await else {
+                account.record_failure();
                 tokio::time::sleep(ACCEPT_FAILURE_PAUSE).await;
                 continue;
             };
+            let Some(open) = account.open() else {
+                continue;
+            };
             let server = server.clone();
             tokio::spawn(async move {
-                // A connection on which nothing comes has no buffers.
-                let first = timeout(FIRST_CALL_TIMEOUT, stream.readable()).await;
-                if !matches!(first, Ok(Ok(()))) {
-                    return;
+                tokio::select! {
+                    biased;
+                    () = open.wait_until_closed() => {}
+                    () = serve_peer(server, stream, &open) => {}
                 }
-                let calls = BaseChannel::with_defaults(framed(stream)).execute(server.serve());
-                let serving = calls.for_each(|call| async {
-                    tokio::spawn(call);
-                });
-                Box::pin(serving).await;
             });
         }
     })
 }
 
+/// Serves a peer's connection to its end.
+async fn serve_peer(server: PeerServer, stream: TcpStream, open: &Arc<OpenConnection>) {
+    // A connection on which nothing comes has no buffers. `readable` does not serve here: a stream
+    // counts as readable until a read finds nothing.
+    let first = timeout(FIRST_CALL_TIMEOUT, stream.peek(&mut [0])).await;
+    if !matches!(first, Ok(Ok(1..))) {
+        return;
+    }
+    let calls = BaseChannel::with_defaults(framed(stream)).execute(server.serve());
+    let serving = calls.for_each(|call| async {
+        let work = open.begin_work();
+        tokio::spawn(async move {
+            call.await;
+            drop(work);
+        });
+    });
+    Box::pin(serving).await;
+}
+
 impl Peer for PeerServer {
     async fn exchange(self, _: Context, digest: Digest) -> Reply {
         metrics::counter!("clementinearch_peer_exchanges_total", "side" => "answered").increment(1);
--- a/host/src/host.rs
+++ b/host/src/host.rs
@@ -4,7 +4,9 @@
 use std::{sync::Arc, thread, time::Duration};
 
 use clementinearch_policy::{names::FastMap, retry_budget::RetryLimit, routes::CallerLimits};
-use clementinearch_router::{Bounds, DataPath, Limits, Listen, Settings as PathSettings};
+use clementinearch_router::{
+    Bounds, ConnectionAccount, DataPath, Limits, Listen, Settings as PathSettings,
+};
 use clementinearch_storage::{HostSource, Store};
 use metrics_exporter_prometheus::PrometheusHandle;
 use signal_hook::{
@@ -175,7 +177,7 @@
         ledger: app.ledger.clone(),
         shared: app.shared.clone(),
     };
-    let peers = peer_server::serve(server)
+    let peers = peer_server::serve(server, peer_connections(&state.settings))
         .await
         .map_err(Error::io(format!("listen for peers at {peers_at}")))?;
     tokio::spawn(peers);
@@ -247,6 +249,11 @@
     )
 }
 
+/// Returns the account of the peers' connections.
+fn peer_connections(settings: &Settings) -> Arc<ConnectionAccount> {
+    ConnectionAccount::of_peers(&path_settings(settings).limits)
+}
+
 fn path_settings(settings: &Settings) -> PathSettings {
     PathSettings {
         name: settings.name.clone(),
--- a/policy/src/connection_bounds.rs
+++ b/policy/src/connection_bounds.rs
@@ -145,6 +145,9 @@
     /// Number of connections of class `New`.
     new: usize,
     head_bytes: usize,
+    /// Bytes of heads of connections that are to be closed, until they are.
+    closing: FastMap<u64, usize>,
+    closing_bytes: usize,
 }
 
 impl Connections {
@@ -156,6 +159,8 @@
             order: BTreeSet::new(),
             new: 0,
             head_bytes: 0,
+            closing: FastMap::default(),
+            closing_bytes: 0,
         }
     }
 
@@ -172,7 +177,7 @@
             victim
         };
         if let Some(victim) = victim {
-            self.close(victim);
+            self.begin_close(victim);
         }
         let held = Held {
             activity: Activity::Waiting,
@@ -201,20 +206,35 @@
         let victim = (self.head_bytes > self.limits.head_bytes)
             .then(|| self.stalest(|held| held.head_bytes > 0))
             .flatten()?;
-        self.close(victim);
+        self.begin_close(victim);
         Some(victim)
     }
 
     /// Removes the connection that is closed first, if any may be, and returns it.
     pub fn close_stalest(&mut self) -> Option<u64> {
         let victim = self.stalest(|_| true)?;
-        self.close(victim);
+        self.begin_close(victim);
         Some(victim)
     }
 
-    /// Removes a connection that is closed, if it is held.
+    /// Removes a connection that is closed.
     pub fn close(&mut self, id: u64) {
         self.remove(id);
+        self.closing_bytes -= self.closing.remove(&id).unwrap_or(0);
+    }
+
+    /// Whether more of a head may be read now. If not, connections that are to be closed still hold
+    /// heads, which together with the others exceed the bound.
+    pub fn may_read_heads(&self) -> bool {
+        self.closing_bytes == 0 || self.head_bytes + self.closing_bytes <= self.limits.head_bytes
+    }
+
+    /// Removes a connection that is to be closed. Its head counts until [`Self::close`].
+    fn begin_close(&mut self, id: u64) {
+        if let Some(held) = self.remove(id).filter(|held| held.head_bytes > 0) {
+            self.closing.insert(id, held.head_bytes);
+            self.closing_bytes += held.head_bytes;
+        }
     }
 
     /// Whether there is no room for another connection.
--- a/policy/tests/connection_bounds.rs
+++ b/policy/tests/connection_bounds.rs
@@ -98,6 +98,20 @@
     assert_eq!(connections.head_bytes(), 101);
 }
 
+/// Guards against heads that are read while closed connections still hold theirs, which took five times
+/// the bound.
+#[test]
+fn no_head_is_read_until_closed_connections_have_given_theirs_back() {
+    let mut connections = full();
+    assert_eq!(connections.set_head_bytes(5, 900), None);
+    assert!(connections.may_read_heads());
+    assert_eq!(connections.set_head_bytes(6, 101), Some(5));
+    assert!(!connections.may_read_heads());
+    connections.close(5);
+    assert!(connections.may_read_heads());
+    assert_eq!(connections.head_bytes(), 101);
+}
+
 quickcheck! {
     /// Any order of events keeps the bounds and closes no connection at work.
     fn bounds_hold_after_any_events(events: Vec<(u8, u8, u16)>) -> bool {
--- a/router/src/accept.rs
+++ b/router/src/accept.rs
@@ -14,6 +14,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::yield_now,
     time::{sleep, timeout},
 };
 
@@ -34,6 +35,11 @@
     account: &Arc<ConnectionAccount>,
 ) -> (TcpStream, Arc<OpenConnection>) {
     loop {
+        // The tasks of connections that are closing, and of those just accepted, run first. Otherwise a
+        // burst of connections holds more than the bound, and closes those whose request has arrived.
+        if account.is_closing() {
+            yield_now().await;
+        }
         let accepted = listener.accept().await;
         let connection = match accepted {
             Ok((stream, _)) => account.open().map(|connection| (stream, connection)),
@@ -69,8 +75,11 @@
 
 /// Waits until something comes on a new connection, at most for `wait`. Until then there is no read
 /// buffer for it. Returns whether something came.
+///
+/// `readable` does not serve here: a stream counts as readable until a read finds nothing.
 pub(crate) async fn wait_for_input(stream: &TcpStream, wait: Duration) -> bool {
-    matches!(timeout(wait, stream.readable()).await, Ok(Ok(())))
+    let mut first = [0];
+    matches!(timeout(wait, stream.peek(&mut first)).await, Ok(Ok(1..)))
 }
 
 /// Makes a connection count as at work until the body of a response is written.
--- a/router/src/connection_account.rs
+++ b/router/src/connection_account.rs
@@ -62,11 +62,13 @@
 
 /// Account of the connections of one listener.
 #[derive(Debug)]
-pub(crate) struct ConnectionAccount {
+pub struct ConnectionAccount {
     listener: &'static str,
     clock: Clock,
     next_id: AtomicU64,
     inner: Mutex<Inner>,
+    /// Connections that were told to close and have not done so.
+    closing: AtomicUsize,
     /// Connections closed or refused since the last report.
     closed: AtomicUsize,
     /// Failures to accept since the last report.
@@ -94,6 +96,7 @@
 }
 
 impl ConnectionAccount {
+    /// Creates an account with these bounds. The listener's name is a label of metrics.
     pub(crate) fn new(listener: &'static str, limits: ConnectionLimits) -> Arc<Self> {
         Arc::new(Self {
             listener,
@@ -103,15 +106,21 @@
                 connections: Connections::new(limits),
                 closers: FastMap::default(),
             }),
+            closing: AtomicUsize::new(0),
             closed: AtomicUsize::new(0),
             failures: AtomicUsize::new(0),
             last_report_ms: AtomicU64::new(0),
         })
     }
 
+    /// Creates the account of the peers' connections of a host with these limits.
+    pub fn of_peers(limits: &Limits) -> Arc<Self> {
+        ListenerAccounts::new(limits).peers
+    }
+
     /// Adds a connection, for which another one may be told to close. Returns `None` if it has to be
     /// refused, since all others are at work.
-    pub(crate) fn open(self: &Arc<Self>) -> Option<Arc<OpenConnection>> {
+    pub fn open(self: &Arc<Self>) -> Option<Arc<OpenConnection>> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let closer: Arc<Notify> = Arc::default();
         let mut inner = self.inner.lock();
@@ -127,7 +136,7 @@
             id,
             closer,
             is_blocked: AtomicBool::new(false),
-            is_working: AtomicBool::new(false),
+            working: AtomicUsize::new(0),
             has_request: AtomicBool::new(false),
             head_bytes: AtomicUsize::new(0),
             flushed: Notify::new(),
@@ -135,7 +144,7 @@
     }
 
     /// Records a failure to accept, and closes a connection, since descriptors are the usual cause.
-    pub(crate) fn record_failure(&self) {
+    pub fn record_failure(&self) {
         self.failures.fetch_add(1, Ordering::Relaxed);
         let mut inner = self.inner.lock();
         let closed = inner.connections.close_stalest();
@@ -159,6 +168,11 @@
         })
     }
 
+    /// Whether connections were told to close and have not done so.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed) > 0
+    }
+
     /// Name of the listener.
     pub(crate) fn listener(&self) -> &'static str {
         self.listener
@@ -187,6 +201,7 @@
         metrics::counter!("clementinearch_connections_closed_total", "listener" => self.listener)
             .increment(1);
         if let Some(closer) = inner.closers.remove(&id) {
+            self.closing.fetch_add(1, Ordering::Relaxed);
             closer.notify_one();
         }
     }
@@ -194,14 +209,14 @@
 
 /// A connection in the account of its listener, until this is dropped.
 #[derive(Debug)]
-pub(crate) struct OpenConnection {
+pub struct OpenConnection {
     account: Arc<ConnectionAccount>,
     id: u64,
     closer: Arc<Notify>,
     /// Whether the client has not read what was written.
     is_blocked: AtomicBool,
-    /// Whether a request is being served.
-    is_working: AtomicBool,
+    /// Number of requests that are being served; one connection of a peer may have several.
+    working: AtomicUsize,
     /// Whether the head of a request has been read whose response is not begun.
     has_request: AtomicBool,
     /// Bytes read since the last request began.
@@ -212,18 +227,26 @@
 
 impl OpenConnection {
     /// Waits until the connection has to be closed.
-    pub(crate) async fn wait_until_closed(&self) {
+    pub async fn wait_until_closed(&self) {
         self.closer.notified().await;
     }
 
-    /// Records bytes that were read. Returns whether another connection was told to close for them.
-    pub(crate) fn record_read(&self, bytes: usize) -> bool {
+    /// Whether more may be read. It may not while connections that were told to close hold heads for
+    /// which there is no room; their tasks are due to run then.
+    pub(crate) fn may_read(&self) -> bool {
+        !self.account.is_closing()
+            || self.has_request.load(Ordering::Relaxed)
+            || self.account.inner.lock().connections.may_read_heads()
+    }
+
+    /// Records bytes that were read, for which another connection may be told to close.
+    pub(crate) fn record_read(&self, bytes: usize) {
         // Bodies are held within the memory for bodies.
         if self.has_request.load(Ordering::Relaxed) {
-            return false;
+            return;
         }
         let all = self.head_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.set_head_bytes(all)
+        self.set_head_bytes(all);
     }
 
     /// Records whether bytes wait for the client to read.
@@ -234,7 +257,7 @@
         if !is_blocked {
             self.flushed.notify_one();
         }
-        if self.is_working.load(Ordering::Relaxed) {
+        if self.working.load(Ordering::Relaxed) > 0 {
             self.set_activity(self.working_activity(), false);
         }
     }
@@ -256,8 +279,8 @@
     }
 
     /// Records that a complete, accepted request is served from now on, until the result is dropped.
-    pub(crate) fn begin_work(self: &Arc<Self>) -> Work {
-        self.is_working.store(true, Ordering::Relaxed);
+    pub fn begin_work(self: &Arc<Self>) -> Work {
+        self.working.fetch_add(1, Ordering::Relaxed);
         self.set_activity(self.working_activity(), true);
         Work(self.clone())
     }
@@ -278,11 +301,10 @@
             .set_activity(self.id, activity, is_accepted, now);
     }
 
-    fn set_head_bytes(&self, bytes: usize) -> bool {
+    fn set_head_bytes(&self, bytes: usize) {
         let mut inner = self.account.inner.lock();
         let closed = inner.connections.set_head_bytes(self.id, bytes);
         self.account.tell_closed(&mut inner, closed);
-        closed.is_some()
     }
 }
 
@@ -290,17 +312,20 @@
     fn drop(&mut self) {
         let mut inner = self.account.inner.lock();
         inner.connections.close(self.id);
-        inner.closers.remove(&self.id);
+        if inner.closers.remove(&self.id).is_none() {
+            self.account.closing.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
 /// A request that is being served, until its response is written or given up.
 #[derive(Debug)]
-pub(crate) struct Work(Arc<OpenConnection>);
+pub struct Work(Arc<OpenConnection>);
 
 impl Drop for Work {
     fn drop(&mut self) {
-        self.0.is_working.store(false, Ordering::Relaxed);
-        self.0.set_activity(Activity::Waiting, false);
+        if self.0.working.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.set_activity(Activity::Waiting, false);
+        }
     }
 }
--- a/router/src/guarded_stream.rs
+++ b/router/src/guarded_stream.rs
@@ -24,17 +24,11 @@
 pub(crate) struct GuardedStream {
     stream: TcpStream,
     connection: Arc<OpenConnection>,
-    /// Whether the next read has to let other tasks run first.
-    yields: bool,
 }
 
 impl GuardedStream {
     pub(crate) fn new(stream: TcpStream, connection: Arc<OpenConnection>) -> Self {
-        Self {
-            stream,
-            connection,
-            yields: false,
-        }
+        Self { stream, connection }
     }
 
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
@@ -48,18 +42,26 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if std::mem::take(&mut self.yields) {
+        // Connections that were told to close give back their memory when their tasks run. Without the
+        // pause, heads that arrive together are read before that.
+        if !self.connection.may_read() {
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let room = buf.remaining().min(MAX_READ_BYTES);
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(room));
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-        let read = part.filled().len();
-        buf.advance(read);
-        // The connection that was told to close gives back its memory when its task runs. Without the
-        // pause a crowd of heads that arrive together would be read whole before.
-        self.yields = self.connection.record_read(read);
+        let read = if buf.remaining() <= MAX_READ_BYTES {
+            let before = buf.filled().len();
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+            buf.filled().len() - before
+        } else {
+            // The part is zeroed, so this is done only if there is something to read.
+            ready!(self.stream.poll_read_ready(cx))?;
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(MAX_READ_BYTES));
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+            let read = part.filled().len();
+            buf.advance(read);
+            read
+        };
+        self.connection.record_read(read);
         Poll::Ready(Ok(()))
     }
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -94,6 +94,7 @@
 
 pub use body_buffer::{BodyError, BodyLimit, read_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
+pub use connection_account::{ConnectionAccount, OpenConnection, Work};
 pub use connections::{Connection, SendOutcome, connect};
 pub use data_path::DataPath;
 pub use dialect::{
