--- a/host/src/controllers/peer_server.rs
+++ b/host/src/controllers/peer_server.rs
@@ -56,7 +56,8 @@
     let listener = TcpListener::bind(server.state.settings.peers).await?;
     Ok(async move {
         loop {
-            if account.is_closing() {
+            // Connections that were told to close do so before another one is accepted.
+            if account.is_full() {
                 yield_now().await;
             }
             let Ok((stream, _)) = listener.accept().await else {
--- a/host/src/settings_tests.rs
+++ b/host/src/settings_tests.rs
@@ -26,3 +26,23 @@
     let defaults = Settings::parse("bare", &bare.join("\n")).unwrap();
     assert_eq!(format!("{shown:?}"), format!("{defaults:?}"));
 }
+
+/// Guards against a host that starts with a bound on which it cannot serve.
+#[test]
+fn bounds_on_connections_are_findings_outside_their_range() {
+    let with = |key: &str, value: &str| {
+        let text = sample().replacen("[limits]", &format!("[limits]\n{key} = {value}"), 1);
+        assert_ne!(text, sample(), "the sample has limits");
+        Settings::parse("test", &text)
+    };
+    for key in ["descriptors", "caller_connections"] {
+        for value in ["0", "15", "1048577", "-1", "20.5", "\"64\""] {
+            let found = with(key, value).expect_err(value).to_string();
+            assert!(found.contains(&format!("limits.{key}")), "{found}");
+            assert!(found.contains("from 16 to 1048576"), "{found}");
+        }
+    }
+    assert_eq!(with("descriptors", "16").unwrap().descriptors, Some(16));
+    let settings = with("caller_connections", "64").unwrap();
+    assert_eq!(settings.caller_connections, Some(64));
+}
--- a/host/tests/abusive_clients.rs
+++ b/host/tests/abusive_clients.rs
@@ -147,10 +147,15 @@
 }
 
 fn start_with(binary: Option<PathBuf>) -> Platform {
+    start_with_limits(binary, "")
+}
+
+/// Starts a host with limited memory and further limits.
+fn start_with_limits(binary: Option<PathBuf>, limits: &str) -> Platform {
     let mut platform = Platform::new();
     platform.binaries.extend(binary);
     platform.add_backend("orders", "v1", |_, received| ok(received));
-    platform.launch_host_with(&format!("memory_mb = \"{MEMORY_MB}\"\n"));
+    platform.launch_host_with(&format!("memory_mb = \"{MEMORY_MB}\"\n{limits}"));
     wait_until("the host is ready", || platform.hosts[0].is_ready());
     platform
 }
@@ -343,6 +348,66 @@
     check("readiness descriptors", host, &crowd);
 }
 
+/// Guards against a probe that is closed for later connections although its request has arrived: a
+/// burst of connections was accepted as a whole before any of them was read.
+#[test]
+fn a_probe_whose_request_has_arrived_is_answered_before_later_connections_close_it() {
+    let _lock = lock();
+    let platform = start();
+    let host = &platform.hosts[0];
+    host.signal("STOP");
+    let mut probe = Connection::open(host.readiness());
+    probe.send(UNKNOWN_PATH);
+    let crowd = Crowd::open(host.readiness(), 100);
+    host.signal("CONT");
+    assert_eq!(probe.read().status, 200);
+    assert_eq!(crowd.streams.len(), 100);
+}
+
+/// Guards against a caller that is cut off in the middle of its request since its last one ended long
+/// before, while idle connections are left.
+#[test]
+fn a_request_that_is_arriving_is_not_closed_before_idle_connections() {
+    let _lock = lock();
+    let platform = start_with_limits(None, "caller_connections = 16\n");
+    let host = &platform.hosts[0];
+    let open = || Connection::open(host.callers());
+    let (mut caller, mut others) = (open(), [(); 11].map(|()| open()));
+    for connection in std::iter::once(&mut caller).chain(&mut others) {
+        connection.send(&request("POST /pay/1", "before", "", "x"));
+        let answer = connection.read();
+        assert_eq!((answer.status, answer.header("connection")), (200, ""));
+    }
+    let arriving = request("POST /pay/1", "ordinary", "", "xy");
+    let (begin, end) = arriving.split_at(arriving.len() - 1);
+    caller.send(begin);
+    thread::sleep(PASS_PAUSE);
+    // Four new connections fit, and four more close known ones.
+    let _crowd = Crowd::open(host.callers(), 8);
+    thread::sleep(PASS_PAUSE);
+    assert!(caller.try_send(end), "the connection is open");
+    assert_eq!(caller.read().status, 200);
+}
+
+/// Guards against callers that lose their connection after each response once a crowd has left.
+#[test]
+fn connections_are_kept_again_after_a_crowd_has_left() {
+    let _lock = lock();
+    let platform = start();
+    let host = &platform.hosts[0];
+    let is_kept = || {
+        let mut connection = Connection::open(host.callers());
+        connection.send(&request("POST /pay/1", "ordinary", "", "x"));
+        let answer = connection.read();
+        answer.status == 200 && answer.header("connection").is_empty()
+    };
+    assert!(is_kept());
+    let crowd = Crowd::open(host.callers(), 400);
+    thread::sleep(PASS_PAUSE);
+    drop(crowd);
+    wait_until("connections are kept", is_kept);
+}
+
 fn check_fleet(what: &str, fleet: &Fleet) {
     let host = &fleet.hosts[0];
     let body = chat_body("ordinary", 1, false);
--- a/router/src/accept.rs
+++ b/router/src/accept.rs
@@ -35,9 +35,10 @@
     account: &Arc<ConnectionAccount>,
 ) -> (TcpStream, Arc<OpenConnection>) {
     loop {
-        // The tasks of connections that are closing, and of those just accepted, run first. Otherwise a
-        // burst of connections holds more than the bound, and closes those whose request has arrived.
-        if account.is_closing() {
+        // Connections that were told to close, and those whose first bytes have come, run before another
+        // one is accepted. Otherwise a burst of connections holds more than the bound, and closes some
+        // whose request has arrived.
+        if account.is_full() {
             yield_now().await;
         }
         let accepted = listener.accept().await;
--- a/router/src/connection_account.rs
+++ b/router/src/connection_account.rs
@@ -169,7 +169,7 @@
     }
 
     /// Whether connections were told to close and have not done so.
-    pub fn is_closing(&self) -> bool {
+    fn is_closing(&self) -> bool {
         self.closing.load(Ordering::Relaxed) > 0
     }
 
@@ -179,7 +179,7 @@
     }
 
     /// Whether there is no room for another connection.
-    pub(crate) fn is_full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.inner.lock().connections.is_full()
     }
 
@@ -271,6 +271,9 @@
         self.has_request.store(true, Ordering::Relaxed);
         self.head_bytes.store(0, Ordering::Relaxed);
         self.set_head_bytes(0);
+        // From here on the time that the connection was idle before does not count, so that a caller
+        // whose body is arriving is not cut off before idle ones. The body has a time limit.
+        self.set_activity(Activity::Waiting, false);
     }
 
     /// Records that the response to a request begins, so that what comes next is another request.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -75,6 +75,8 @@
 mod server_selection;
 mod servers;
 mod settings;
+#[cfg(test)]
+mod settings_tests;
 mod slow_start;
 mod store_items;
 mod stored_blocks;
