--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -75,6 +75,8 @@
 mod server_selection;
 mod servers;
 mod settings;
+#[cfg(test)]
+mod settings_tests;
 mod slow_start;
 mod store_items;
 mod stored_blocks;
@@ -94,6 +96,7 @@
 
 pub use body_buffer::{BodyError, BodyLimit, read_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
+pub use connection_account::{ConnectionAccount, OpenConnection, Work};
 pub use connections::{Connection, SendOutcome, connect};
 pub use data_path::DataPath;
 pub use dialect::{
