--- a/router/src/view_reads.rs
+++ b/router/src/view_reads.rs
@@ -21,6 +21,10 @@
 /// last values stay in effect.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
+/// The same for a host that knows of no evacuated zone and no pace of cold servers. An evacuation may
+/// have been ordered during the freeze; a read of a store in reach takes some milliseconds.
+const MAX_WAIT_WITHOUT_ORDERS: Duration = Duration::from_millis(500);
+
 /// How often a request that waits looks whether the view was read.
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -54,17 +58,20 @@
 
 impl HostState {
     /// Whether this host resumed after a freeze and has read neither the store nor a peer's view
-    /// since. It matters where servers are cold after a start or a zone is evacuated, for which a
-    /// request that leaves by an outdated view is one too many.
+    /// since. A request to a zone that was evacuated or a server that became cold during the freeze
+    /// is one too many.
     pub(crate) fn is_view_outdated(&self, now: Millis) -> bool {
-        if !self.has_cold_pace() && self.evacuations.zones().is_empty() {
-            return false;
-        }
+        let has_orders = self.has_cold_pace() || !self.evacuations.is_empty();
+        let max_wait = if has_orders {
+            MAX_WAIT
+        } else {
+            MAX_WAIT_WITHOUT_ORDERS
+        };
         let resumed_at = self.running_clock.lock().last_stall_end(MIN_FREEZE, now);
         let last = self.view_reads.last();
         // Before the first read nothing is served, and a host without a store never reads.
         last != Millis::default()
-            && resumed_at.is_some_and(|at| last < at && now.since(at) < MAX_WAIT)
+            && resumed_at.is_some_and(|at| last < at && now.since(at) < max_wait)
     }
 
     /// Waits until the view is no longer outdated by a freeze, at most until `deadline`.
