--- a/router/src/evacuations.rs
+++ b/router/src/evacuations.rs
@@ -21,6 +21,11 @@
         self.0.read().contains(zone)
     }
 
+    /// Whether no zone is evacuated.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.read().is_empty()
+    }
+
     /// Returns the evacuated zones, sorted.
     pub(crate) fn zones(&self) -> Vec<Name> {
         let mut zones: Vec<Name> = self.0.read().iter().cloned().collect();
@@ -45,14 +50,16 @@
 
     /// Uses the servers of a zone again. They may have become cold without an entry that says so.
     pub(crate) fn end_evacuation(&self, zone: &str, now: Millis) {
-        if !self.evacuations.0.write().remove(zone) {
+        if !self.evacuations.contains(zone) {
             return;
         }
+        // Before the zone is used again: a request on another thread would find its servers warm.
         let all = self.servers.all();
         let of_zone = all.iter().filter(|server| *server.entry.zone == *zone);
         for server in of_zone {
             self.presume_cold(server, now);
         }
+        self.evacuations.0.write().remove(zone);
         let servers = self.servers.count_in_zone(zone);
         self.log_event("zone_restored", zone, "", &[("servers", servers as f64)]);
     }
