--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -25,7 +25,7 @@
 use crate::{
     dialect::Block,
     fleet::{PEERS_PER_PERIOD, PeerInfo},
-    gossip_event::{GossipEvent, Prefill},
+    gossip_event::{GossipEvent, Prefill, datagram_pieces},
     host_state::HostState,
     rollout::RolloutReport,
     rollouts::SessionVersion,
@@ -43,7 +43,7 @@
 /// Longest prefill that a peer's word stands for.
 const MAX_PREFILL: Duration = Duration::from_secs(60);
 
-/// Most prefills or sessions in one datagram.
+/// Most sessions or rows on prompt parts in one datagram.
 const ROWS_PER_DATAGRAM: usize = 40;
 
 /// A datagram between hosts.
@@ -236,7 +236,7 @@
     /// Sends prefills to all `peers`. Returns the number of datagrams.
     async fn send_prefills(&self, prefills: &[Prefill], peers: &[SocketAddr]) -> usize {
         let mut datagrams = 0;
-        for chunk in prefills.chunks(ROWS_PER_DATAGRAM) {
+        for chunk in datagram_pieces(prefills) {
             self.send(&Datagram::Prefills(chunk.to_vec()), peers).await;
             datagrams += peers.len();
         }
--- a/router/src/gossip_event.rs
+++ b/router/src/gossip_event.rs
@@ -42,7 +42,35 @@
     pub(crate) is_to_relay: bool,
 }
 
+/// Largest datagram of prefills, bytes. Larger ones are sent in fragments, and lost if one is.
+pub(crate) const MAX_PREFILLS_BYTES: usize = 1_400;
+
+/// Most shared parts that peers are told of a prompt, from its beginning, so that it fits into a
+/// datagram.
+pub(crate) const MAX_SHARED_PARTS: usize = 60;
+
+/// Length of the text around the rows of a datagram, bytes.
+const FRAME_BYTES: usize = r#"{"Readings":[]}"#.len();
+
+/// Splits prefills into pieces that each fit into a datagram.
+pub(crate) fn datagram_pieces(prefills: &[Prefill]) -> impl Iterator<Item = &[Prefill]> {
+    let mut length = FRAME_BYTES + prefills.first().map_or(0, Prefill::max_length);
+    prefills.chunk_by(move |_, next| {
+        let fits = length + next.max_length() <= MAX_PREFILLS_BYTES;
+        let before = if fits { length } else { FRAME_BYTES };
+        length = before + next.max_length();
+        fits
+    })
+}
+
 impl Prefill {
+    /// Largest length of the row in a datagram with the comma after it, bytes.
+    fn max_length(&self) -> usize {
+        const NUMBER: usize = "18446744073709551615,".len();
+        const FIELDS: usize = r#"{"s":"t":4294967295,"z":"p":[],"r":true},"#.len() + 2 * NUMBER;
+        FIELDS + self.shared.len() * NUMBER
+    }
+
     /// Whether all hosts are told of the prompt at once.
     pub(crate) fn is_long(&self) -> bool {
         Duration::from_millis(u64::from(self.ms)) >= LONG_PREFILL
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -36,6 +36,8 @@
 mod forwarding;
 mod gossip;
 mod gossip_event;
+#[cfg(test)]
+mod gossip_event_tests;
 mod guarded_stream;
 mod handover;
 mod health_tracking;
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     call::Call,
-    gossip_event::{GossipEvent, Prefill},
+    gossip_event::{GossipEvent, MAX_SHARED_PARTS, Prefill},
     host_state::HostState,
     in_flight::InFlight,
     rollouts::VersionRule,
@@ -104,7 +104,7 @@
             server: in_flight.server().name_hash,
             ms: in_flight.expected_prefill().as_millis() as u32,
             size,
-            shared: prompt.shared_parts().collect(),
+            shared: prompt.shared_parts().take(MAX_SHARED_PARTS).collect(),
             is_to_relay: false,
         }));
     }
