--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -87,9 +87,14 @@
 /// by the age of the report. Without peers the estimates are those of the servers alone.
 pub(crate) fn load_estimates(servers: &[Arc<Server>], now: Millis) -> Vec<LoadEstimate> {
     let mut loads: Vec<LoadEstimate> = servers.iter().map(|server| server.load(now)).collect();
-    let known = loads.iter().filter(|load| load.age.is_some());
-    let (total, count) = known.fold((0.0, 0_u32), |(total, count), load| {
-        (total + load.running, count + 1)
+    let known = loads
+        .iter()
+        .zip(servers)
+        .filter(|(load, _)| load.age.is_some());
+    let (total, count) = known.fold((0.0, 0_u32), |(total, count), (load, server)| {
+        // A server that names more than its slots must not make the others look busy.
+        let running = load.running.min(f64::from(server.entry.slots));
+        (total + running, count + 1)
     });
     if loads.iter().any(|load| load.is_told) {
         let mean = total / f64::from(count.max(1));
