--- a/host/tests/route_starts.rs
+++ b/host/tests/route_starts.rs
@@ -8,9 +8,10 @@
     io::Write,
     net::{TcpListener, UdpSocket},
     path::Path,
-    process::Command,
+    process::{Command, Output},
 };
 
+use clementinearch_router::Settings;
 use route::{Host, Platform, check_payments, ok, present_binary, wait_until};
 
 const TEMPLATE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/settings.toml");
@@ -248,3 +249,71 @@
     assert_eq!(check_named(Path::new(""), &[]), Some(1));
     assert_eq!(check_named(Path::new(nowhere), &missing), Some(1));
 }
+
+/// Checks settings with the variable for the regions of zones.
+fn check_regions(settings: &Path, variable: &str) -> Output {
+    let checked = Command::new(present_binary())
+        .args(["route", "--check", "--settings"])
+        .arg(settings)
+        .env("CLEMENTINEARCH_REGIONS", variable)
+        .output();
+    checked.unwrap()
+}
+
+/// Guards against a host that starts without the regions that it was told, and would refuse requests
+/// that allow only these, and against an error that leaves its cause open.
+#[test]
+fn odd_regions_in_the_environment_are_an_error_that_names_the_variable() {
+    let (_platform, host) = prepare();
+    for sound in [
+        "",
+        " ",
+        "null",
+        "{}",
+        r#"{"a":"eu","b":"us"}"#,
+        " {\"a\": \"\"}\n",
+    ] {
+        let output = check_regions(host.settings(), sound);
+        assert_eq!(output.status.code(), Some(0), "{sound}");
+    }
+    let odd = [
+        "eu",
+        "{",
+        "[]",
+        "a=eu",
+        r#"{"a":1}"#,
+        r#"{"a":null}"#,
+        r#"{"a":["eu"]}"#,
+        r#"{"a":"eu"} b"#,
+    ];
+    for odd in odd {
+        let output = check_regions(host.settings(), odd);
+        assert_eq!(output.status.code(), Some(2), "{odd}");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(text.contains("CLEMENTINEARCH_REGIONS"), "{odd}: {text}");
+    }
+}
+
+#[test]
+fn regions_come_from_the_file_or_else_from_the_environment() {
+    let (_platform, host) = prepare();
+    let text = fs::read_to_string(host.settings()).unwrap();
+    let regions = |file: &str, variable: &str| {
+        let text = format!("{text}[regions]\n{file}");
+        let settings = Settings::parse("test", &text).unwrap();
+        let settings = settings.with_regions(variable).unwrap();
+        let mut regions: Vec<String> = settings
+            .regions
+            .iter()
+            .map(|(zone, region)| format!("{zone}={region}"))
+            .collect();
+        regions.sort_unstable();
+        regions.join(" ")
+    };
+    let variable = r#"{"a":"eu","b":"us"}"#;
+    assert_eq!(regions("", ""), "");
+    assert_eq!(regions("", variable), "a=eu b=us");
+    assert_eq!(regions("a = \"asia\"\n", ""), "a=asia");
+    assert_eq!(regions("a = \"asia\"\n", variable), "a=asia b=us");
+    assert_eq!(regions("c = \"asia\"\n", variable), "a=eu b=us c=asia");
+}
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -129,16 +129,16 @@
     }
 
     /// Adds regions of zones from a JSON object of texts by zone, for zones that the file names none
-    /// for. An empty text names none.
+    /// for. An empty text, or `null` of a template whose source has none, names none.
     ///
     /// # Errors
     ///
     /// Returns what is wrong with the text.
     pub fn with_regions(mut self, text: &str) -> Result<Self, String> {
-        if !text.is_empty() {
-            let regions: FastMap<Name, Name> =
+        if !text.trim().is_empty() {
+            let regions: Option<FastMap<Name, Name>> =
                 serde_json::from_str(text).map_err(|e| format!("`{text}`: {e}"))?;
-            for (zone, region) in regions {
+            for (zone, region) in regions.unwrap_or_default() {
                 self.regions.entry(zone).or_insert(region);
             }
         }
