--- a/host/tests/route_cold_servers.rs
+++ b/host/tests/route_cold_servers.rs
@@ -11,7 +11,9 @@
     time::{Duration, Instant},
 };
 
-use clementinearch_standins::scripted_server::{Step, signed_response};
+use clementinearch_standins::scripted_server::{
+    ReceivedRequest, ScriptedServer, Step, signed_response,
+};
 use parking_lot::Mutex;
 use route::{Answer, Platform, send_request, wait_until};
 use serde_json::{Value, json};
@@ -55,13 +57,20 @@
     platform.store.put("op/config", config.to_string());
 }
 
-fn add_server(platform: &mut Platform) -> (String, Arc<Arrivals>) {
-    let arrivals = Arc::new(Arrivals::default());
+/// Script of a server that records when requests arrive.
+fn recording(
+    arrivals: &Arc<Arrivals>,
+) -> impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static {
     let seen = arrivals.clone();
-    let (name, _) = platform.add_backend("orders", "v1", move |_, received| {
+    move |_, received| {
         seen.0.lock().push(Instant::now());
         vec![Step::Send(signed_response(received, "200 OK", "", "done"))]
-    });
+    }
+}
+
+fn add_server(platform: &mut Platform) -> (String, Arc<Arrivals>) {
+    let arrivals = Arc::default();
+    let (name, _) = platform.add_backend("orders", "v1", recording(&arrivals));
     (name, arrivals)
 }
 
@@ -96,8 +105,18 @@
     answers.into_inner()
 }
 
+/// Starts hosts that leave no line out of their logs.
+fn launch(platform: &mut Platform, hosts: usize) {
+    for _ in 0..hosts {
+        platform.launch_host_with("log_lines_per_s = 100000\n");
+    }
+    for host in &platform.hosts {
+        wait_until("the host is ready", || host.is_ready());
+    }
+}
+
 fn start(platform: &mut Platform, hosts: usize) {
-    platform.start_hosts(hosts);
+    launch(platform, hosts);
     wait_until("the hosts know each other", || {
         let mut all = platform.hosts.iter();
         all.all(|host| host.status()["hosts"] == hosts)
@@ -207,3 +226,107 @@
     assert!(answers.iter().all(|it| it.status == 200));
     assert!(arrivals.0.lock().len() >= answers.len());
 }
+
+/// Guards against hosts that start together and do not know each other: each would take itself for
+/// the only sender.
+#[test]
+fn hosts_leave_cold_servers_to_others_when_they_start() {
+    const SETTLING_TIME: Duration = Duration::from_secs(2);
+    let mut platform = Platform::new();
+    configure(&platform, 2, &json!(COLD_PER_S), 60);
+    let (cold, arrivals) = add_server(&mut platform);
+    write_entry(&platform, &cold, 1, 2, "60000");
+    let launched_at = Instant::now();
+    launch(&mut platform, 4);
+    let early = call(&platform, Duration::from_millis(500));
+    // The first host reads the store after its launch.
+    if let Some(first) = arrivals.since(launched_at).first() {
+        assert!(*first >= launched_at + SETTLING_TIME);
+    }
+    assert!(early.iter().all(|it| matches!(it.status, 200 | 503)));
+    wait_until("the hosts use the cold server", || {
+        call(&platform, Duration::from_millis(200));
+        !arrivals.since(launched_at).is_empty()
+    });
+    let first = arrivals.since(launched_at)[0];
+    assert!(first >= launched_at + SETTLING_TIME);
+    let began_at = Instant::now();
+    call(&platform, Duration::from_secs(3));
+    assert!(arrivals.most_in_window(began_at) <= ALLOWED);
+}
+
+/// Lets hosts find a server out of reach, and starts it then.
+fn start_late(platform: &Platform, arrivals: &Arc<Arrivals>) -> Arc<ScriptedServer> {
+    let address = std::net::SocketAddr::new(platform.spare_ip(), 8000);
+    let entry = json!({"service": "orders", "address": address.to_string(), "zone": "a", "version": "v1", "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1});
+    platform.store.put("servers/late", entry.to_string());
+    wait_until("all hosts find the server out of reach", || {
+        call(platform, Duration::from_millis(200));
+        let is_left_alone = |metrics: String| {
+            let mut lines = metrics.lines();
+            lines.any(|line| line == "clementinearch_servers_left_alone 1")
+        };
+        let mut all = platform.hosts.iter();
+        all.all(|host| is_left_alone(host.metrics()))
+    });
+    ScriptedServer::start(address, recording(arrivals)).unwrap()
+}
+
+/// Guards against a flood of a server that comes back without an entry that says so.
+#[test]
+fn a_server_that_comes_into_reach_counts_as_cold() {
+    let mut platform = Platform::new();
+    configure(&platform, 2, &json!(COLD_PER_S), 6);
+    let (_, warm) = add_server(&mut platform);
+    start(&mut platform, 2);
+    let arrivals = Arc::default();
+    let began_at = Instant::now();
+    let _server = start_late(&platform, &arrivals);
+    wait_for_cold(&platform, 1);
+    let answers = call(&platform, Duration::from_secs(4));
+    assert!(answers.iter().all(|it| it.status == 200));
+    let most = arrivals.most_in_window(began_at);
+    assert!(most <= ALLOWED, "{most} requests in a second");
+    assert!(arrivals.since(began_at).len() >= 5);
+    assert!(warm.since(began_at).len() > ALLOWED);
+    for host in &platform.hosts {
+        let logged = host.logged("server_cold");
+        assert!(logged.iter().all(|line| line["why"] == "presumed"));
+        assert!(!logged.is_empty());
+    }
+    wait_for_cold(&platform, 0);
+    let warm_at = Instant::now();
+    call(&platform, Duration::from_secs(2));
+    assert!(arrivals.most_in_window(warm_at) > ALLOWED, "it is warm");
+}
+
+/// Guards against an entry, a start or a test connection that slows servers of a service that names no
+/// pace, as all did before.
+#[test]
+fn servers_of_a_service_without_a_pace_are_never_cold() {
+    for pace in [None, Some(json!(0))] {
+        let mut platform = Platform::new();
+        if let Some(pace) = &pace {
+            configure(&platform, 2, pace, 60);
+        }
+        let (name, arrivals) = add_server(&mut platform);
+        write_entry(&platform, &name, 1, 2, "60000");
+        launch(&mut platform, 1);
+        let early = call(&platform, Duration::from_millis(500));
+        assert!(early.iter().all(|it| it.status == 200), "{pace:?}");
+        let late = Arc::default();
+        let _server = start_late(&platform, &late);
+        write_entry(&platform, &name, 2, 1, "60000");
+        let host = &platform.hosts[0];
+        wait_until("the host knows of both starts", || {
+            host.logged("server_in_reach").len() == 1 && host.logged("server_ready").len() == 3
+        });
+        let began_at = Instant::now();
+        let answers = call(&platform, Duration::from_secs(2));
+        assert!(answers.iter().all(|it| it.status == 200), "{pace:?}");
+        assert!(arrivals.most_in_window(began_at) > ALLOWED, "{pace:?}");
+        assert!(late.most_in_window(began_at) > ALLOWED, "{pace:?}");
+        assert_eq!(host.status()["cold_servers"], 0);
+        assert!(host.logged("server_cold").is_empty(), "{pace:?}");
+    }
+}
