--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -71,6 +71,8 @@
 mod server;
 mod server_limits;
 mod server_loads;
+#[cfg(test)]
+mod server_loads_tests;
 mod server_pace;
 mod server_places;
 mod server_rests;
