--- a/router/src/evacuations.rs
+++ b/router/src/evacuations.rs
@@ -45,14 +45,16 @@
 
     /// Uses the servers of a zone again. They may have become cold without an entry that says so.
     pub(crate) fn end_evacuation(&self, zone: &str, now: Millis) {
-        if !self.evacuations.0.write().remove(zone) {
+        if !self.evacuations.contains(zone) {
             return;
         }
+        // Before the zone is used again: a request on another thread would find its servers warm.
         let all = self.servers.all();
         let of_zone = all.iter().filter(|server| *server.entry.zone == *zone);
         for server in of_zone {
             self.presume_cold(server, now);
         }
+        self.evacuations.0.write().remove(zone);
         let servers = self.servers.count_in_zone(zone);
         self.log_event("zone_restored", zone, "", &[("servers", servers as f64)]);
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -36,6 +36,8 @@
 mod forwarding;
 mod gossip;
 mod gossip_event;
+#[cfg(test)]
+mod gossip_event_tests;
 mod guarded_stream;
 mod handover;
 mod health_tracking;
@@ -69,6 +71,8 @@
 mod server;
 mod server_limits;
 mod server_loads;
+#[cfg(test)]
+mod server_loads_tests;
 mod server_pace;
 mod server_places;
 mod server_rests;
