--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -40,8 +40,10 @@
 /// all prefer the server with the lowest old number overrun it.
 const RUNNING_SPAN: Duration = Duration::from_millis(300);
 
-/// Time for which a machine is slowed. The probability that it still is falls evenly to zero.
-const SLOW_SPAN: Duration = Duration::from_millis(600);
+/// Time for which the duration of work that a server names tells of the next request. The figure
+/// changes many times a second: believed for 600 ms, it sent requests away from servers that were no
+/// longer slowed.
+const SLOW_SPAN: Duration = Duration::from_millis(100);
 
 /// Least difference that makes a word newer than another: rounding of ages and the time on the way.
 const LEAST_NEWS: Duration = Duration::from_millis(20);
