--- a/policy/src/load_rows.rs
+++ b/policy/src/load_rows.rs
@@ -111,7 +111,7 @@
 }
 
 /// Rounds an age up, with one step more for the way: a row that is passed on never gets younger, so
-/// that a host does not take its own word for a newer one when it comes back.
+/// that a host does not take its own report for a newer one when it comes back.
 fn pack_age(age: Duration) -> u8 {
     let steps = (age.as_millis() as u64).div_ceil(AGE_STEP_MS) + 1;
     steps.min(u64::from(NO_FIGURE)) as u8
--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -1,8 +1,8 @@
 //! What a host knows of a server's load from its own requests and from its peers.
 //!
 //! Load: a host hears from each server once in ten seconds, while all hosts together hear from it
-//! several times a second. Hosts pass on to peers what is news to them; the word of the latest
-//! response counts, whoever heard it, and no word counts beyond its lifetime.
+//! several times a second. Hosts pass on to peers what is news to them; the report with
+//! the latest response counts, whoever got it, and none counts beyond its lifetime.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -11,8 +11,8 @@
     time::Millis,
 };
 
-/// Age up to which peers' words count, by the time of the response or of the estimate.
-pub const WORD_LIFETIME: Duration = Duration::from_secs(2);
+/// Age up to which peers' reports count, by the time of the response or of the estimate.
+pub const PEER_REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time from one message to peers to the next. In a simulated fleet of 83 hosts two thirds of a zone
 /// know a response after 0.5 s, and four fifths of the hosts of other zones after 1 s.
@@ -45,10 +45,10 @@
 /// longer slowed.
 const SLOW_SPAN: Duration = Duration::from_millis(100);
 
-/// Least difference that makes a word newer than another: rounding of ages and the time on the way.
+/// Least difference that makes a report newer than another: rounding of ages and the time on the way.
 const LEAST_NEWS: Duration = Duration::from_millis(20);
 
-/// Pending prefill that is told again in each period, since it outlives its word.
+/// Pending prefill that is told again in each period, since it outlives its report.
 const LONG_PENDING_MS: f64 = 1_000.0;
 
 /// Number of hosts that are told of all prompts for a server, so that one may fail.
@@ -106,7 +106,7 @@
 
 /// A load that a peer passed on.
 #[derive(Clone, Copy, Debug)]
-struct LoadWord {
+struct PeerLoad {
     load: ServerLoad,
     /// Time of the response.
     at: Millis,
@@ -117,15 +117,15 @@
 
 /// An estimate of when all prompts that were sent to the server are prefilled.
 #[derive(Clone, Copy, Debug)]
-struct PendingWord {
+struct PendingEstimate {
     until: Millis,
     estimated_at: Millis,
     heard_at: Millis,
 }
 
-impl PendingWord {
+impl PendingEstimate {
     fn is_believed(&self, now: Millis) -> bool {
-        self.until > now && now.since(self.estimated_at) <= WORD_LIFETIME
+        self.until > now && now.since(self.estimated_at) <= PEER_REPORT_LIFETIME
     }
 
     fn left_ms(&self, now: Millis) -> f64 {
@@ -142,12 +142,12 @@
     is_own: bool,
 }
 
-/// A server's load as peers told it, and this host's requests since.
+/// A server's load as peers reported it, and this host's requests since.
 #[derive(Clone, Debug, Default)]
 pub struct SharedLoad {
-    load: Option<LoadWord>,
-    pending: Option<PendingWord>,
-    /// Requests of this host, and peers' that it heard of, within the lifetime of words, oldest first.
+    load: Option<PeerLoad>,
+    pending: Option<PendingEstimate>,
+    /// Requests of this host, and peers' that it heard of, within the lifetime of reports, oldest first.
     begun: VecDeque<Begun>,
     /// Number of this host's requests that have ended.
     ended: u64,
@@ -156,7 +156,7 @@
 }
 
 impl SharedLoad {
-    /// Returns what peers told, without this host's requests.
+    /// Returns what peers reported, without this host's requests.
     pub fn without_requests(&self) -> Self {
         Self {
             begun: VecDeque::new(),
@@ -178,7 +178,7 @@
         if prefill_ms > 0.0 {
             self.prompt_at = now;
         }
-        let is_old = |begun: &Begun| now.since(begun.at) > WORD_LIFETIME;
+        let is_old = |begun: &Begun| now.since(begun.at) > PEER_REPORT_LIFETIME;
         while self.begun.front().is_some_and(is_old) || self.begun.len() >= MAX_BEGUN {
             self.begun.pop_front();
         }
@@ -203,17 +203,17 @@
         self.prompt_at > since
     }
 
-    /// Records a row that a peer sent. Older words than the known ones have no effect. Returns whether
+    /// Records a row that a peer sent. Older reports than the known ones have no effect. Returns whether
     /// the response that the row tells of was a failure, if it is news.
     pub fn merge(&mut self, row: &LoadRow, now: Millis) -> Option<bool> {
         let mut has_failed = None;
-        if let Some((load, age)) = row.load.filter(|(_, age)| *age <= WORD_LIFETIME) {
+        if let Some((load, age)) = row.load.filter(|(_, age)| *age <= PEER_REPORT_LIFETIME) {
             let at = before(now, age);
             if self
                 .load
                 .is_none_or(|known| at > known.at.after(LEAST_NEWS))
             {
-                self.load = Some(LoadWord {
+                self.load = Some(PeerLoad {
                     load,
                     at,
                     heard_at: now,
@@ -222,8 +222,8 @@
                 has_failed = load.has_failed;
             }
         }
-        if let Some((left, age)) = row.pending.filter(|(_, age)| *age <= WORD_LIFETIME) {
-            self.merge_pending(PendingWord {
+        if let Some((left, age)) = row.pending.filter(|(_, age)| *age <= PEER_REPORT_LIFETIME) {
+            self.merge_pending(PendingEstimate {
                 until: now.after(left),
                 estimated_at: before(now, age),
                 heard_at: now,
@@ -234,44 +234,46 @@
 
     /// Keeps the latest end that trackers expect: one that has just started does not know of all
     /// prompts.
-    fn merge_pending(&mut self, word: PendingWord) {
+    fn merge_pending(&mut self, estimate: PendingEstimate) {
         let is_news = self.pending.is_none_or(|known| {
-            let is_newer = word.estimated_at > known.estimated_at.after(LEAST_NEWS);
-            !known.is_believed(word.heard_at)
-                || word.until > known.until.after(LEAST_NEWS)
-                || is_newer && word.until.after(LEAST_NEWS) > known.until
+            let is_newer = estimate.estimated_at > known.estimated_at.after(LEAST_NEWS);
+            !known.is_believed(estimate.heard_at)
+                || estimate.until > known.until.after(LEAST_NEWS)
+                || is_newer && estimate.until.after(LEAST_NEWS) > known.until
         });
         if is_news {
-            self.pending = Some(word);
+            self.pending = Some(estimate);
         }
     }
 
     /// Load by the latest response that peers heard, its time, and the change of the number of this
-    /// host's requests since. None if that is too long ago. Requests that ended while the word was on
+    /// host's requests since. None if that is too long ago. Requests that ended while the report was on
     /// its way are still counted.
     pub fn load(&self, now: Millis) -> Option<(ServerLoad, Millis, f64)> {
-        let word = self.load.filter(|it| now.since(it.at) <= WORD_LIFETIME)?;
-        let begun = self.begun_since(word.at);
+        let report = self
+            .load
+            .filter(|it| now.since(it.at) <= PEER_REPORT_LIFETIME)?;
+        let begun = self.begun_since(report.at);
         let begun = begun.filter(|begun| begun.is_own).count() as f64;
-        let ended = (self.ended - word.ended_then) as f64;
-        Some((word.load, word.at, begun - ended))
+        let ended = (self.ended - report.ended_then) as f64;
+        Some((report.load, report.at, begun - ended))
     }
 
     /// Time until all prompts that were sent to the server are prefilled, milliseconds, where this
     /// host itself knows of `own_ms`. Prompts since a tracker's estimate are added to it.
     pub fn pending_ms(&self, own_ms: f64, now: Millis) -> f64 {
-        let Some(word) = self.pending.filter(|it| it.is_believed(now)) else {
+        let Some(estimate) = self.pending.filter(|it| it.is_believed(now)) else {
             return own_ms;
         };
-        let since = self.begun_since(word.estimated_at);
+        let since = self.begun_since(estimate.estimated_at);
         let since_ms: f64 = since.map(|begun| begun.prefill_ms).sum();
-        own_ms.max(word.left_ms(now) + since_ms)
+        own_ms.max(estimate.left_ms(now) + since_ms)
     }
 
     /// Returns the row on what has become known after `since`, if anything has.
     pub fn row(&self, server: u32, own: &OwnLoad, since: Millis, now: Millis) -> Option<LoadRow> {
-        let load = self.load_to_tell(own, since, now);
-        let pending = self.pending_to_tell(own, since, now);
+        let load = self.load_for_peers(own, since, now);
+        let pending = self.pending_for_peers(own, since, now);
         (load.is_some() || pending.is_some()).then_some(LoadRow {
             server,
             load,
@@ -279,32 +281,37 @@
         })
     }
 
-    fn load_to_tell(
+    fn load_for_peers(
         &self,
         own: &OwnLoad,
         since: Millis,
         now: Millis,
     ) -> Option<(ServerLoad, Duration)> {
-        let told = self.load.map(|word| (word.load, word.at, word.heard_at));
+        let from_peers = self
+            .load
+            .map(|report| (report.load, report.at, report.heard_at));
         let heard = own.report.map(|(load, at)| (load, at, at));
-        let newest = [told, heard].into_iter().flatten().max_by_key(|it| it.1);
+        let newest = [from_peers, heard]
+            .into_iter()
+            .flatten()
+            .max_by_key(|it| it.1);
         let (load, at, heard_at) = newest?;
         let age = now.since(at);
-        (heard_at > since && age <= WORD_LIFETIME).then_some((load, age))
+        (heard_at > since && age <= PEER_REPORT_LIFETIME).then_some((load, age))
     }
 
-    fn pending_to_tell(
+    fn pending_for_peers(
         &self,
         own: &OwnLoad,
         since: Millis,
         now: Millis,
     ) -> Option<(Duration, Duration)> {
-        let is_told = |ms: &f64| self.has_new_prompt(since) || *ms >= LONG_PENDING_MS;
-        let own_ms = own.pending_ms.filter(is_told).unwrap_or(0.0);
-        let told = self.pending.filter(|it| it.heard_at > since);
-        match told.filter(|it| it.is_believed(now)) {
-            Some(word) if word.left_ms(now) > own_ms => {
-                Some((word.until.since(now), now.since(word.estimated_at)))
+        let is_reported = |ms: &f64| self.has_new_prompt(since) || *ms >= LONG_PENDING_MS;
+        let own_ms = own.pending_ms.filter(is_reported).unwrap_or(0.0);
+        let from_peers = self.pending.filter(|it| it.heard_at > since);
+        match from_peers.filter(|it| it.is_believed(now)) {
+            Some(estimate) if estimate.left_ms(now) > own_ms => {
+                Some((estimate.until.since(now), now.since(estimate.estimated_at)))
             }
             _ if own_ms >= 1.0 => Some((Duration::from_millis(own_ms as u64), Duration::ZERO)),
             _ => None,
--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -8,8 +8,8 @@
     names::Name,
     placement::{PlacementQuery, ServerView, affinity_rank, choose_server, placement_cost},
     shared_load::{
-        LONG_PREFILL, MAX_ROWS, NEAR_PEERS, OwnLoad, SHARE_PERIOD, SharedLoad, TRACKERS,
-        WORD_LIFETIME, crossing_probability, sample_size, settled_running, slowdown_factor,
+        LONG_PREFILL, MAX_ROWS, NEAR_PEERS, OwnLoad, PEER_REPORT_LIFETIME, SHARE_PERIOD,
+        SharedLoad, TRACKERS, crossing_probability, sample_size, settled_running, slowdown_factor,
     },
     time::Millis,
 };
@@ -110,7 +110,7 @@
     let mut hosts = vec![SharedLoad::default(); 4];
     hosts[0].merge(&row(9, ms(0)), start);
     let mut now = start;
-    while now.since(start) <= WORD_LIFETIME * 2 {
+    while now.since(start) <= PEER_REPORT_LIFETIME * 2 {
         now = now.after(ms(50));
         for host in 0..4 {
             let row = hosts[host].row(7, &OwnLoad::default(), Millis(now.0 - 51), now);
@@ -118,10 +118,10 @@
                 hosts[(host + 1) % 4].merge(&row, now.after(ms(2)));
             }
         }
-        let is_old = now.since(start) > WORD_LIFETIME;
+        let is_old = now.since(start) > PEER_REPORT_LIFETIME;
         assert!(!is_old || hosts.iter().all(|it| it.load(now).is_none()));
     }
-    hosts[0].merge(&row(9, WORD_LIFETIME + ms(10)), now);
+    hosts[0].merge(&row(9, PEER_REPORT_LIFETIME + ms(10)), now);
     assert!(hosts[0].load(now).is_none());
 }
 
@@ -163,7 +163,7 @@
     assert_eq!(known.pending_ms(200.0, later), 300.0);
     assert_eq!(known.pending_ms(5.0, now.after(ms(10_000))), 5.0);
     known.merge(&pending_row(ms(60_000), ms(0)), later);
-    let expired = later.after(WORD_LIFETIME + ms(1));
+    let expired = later.after(PEER_REPORT_LIFETIME + ms(1));
     assert_eq!(known.pending_ms(0.0, expired), 0.0, "a wrong word ends");
 }
 
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -209,7 +209,7 @@
         }
         if records
             .into_iter()
-            .any(|it| !state.takes_request(it, &self.call))
+            .any(|it| !state.may_serve(it, &self.call))
         {
             return Err(NO_SERVER_IN_REGIONS);
         }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -107,7 +107,7 @@
     relayed: Vec<Prefill>,
     sessions: Vec<SessionVersion>,
     /// When peers were last told of the servers' load.
-    loads_told_at: Millis,
+    loads_sent_at: Millis,
     /// Prompt parts of which there is news.
     parts: FastSet<u64>,
     /// Whether a new report is to be built and sent.
@@ -131,7 +131,7 @@
             prefills: Vec::new(),
             relayed: Vec::new(),
             sessions: Vec::new(),
-            loads_told_at: Millis(0),
+            loads_sent_at: Millis(0),
             parts: FastSet::default(),
             is_report_due: true,
             report: Vec::new(),
@@ -278,7 +278,7 @@
     /// Sends what has become known of the servers' load since the last time to a few peers.
     async fn send_loads(&mut self) {
         let now = self.state.now();
-        let since = std::mem::replace(&mut self.loads_told_at, now);
+        let since = std::mem::replace(&mut self.loads_sent_at, now);
         if !self.state.shares_loads() {
             return;
         }
--- a/router/src/residency.rs
+++ b/router/src/residency.rs
@@ -18,7 +18,7 @@
     }
 
     /// Whether a server takes new requests and this one may run there.
-    pub(crate) fn takes_request(&self, server: &Server, call: &Call) -> bool {
+    pub(crate) fn may_serve(&self, server: &Server, call: &Call) -> bool {
         self.takes_requests(server) && self.allows_zone(call, Some(&server.entry.zone))
     }
 
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -196,7 +196,7 @@
     /// Age of the load report; none if no report counts.
     pub(crate) age: Option<Duration>,
     /// Whether peers told of the load.
-    pub(crate) is_told: bool,
+    pub(crate) is_shared: bool,
 }
 
 impl Server {
@@ -480,12 +480,12 @@
             let total = f64::from(report.running) + f64::from(report.waiting) + change;
             (total, report.slots, report.slowdown, at)
         });
-        let told = observed.shared.load(now).map(|(load, at, change)| {
+        let shared = observed.shared.load(now).map(|(load, at, change)| {
             let total = f64::from(load.running) + f64::from(load.waiting) + change;
             (total, self.entry.slots, load.slowdown, at)
         });
         // Of two reports of the same time, the one to this host has the server's own slots.
-        let newest = [told, own].into_iter().flatten().max_by_key(|it| it.3);
+        let newest = [shared, own].into_iter().flatten().max_by_key(|it| it.3);
         let (running, waiting) = newest.map_or((local, 0.0), |(total, slots, _, _)| {
             let total = total.max(local);
             let waiting = (total - f64::from(slots)).max(0.0);
@@ -503,7 +503,7 @@
             latency_ratio: observed.latency.ratio(),
             slowdown: slowdown.unwrap_or(1.0),
             age: newest.map(|it| now.since(it.3)),
-            is_told: told.is_some(),
+            is_shared: shared.is_some(),
         }
     }
 
@@ -516,7 +516,7 @@
     }
 
     /// Whether peers told of the server's load.
-    pub(crate) fn is_load_told(&self, now: Millis) -> bool {
+    pub(crate) fn is_load_shared(&self, now: Millis) -> bool {
         self.observed.lock().shared.load(now).is_some()
     }
 
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -181,7 +181,7 @@
         now: Millis,
     ) -> Option<Duration> {
         let pool = self.servers.pool(&call.service);
-        let ready = pool.iter().filter(|it| self.takes_request(it, call));
+        let ready = pool.iter().filter(|it| self.may_serve(it, call));
         let ready: Vec<&Arc<Server>> = ready.collect();
         let is_held = |server: &&Arc<Server>| {
             let names_limit = server.limit().is_some() || server.refusal_limit().is_some();
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -108,7 +108,7 @@
         let running = load.running.min(f64::from(server.entry.slots));
         (total + running, count + 1)
     });
-    if loads.iter().any(|load| load.is_told) {
+    if loads.iter().any(|load| load.is_shared) {
         let mean = total / f64::from(count.max(1));
         for (load, server) in loads.iter_mut().zip(servers) {
             let running = settled_running(load.running, mean, load.age);
@@ -127,7 +127,7 @@
     now: Millis,
 ) {
     let size = sample_size(state.fleet.lock().known_hosts());
-    if servers.len() <= size || !servers.iter().any(|server| server.is_load_told(now)) {
+    if servers.len() <= size || !servers.iter().any(|server| server.is_load_shared(now)) {
         return;
     }
     let mut is_kept: Vec<bool> = views.iter().map(|view| view.cached_tokens > 0.0).collect();
--- a/router/src/server_places.rs
+++ b/router/src/server_places.rs
@@ -59,7 +59,7 @@
         pool.iter().any(|server| {
             let is_cold = self.pace_while_cold(server, now).is_some();
             let is_held = server.refusal_limit().is_some() || is_cold;
-            self.takes_request(server, call) && !server.is_resting(now) && is_held
+            self.may_serve(server, call) && !server.is_resting(now) && is_held
         })
     }
 
--- a/router/src/server_selection.rs
+++ b/router/src/server_selection.rs
@@ -75,7 +75,7 @@
             .as_ref()
             .map_or(0.0, |prompt| f64::from(prompt.tokens)),
         ms_per_token: state.ms_per_token(&call.service, size),
-        is_load_shared: eligible.iter().any(|server| server.is_load_told(now)),
+        is_load_shared: eligible.iter().any(|server| server.is_load_shared(now)),
     };
     let offset = state.placements.fetch_add(1, Ordering::Relaxed);
     let mut index = choose_server(&views, &query, offset)?;
@@ -128,7 +128,7 @@
 ) -> Vec<Arc<Server>> {
     let open: Vec<&Arc<Server>> = pool
         .iter()
-        .filter(|server| state.takes_request(server, call) && !server.is_resting(now))
+        .filter(|server| state.may_serve(server, call) && !server.is_resting(now))
         .collect();
     let mut ready = open.clone();
     ready.retain(|server| !tried.contains(&server.name_hash));
