--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -98,7 +98,7 @@
     has_failed: Option<bool>,
     /// The latest load report, `local_running` at that time, and the time.
     report: Option<(LoadReport, u32, Millis)>,
-    /// The load as peers told it.
+    /// The load as peers reported it.
     shared: SharedLoad,
     /// Remaining prefill time of this host's prompts, milliseconds.
     local_prefill_ms: f64,
@@ -195,7 +195,7 @@
     pub(crate) slowdown: f64,
     /// Age of the load report; none if no report counts.
     pub(crate) age: Option<Duration>,
-    /// Whether peers told of the load.
+    /// Whether peers reported the load.
     pub(crate) is_shared: bool,
 }
 
@@ -515,7 +515,7 @@
         }
     }
 
-    /// Whether peers told of the server's load.
+    /// Whether peers reported the server's load.
     pub(crate) fn is_load_shared(&self, now: Millis) -> bool {
         self.observed.lock().shared.load(now).is_some()
     }
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// Returns the estimated load of servers of one pool. If peers told of any, running requests count
+/// Returns the estimated load of servers of one pool. If peers reported any, running requests count
 /// by the age of the report. Without peers the estimates are those of the servers alone.
 pub(crate) fn load_estimates(servers: &[Arc<Server>], now: Millis) -> Vec<LoadEstimate> {
     let mut loads: Vec<LoadEstimate> = servers.iter().map(|server| server.load(now)).collect();
@@ -119,7 +119,7 @@
 }
 
 /// Leaves a random part of the servers and those that may have a part of the prompt cached, if peers
-/// told of the load of any and the fleet is large.
+/// reported the load of any and the fleet is large.
 pub(crate) fn sample_servers(
     state: &HostState,
     servers: &mut Vec<Arc<Server>>,
