--- a/host/src/controllers/peer_server.rs
+++ b/host/src/controllers/peer_server.rs
@@ -6,17 +6,13 @@
 use clementinearch_policy::{
     catalogue::Bodies, ledger::PageId, membership::Member, names::Name, time::Millis,
 };
-use clementinearch_router::{ConnectionAccount, OpenConnection};
+use clementinearch_router::{ConnectionAccount, OpenConnection, try_accept, wait_for_input};
 use futures::StreamExt;
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::yield_now,
-    time::timeout,
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     clock,
@@ -29,9 +25,6 @@
     shared::state::SharedState,
 };
 
-/// Pause after a failure to accept, which would otherwise come again at once.
-const ACCEPT_FAILURE_PAUSE: Duration = Duration::from_millis(50);
-
 /// Longest wait for the first call on a peer's connection.
 const FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -56,16 +49,7 @@
     let listener = TcpListener::bind(server.state.settings.peers).await?;
     Ok(async move {
         loop {
-            // Connections that were told to close do so before another one is accepted.
-            if account.is_full() {
-                yield_now().await;
-            }
-            let Ok((stream, _)) = listener.accept().await else {
-                account.record_failure();
-                tokio::time::sleep(ACCEPT_FAILURE_PAUSE).await;
-                continue;
-            };
-            let Some(open) = account.open() else {
+            let Some((stream, open)) = try_accept(&listener, &account).await else {
                 continue;
             };
             let server = server.clone();
@@ -82,10 +66,7 @@
 
 /// Serves a peer's connection to its end.
 async fn serve_peer(server: PeerServer, stream: TcpStream, open: &Arc<OpenConnection>) {
-    // A connection on which nothing comes has no buffers. `readable` does not serve here: a stream
-    // counts as readable until a read finds nothing.
-    let first = timeout(FIRST_CALL_TIMEOUT, stream.peek(&mut [0])).await;
-    if !matches!(first, Ok(Ok(1..))) {
+    if !wait_for_input(&stream, FIRST_CALL_TIMEOUT).await {
         return;
     }
     let calls = BaseChannel::with_defaults(framed(stream)).execute(server.serve());
--- a/router/src/accept.rs
+++ b/router/src/accept.rs
@@ -35,24 +35,32 @@
     account: &Arc<ConnectionAccount>,
 ) -> (TcpStream, Arc<OpenConnection>) {
     loop {
-        // Connections that were told to close, and those whose first bytes have come, run before another
-        // one is accepted. Otherwise a burst of connections holds more than the bound, and closes some
-        // whose request has arrived.
-        if account.is_full() {
-            yield_now().await;
-        }
-        let accepted = listener.accept().await;
-        let connection = match accepted {
-            Ok((stream, _)) => account.open().map(|connection| (stream, connection)),
-            Err(_) => {
-                account.record_failure();
-                sleep(FAILURE_PAUSE).await;
-                None
-            }
-        };
+        let accepted = try_accept(listener, account).await;
         log_report(state, account);
-        if let Some(connection) = connection {
-            return connection;
+        if let Some(accepted) = accepted {
+            return accepted;
+        }
+    }
+}
+
+/// Accepts the next connection. Returns `None` if there is no room for it, or if accepting fails,
+/// after a pause.
+pub async fn try_accept(
+    listener: &TcpListener,
+    account: &Arc<ConnectionAccount>,
+) -> Option<(TcpStream, Arc<OpenConnection>)> {
+    // Connections that were told to close, and those whose first bytes have come, run before another
+    // one is accepted. Otherwise a burst of connections holds more than the bound, and closes some
+    // whose request has arrived.
+    if account.is_full() {
+        yield_now().await;
+    }
+    match listener.accept().await {
+        Ok((stream, _)) => account.open().map(|connection| (stream, connection)),
+        Err(_) => {
+            account.record_failure();
+            sleep(FAILURE_PAUSE).await;
+            None
         }
     }
 }
@@ -78,7 +86,7 @@
 /// buffer for it. Returns whether something came.
 ///
 /// `readable` does not serve here: a stream counts as readable until a read finds nothing.
-pub(crate) async fn wait_for_input(stream: &TcpStream, wait: Duration) -> bool {
+pub async fn wait_for_input(stream: &TcpStream, wait: Duration) -> bool {
     let mut first = [0];
     matches!(timeout(wait, stream.peek(&mut first)).await, Ok(Ok(1..)))
 }
--- a/router/src/connection_account.rs
+++ b/router/src/connection_account.rs
@@ -120,7 +120,7 @@
 
     /// Adds a connection, for which another one may be told to close. Returns `None` if it has to be
     /// refused, since all others are at work.
-    pub fn open(self: &Arc<Self>) -> Option<Arc<OpenConnection>> {
+    pub(crate) fn open(self: &Arc<Self>) -> Option<Arc<OpenConnection>> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let closer: Arc<Notify> = Arc::default();
         let mut inner = self.inner.lock();
@@ -144,7 +144,7 @@
     }
 
     /// Records a failure to accept, and closes a connection, since descriptors are the usual cause.
-    pub fn record_failure(&self) {
+    pub(crate) fn record_failure(&self) {
         self.failures.fetch_add(1, Ordering::Relaxed);
         let mut inner = self.inner.lock();
         let closed = inner.connections.close_stalest();
@@ -179,7 +179,7 @@
     }
 
     /// Whether there is no room for another connection.
-    pub fn is_full(&self) -> bool {
+    pub(crate) fn is_full(&self) -> bool {
         self.inner.lock().connections.is_full()
     }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -98,6 +98,7 @@
 #[cfg(test)]
 mod view_tests;
 
+pub use accept::{try_accept, wait_for_input};
 pub use body_buffer::{BodyError, BodyLimit, read_body};
 pub use call::{Call, CallHead, ModelChoice, Prompt, PromptPart};
 pub use connection_account::{ConnectionAccount, OpenConnection, Work};
