--- a/host/src/settings.rs
+++ b/host/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use clementinearch_policy::{
+    connection_bounds::CONNECTION_COUNTS,
     findings::Findings,
     names::Name,
     toml_reader::{Table, read_document},
@@ -84,9 +85,6 @@
 /// Memory that a process is taken to have unless its settings say otherwise, MB.
 const DEFAULT_MEMORY_MB: u64 = 512;
 
-/// Least number of descriptors and of callers' connections that a host can work with.
-const MIN_COUNT: u64 = 16;
-
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
 impl Settings {
@@ -205,8 +203,8 @@
             drain_limit: table.millis("drain_limit_ms", 0..=DAY_MS, Duration::from_secs(600)),
             max_body_bytes: table.number("max_body_bytes", 1..=1 << 30, 1 << 20),
             memory_mb: table.number("memory_mb", 1..=1 << 20, DEFAULT_MEMORY_MB),
-            descriptors: optional_count(table, "descriptors"),
-            caller_connections: optional_count(table, "caller_connections"),
+            descriptors: table.optional_number("descriptors", CONNECTION_COUNTS),
+            caller_connections: table.optional_number("caller_connections", CONNECTION_COUNTS),
             caller_timeout: table.millis(
                 "caller_timeout_ms",
                 10..=600_000,
@@ -222,12 +220,6 @@
     }
 }
 
-/// Reads a whole number from [`MIN_COUNT`]; `None` if it is absent or invalid.
-fn optional_count(table: &mut Table<'_>, key: &str) -> Option<u64> {
-    let count = table.number(key, MIN_COUNT..=1 << 20, 0);
-    (count > 0).then_some(count)
-}
-
 fn address(table: &mut Table<'_>, key: &str) -> SocketAddr {
     let unset = SocketAddr::from(([0, 0, 0, 0], 0));
     table.required(key, parse_address).unwrap_or(unset)
--- a/policy/src/connection_bounds.rs
+++ b/policy/src/connection_bounds.rs
@@ -1,7 +1,7 @@
 //! Bounds on the connections that a listener holds, and the order in which they are closed when
 //! there are too many.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, ops::RangeInclusive};
 
 use crate::{names::FastMap, time::Millis};
 
@@ -35,6 +35,10 @@
 const MIN_CONNECTIONS: u64 = 64;
 const MIN_HEAD_BYTES: usize = 128 << 10;
 
+/// Numbers of descriptors and of callers' connections that settings may name: a host cannot work with
+/// fewer.
+pub const CONNECTION_COUNTS: RangeInclusive<u64> = 16..=1 << 20;
+
 /// Part of a listener's connections that is kept for new ones, whose first request has not been
 /// accepted yet; the rest is kept for those that have had one.
 const NEW_DIVISOR: usize = 4;
--- a/policy/src/toml_reader.rs
+++ b/policy/src/toml_reader.rs
@@ -211,26 +211,31 @@
 
     /// Takes a whole number within `range`; `default` if it is absent or invalid.
     pub fn number(&mut self, key: &str, range: std::ops::RangeInclusive<u64>, default: u64) -> u64 {
-        let Some(value) = self.take(key) else {
-            return default;
-        };
+        self.optional_number(key, range).unwrap_or(default)
+    }
+
+    /// Takes a whole number within `range`; `None` if it is absent or invalid.
+    pub fn optional_number(
+        &mut self,
+        key: &str,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let value = self.take(key)?;
         let number = match value.get_ref() {
             DeValue::Integer(number) => u64::from_str_radix(number.as_str(), number.radix()).ok(),
             _ => None,
         };
-        match number {
-            Some(number) if range.contains(&number) => number,
-            _ => {
-                let message = format!(
-                    "expected a whole number from {} to {}",
-                    range.start(),
-                    range.end()
-                );
-                self.document
-                    .report(&value.span(), &self.field_path(key), message);
-                default
-            }
+        let number = number.filter(|number| range.contains(number));
+        if number.is_none() {
+            let message = format!(
+                "expected a whole number from {} to {}",
+                range.start(),
+                range.end()
+            );
+            self.document
+                .report(&value.span(), &self.field_path(key), message);
         }
+        number
     }
 
     /// Takes a duration in milliseconds; its key should end in `_ms`. See [`Table::number`].
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use clementinearch_policy::{
+    connection_bounds::CONNECTION_COUNTS,
     findings::Findings,
     names::{FastMap, Name},
     retry_budget::RetryLimit,
@@ -16,9 +17,6 @@
 /// Memory that a process is taken to have unless it is told, bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 128_000_000;
 
-/// Least number of descriptors and of callers' connections that a host can work with.
-const MIN_COUNT: u64 = 16;
-
 /// Shortest window in which retries are counted.
 const MIN_RETRY_WINDOW: Duration = Duration::from_secs(1);
 
@@ -218,19 +216,13 @@
         gossip_period: table.millis("gossip_period_ms", 10..=60_000, Duration::from_millis(500)),
         link_mbps: table.parsed("link_mbps", parse_rate),
         memory_bytes: memory.unwrap_or(DEFAULT_MEMORY_BYTES),
-        descriptors: optional_count(table, "descriptors"),
+        descriptors: table.optional_number("descriptors", CONNECTION_COUNTS),
         evacuation: table.parsed("evacuation_ms", parse_millis),
-        caller_connections: optional_count(table, "caller_connections"),
+        caller_connections: table.optional_number("caller_connections", CONNECTION_COUNTS),
         ramp_up: table.flag("ramp_up", false),
     }
 }
 
-/// Reads a whole number from [`MIN_COUNT`]; `None` if it is absent or invalid.
-fn optional_count(table: &mut Table<'_>, key: &str) -> Option<u64> {
-    let count = table.number(key, MIN_COUNT..=1 << 20, 0);
-    (count > 0).then_some(count)
-}
-
 fn read_bounds(table: &mut Table<'_>) -> Bounds {
     const DEFAULT_RETRY_RATIO: f64 = 0.2;
     const DEFAULT_RETRY_SLACK: f64 = 10.0;
