--- a/policy/src/routes.rs
+++ b/policy/src/routes.rs
@@ -184,6 +184,8 @@
     pub accounts: FastMap<Name, Arc<Account>>,
     /// Whether requests need an API key.
     pub needs_keys: bool,
+    /// Whether a service names a pace for its cold servers.
+    pub has_cold_pace: bool,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
 }
@@ -206,6 +208,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let has_cold_pace = services.iter().any(|service| service.cold_pace.is_some());
         let services = services
             .into_iter()
             .map(|service| (service.name.clone(), Arc::new(service)))
@@ -216,6 +219,7 @@
             services,
             accounts: FastMap::default(),
             needs_keys: false,
+            has_cold_pace,
             limits,
         }
     }
--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -246,13 +246,22 @@
         }
     }
 
+    /// The report of a peer that counts now.
+    fn report(&self, now: Millis) -> Option<PeerLoad> {
+        self.load
+            .filter(|it| now.since(it.at) <= PEER_REPORT_LIFETIME)
+    }
+
+    /// Whether a report of a peer counts now.
+    pub fn is_reported(&self, now: Millis) -> bool {
+        self.report(now).is_some()
+    }
+
     /// Load by the latest response that peers heard, its time, and the change of the number of this
     /// host's requests since. None if that is too long ago. Requests that ended while the report was on
     /// its way are still counted.
     pub fn load(&self, now: Millis) -> Option<(ServerLoad, Millis, f64)> {
-        let report = self
-            .load
-            .filter(|it| now.since(it.at) <= PEER_REPORT_LIFETIME)?;
+        let report = self.report(now)?;
         let begun = self.begun_since(report.at);
         let begun = begun.filter(|begun| begun.is_own).count() as f64;
         let ended = (self.ended - report.ended_then) as f64;
--- a/router/src/attempt.rs
+++ b/router/src/attempt.rs
@@ -207,10 +207,8 @@
         if records.clone().any(|it| !state.takes_requests(it)) {
             return Err(ZONE_EVACUATED);
         }
-        if records
-            .into_iter()
-            .any(|it| !state.may_serve(it, &self.call))
-        {
+        let mut zones = records.map(|it| &it.entry.zone);
+        if zones.any(|zone| !state.allows_zone(&self.call, Some(zone))) {
             return Err(NO_SERVER_IN_REGIONS);
         }
         if server.is_resting(state.now()) {
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -517,7 +517,7 @@
 
     /// Whether peers reported the server's load.
     pub(crate) fn is_load_shared(&self, now: Millis) -> bool {
-        self.observed.lock().shared.load(now).is_some()
+        self.observed.lock().shared.is_reported(now)
     }
 
     /// Whether a prompt for the server was counted after `since`.
--- a/router/src/server_loads.rs
+++ b/router/src/server_loads.rs
@@ -38,8 +38,7 @@
 
     /// Whether a service names a pace for its cold servers.
     pub(crate) fn has_cold_pace(&self) -> bool {
-        let table = self.table();
-        table.is_some_and(|table| table.services.values().any(|it| it.cold_pace.is_some()))
+        self.table().is_some_and(|table| table.has_cold_pace)
     }
 
     /// Records the load that a server reported with a response, and whether that was a failure.
