--- a/router/src/cold_servers.rs
+++ b/router/src/cold_servers.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use clementinearch_policy::{cold_pace::ColdPace, time::Millis};
+use clementinearch_policy::{cold_pace::ColdPace, slow_start::HostPlace, time::Millis};
 
 use crate::{host_state::HostState, server::Server};
 
@@ -37,17 +37,13 @@
         self.cold_pace(&server.entry.service)
     }
 
-    /// Returns this host's part of a cold server's pace, or none if other hosts send to it. All known
-    /// hosts are ranked, whether they are live or not: parts of a fleet that are cut off from each
-    /// other agree on who sends.
+    /// Returns this host's part of a cold server's pace, or none if other hosts send to it.
     pub(crate) fn cold_share(&self, server: &Server, pace: ColdPace) -> Option<ColdShare> {
         if !self.view_reads.have_lasted(SETTLING_TIME, self.now()) {
             return None;
         }
-        let fleet = self.fleet.lock();
-        let hosts = fleet.known_hosts();
-        let rank = || fleet.rank_among_known_for(server.name_hash);
-        let is_sender = server.pace.rank(hosts, rank) < pace.senders(hosts);
+        let HostPlace { rank, hosts } = self.place_for(server);
+        let is_sender = rank < pace.senders(hosts);
         is_sender.then(|| ColdShare {
             interval: pace.interval(hosts),
             max_in_window: pace.max_in_window(hosts),
--- a/router/src/server_pace.rs
+++ b/router/src/server_pace.rs
@@ -3,9 +3,13 @@
 
 use std::time::Duration;
 
-use clementinearch_policy::{cold_pace::SentWindow, server_limit::Pacer, time::Millis};
+use clementinearch_policy::{
+    cold_pace::SentWindow, server_limit::Pacer, slow_start::HostPlace, time::Millis,
+};
 use parking_lot::Mutex;
 
+use crate::{host_state::HostState, server::Server};
+
 /// The pace of this host's requests to a server, whichever record of it they were chosen by.
 #[derive(Debug, Default)]
 pub(crate) struct ServerPace(Mutex<State>);
@@ -20,8 +24,8 @@
     cold_by_entry: Millis,
     /// Until when the server is presumed to be cold.
     presumed_cold: Millis,
-    /// Number of known hosts, and this host's rank among them for the server.
-    rank: Option<(usize, usize)>,
+    /// This host's place in the order for the server, as last computed.
+    place: Option<HostPlace>,
 }
 
 /// Difference from which a time named by a newer entry is told to peers. Entries are read up to a
@@ -52,7 +56,7 @@
     }
 
     /// Takes the server for cold until `until` by its newest entry. Returns whether that differs
-    /// notably from the earlier entry's word.
+    /// notably from what the earlier entry said.
     pub(crate) fn set_cold_by_entry(&self, until: Millis, now: Millis) -> bool {
         let mut state = self.0.lock();
         let earlier = std::mem::replace(&mut state.cold_by_entry, until);
@@ -68,14 +72,22 @@
         state.presumed_cold = state.presumed_cold.max(until);
         was_warm && until > now
     }
+}
 
-    /// This host's rank among `hosts` known hosts, by `rank` unless it is known. Hosts are never
-    /// forgotten, so that their number tells whether there are others.
-    pub(crate) fn rank(&self, hosts: usize, rank: impl FnOnce() -> usize) -> usize {
-        let mut state = self.0.lock();
-        match state.rank {
-            Some((of, rank)) if of == hosts => rank,
-            _ => state.rank.insert((hosts, rank())).1,
+impl HostState {
+    /// This host's place in the order for a server. All known hosts count, whether they are live or
+    /// not: parts of a fleet that are cut off from each other agree on it. Hosts are never forgotten,
+    /// so that their number tells whether the place is still the same.
+    pub(crate) fn place_for(&self, server: &Server) -> HostPlace {
+        let fleet = self.fleet.lock();
+        let hosts = fleet.known_hosts();
+        let mut state = server.pace.0.lock();
+        match state.place {
+            Some(place) if place.hosts == hosts => place,
+            _ => *state.place.insert(HostPlace {
+                rank: fleet.rank_among_known_for(server.name_hash),
+                hosts,
+            }),
         }
     }
 }
--- a/router/src/slow_start.rs
+++ b/router/src/slow_start.rs
@@ -4,7 +4,7 @@
 
 use clementinearch_policy::{
     placement::ServerView,
-    slow_start::{HostPlace, Ramp, RampAnswer},
+    slow_start::{Ramp, RampAnswer},
     time::Millis,
 };
 
@@ -29,23 +29,11 @@
         self.log_event("server_ramp_started", &server.entry.name, why, &inputs);
     }
 
-    /// This host's place in the order for a server. All known hosts count, whether they are live or
-    /// not: parts of a fleet that are cut off from each other then agree on it.
-    fn place_for(&self, server: &Server) -> HostPlace {
-        let fleet = self.fleet.lock();
-        HostPlace {
-            rank: fleet.rank_among_known_for(server.name_hash),
-            hosts: fleet.known_hosts(),
-        }
-    }
-
     /// The slow start of a server; `None` if there is none. Ends it if it is over.
     fn ramp(&self, server: &Server, now: Millis) -> Option<Ramp> {
         let mut ramp = server.with_ramp(|current| *current)?;
-        let hosts = self.fleet.lock().known_hosts();
-        if ramp.place().hosts != hosts {
-            // Ranks are computed from the names of all hosts, so only when their number changes.
-            let place = self.place_for(server);
+        let place = self.place_for(server);
+        if ramp.place() != place {
             ramp.set_place(place);
             server.with_ramp(|current| {
                 if let Some(current) = current {
