--- a/host/src/backends/servers.rs
+++ b/host/src/backends/servers.rs
@@ -437,7 +437,7 @@
             let Some(server) = index.by_name.get(name) else {
                 continue;
             };
-            let reported_at = Millis(now.0.saturating_sub(age.as_millis() as u64));
+            let reported_at = now.before(*age);
             let mut state = server.state.lock();
             // A later report that this host received itself takes precedence.
             if reported_at > state.load.reported_at
--- a/host/src/controllers/peer_server.rs
+++ b/host/src/controllers/peer_server.rs
@@ -3,9 +3,7 @@
 use std::{future::Future, io, sync::Arc, time::Duration};
 
 use clementinearch_border::BillRecord;
-use clementinearch_policy::{
-    catalogue::Bodies, ledger::PageId, membership::Member, names::Name, time::Millis,
-};
+use clementinearch_policy::{catalogue::Bodies, ledger::PageId, membership::Member, names::Name};
 use clementinearch_router::{ConnectionAccount, OpenConnection, try_accept, wait_for_input};
 use futures::StreamExt;
 use tarpc::{
@@ -176,7 +174,7 @@
         && digest.revision > 0
     {
         let age_ms = age.as_millis() as u64;
-        state.confirm(Millis(now.0.saturating_sub(age_ms)));
+        state.confirm(now.before(Duration::from_millis(age_ms)));
     }
     let mut members = state.members.lock();
     members.merge(std::slice::from_ref(&digest.from), now);
--- a/policy/src/crash_evidence.rs
+++ b/policy/src/crash_evidence.rs
@@ -259,7 +259,7 @@
 
     /// Merges a peer's rows. Returns the contents that are blocked now and were not before.
     pub fn merge(&mut self, rows: &[EvidenceRow], now: Millis) -> Vec<u64> {
-        let ago = |ms: u64| Millis(now.0.saturating_sub(ms));
+        let ago = |ms: u64| now.before(Duration::from_millis(ms));
         let mut newly_blocked = Vec::new();
         for row in rows.iter().filter(|row| row.age <= EVIDENCE_LIFETIME) {
             let was_blocked = self.evidence(row.content).is_blocked(now);
--- a/policy/src/crash_set.rs
+++ b/policy/src/crash_set.rs
@@ -85,6 +85,6 @@
 pub(crate) fn read_rows(rows: &[(u32, u64)], now: Millis) -> impl Iterator<Item = Crash> {
     rows.iter().map(move |(server, age_ms)| Crash {
         server: *server,
-        at: Millis(now.0.saturating_sub(*age_ms)),
+        at: now.before(Duration::from_millis(*age_ms)),
     })
 }
--- a/policy/src/crash_suspects.rs
+++ b/policy/src/crash_suspects.rs
@@ -121,7 +121,7 @@
     pub fn merge(&mut self, rows: &[SuspectRow], now: Millis) -> bool {
         let mut changed = false;
         for row in rows.iter().filter(|row| row.age <= SUSPICION_LIFETIME) {
-            let changed_at = Millis(now.0.saturating_sub(row.age.as_millis() as u64));
+            let changed_at = now.before(row.age);
             let is_newer = match self.entries.get(&row.content) {
                 None => true,
                 Some(known) if known.crashes >= BLOCKING_CRASHES => false,
--- a/policy/src/part_evidence.rs
+++ b/policy/src/part_evidence.rs
@@ -369,7 +369,7 @@
 
     /// Merges a peer's rows.
     pub fn merge(&mut self, rows: &[PartRow], now: Millis) -> Merged {
-        let ago = |ms: u64| Millis(now.0.saturating_sub(ms));
+        let ago = |ms: u64| now.before(Duration::from_millis(ms));
         let mut answered_since = Vec::new();
         for row in rows {
             let mut crashes: Vec<Crash> = read_rows(&row.servers, now).collect();
--- a/policy/src/planned_end.rs
+++ b/policy/src/planned_end.rs
@@ -24,9 +24,8 @@
 impl PlannedWindow {
     /// The window of a rollout that ended at `ended_at` and whose status was read at `read_at`.
     pub fn new(ended_at: Millis, read_at: Millis) -> Self {
-        let tolerance = PLANNED_END_TOLERANCE.as_millis() as u64;
         Self {
-            from: Millis(ended_at.0.saturating_sub(tolerance)),
+            from: ended_at.before(PLANNED_END_TOLERANCE),
             until: read_at.max(ended_at).after(PLANNED_END_SPAN),
         }
     }
--- a/policy/src/shared_load.rs
+++ b/policy/src/shared_load.rs
@@ -208,7 +208,7 @@
     pub fn merge(&mut self, row: &LoadRow, now: Millis) -> Option<bool> {
         let mut has_failed = None;
         if let Some((load, age)) = row.load.filter(|(_, age)| *age <= PEER_REPORT_LIFETIME) {
-            let at = before(now, age);
+            let at = now.before(age);
             if self
                 .load
                 .is_none_or(|known| at > known.at.after(LEAST_NEWS))
@@ -225,7 +225,7 @@
         if let Some((left, age)) = row.pending.filter(|(_, age)| *age <= PEER_REPORT_LIFETIME) {
             self.merge_pending(PendingEstimate {
                 until: now.after(left),
-                estimated_at: before(now, age),
+                estimated_at: now.before(age),
                 heard_at: now,
             });
         }
@@ -327,7 +327,3 @@
         }
     }
 }
-
-fn before(now: Millis, age: Duration) -> Millis {
-    Millis(now.0.saturating_sub(age.as_millis() as u64))
-}
--- a/policy/src/time.rs
+++ b/policy/src/time.rs
@@ -51,4 +51,11 @@
         let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Self(self.0.saturating_add(ms))
     }
+
+    /// Returns the time `span` before `self`, with fractions of a millisecond dropped; zero if that is
+    /// before the epoch.
+    pub fn before(self, span: Duration) -> Self {
+        let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(ms))
+    }
 }
--- a/policy/tests/shared_load.rs
+++ b/policy/tests/shared_load.rs
@@ -244,6 +244,7 @@
 const PREFILL_BYTES: usize = 110;
 const DECODE_MS: u64 = 1_000;
 
+#[derive(Default)]
 struct HostView {
     shared: SharedLoad,
     report: Option<(ServerLoad, Millis, u32)>,
@@ -306,15 +307,8 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let zones: Vec<Name> = ZONES.iter().map(|zone| (*zone).into()).collect();
     let servers = SERVERS.iter().sum();
-    let new_view = |_| HostView {
-        shared: SharedLoad::default(),
-        report: None,
-        running: 0,
-        prefill_ms: 0.0,
-        peers_until: Millis(0),
-    };
     let mut hosts: Vec<Vec<HostView>> = (0..HOSTS)
-        .map(|_| (0..servers).map(new_view).collect())
+        .map(|_| (0..servers).map(|_| HostView::default()).collect())
         .collect();
     let zone_of = |host: usize| host % 3;
     let mut busy_until = vec![0.0_f64; servers];
@@ -565,15 +559,8 @@
     let mut rng = fastrand::Rng::with_seed(3);
     let zones: Vec<Name> = ZONES.iter().map(|zone| (*zone).into()).collect();
     let zone_of = |host: usize| host % 3;
-    let new_view = |_| HostView {
-        shared: SharedLoad::default(),
-        report: None,
-        running: 0,
-        prefill_ms: 0.0,
-        peers_until: Millis(0),
-    };
     let mut hosts: Vec<Vec<HostView>> = (0..HOSTS)
-        .map(|_| (0..90).map(new_view).collect())
+        .map(|_| (0..90).map(|_| HostView::default()).collect())
         .collect();
     // Delays of hosts in the zone of the probe and in others.
     let mut delays = [Vec::new(), Vec::new()];
--- a/router/src/call.rs
+++ b/router/src/call.rs
@@ -142,7 +142,7 @@
     pub(crate) fn with_forwarded(mut self, forwarded: ForwardedState) -> Self {
         let remaining = Duration::from_millis(forwarded.remaining_ms);
         self.deadline = self.deadline.min(self.arrived.after(remaining));
-        self.arrived = Millis(self.arrived.0.saturating_sub(forwarded.age_ms));
+        self.arrived = self.arrived.before(Duration::from_millis(forwarded.age_ms));
         self.head.resume_after = forwarded.resume_after;
         self.forwarded = Some(forwarded);
         self
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -340,7 +340,7 @@
 
     /// Moves the start back if another host has seen the rollout run for longer.
     fn advance_clock(&mut self, elapsed: Duration, now: Millis) {
-        let started_at = Millis(now.0.saturating_sub(elapsed.as_millis() as u64));
+        let started_at = now.before(elapsed);
         self.started_at = self.started_at.min(started_at);
     }
 
--- a/router/src/server_limits.rs
+++ b/router/src/server_limits.rs
@@ -85,7 +85,7 @@
             state.log_event("word_unreadable", &server.entry.name, why, &[]);
             return None;
         }
-        Some((server, *per_s, Millis(now.0.saturating_sub(*age_ms))))
+        Some((server, *per_s, now.before(Duration::from_millis(*age_ms))))
     };
     rows.iter().filter_map(read).collect()
 }
--- a/router/src/slow_start.rs
+++ b/router/src/slow_start.rs
@@ -5,7 +5,7 @@
 use clementinearch_policy::{
     placement::ServerView,
     slow_start::{Ramp, RampAnswer},
-    time::Millis,
+    time::{Millis, nearest_span},
 };
 
 use crate::{host_state::HostState, server::Server};
@@ -143,7 +143,7 @@
     ) {
         let expected_ms = expected_ms.unwrap_or(latency_ms);
         let answer = RampAnswer::of_latency(latency_ms, expected_ms);
-        let sent_at = Millis(now.0.saturating_sub(latency_ms as u64));
+        let sent_at = now.before(nearest_span(latency_ms / 1_000.0));
         self.record_ramp_answer(server, answer, sent_at, now);
     }
 
--- a/router/src/view_sync.rs
+++ b/router/src/view_sync.rs
@@ -117,8 +117,7 @@
         self.merge(view);
         self.state.view_reads.record(now);
         let now = self.state.now();
-        self.state
-            .record_store_contact(Millis(now.0.saturating_sub(age.as_millis() as u64)));
+        self.state.record_store_contact(now.before(age));
         self.expire(now);
         self.write_own_entry(now).await;
         true
