--- a/host/tests/route/mod.rs
+++ b/host/tests/route/mod.rs
@@ -17,9 +17,12 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use clementinearch_standins::{
@@ -555,6 +558,28 @@
         }
     }
 
+    /// Lets `callers` send to all hosts for `span`, each with a `pause` after an answer.
+    pub fn call_hosts(&self, callers: usize, pause: Duration, span: Duration) -> Vec<Answer> {
+        let until = Instant::now() + span;
+        let number = AtomicUsize::new(0);
+        let answers = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for _ in 0..callers {
+                scope.spawn(|| {
+                    while Instant::now() < until {
+                        let number = number.fetch_add(1, Ordering::Relaxed);
+                        let host = &self.hosts[number % self.hosts.len()];
+                        let id = format!("id-{number}");
+                        let answer = send_request(host, "GET /look/1", &id, "", "");
+                        answers.lock().unwrap().push(answer);
+                        thread::sleep(pause);
+                    }
+                });
+            }
+        });
+        answers.into_inner().unwrap()
+    }
+
     /// A host that the test runs itself, and its settings.
     pub fn host_of_test(&self) -> (Host, String) {
         let host = self.prepare_host("a", StoreEndpoint::new(self.store.clone()), "");
--- a/host/tests/route_cold_servers.rs
+++ b/host/tests/route_cold_servers.rs
@@ -3,10 +3,7 @@
 mod route;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -15,7 +12,7 @@
     ReceivedRequest, ScriptedServer, Step, signed_response,
 };
 use parking_lot::Mutex;
-use route::{Answer, Platform, send_request, wait_until};
+use route::{Answer, Platform, wait_until};
 use serde_json::{Value, json};
 
 const COLD_PER_S: f64 = 4.0;
@@ -85,24 +82,7 @@
 
 /// Lets callers send to all hosts for `span`, far more often than cold servers bear.
 fn call(platform: &Platform, span: Duration) -> Vec<Answer> {
-    let until = Instant::now() + span;
-    let number = AtomicUsize::new(0);
-    let answers = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..16 {
-            scope.spawn(|| {
-                while Instant::now() < until {
-                    let number = number.fetch_add(1, Ordering::Relaxed);
-                    let host = &platform.hosts[number % platform.hosts.len()];
-                    let id = format!("id-{number}");
-                    let answer = send_request(host, "GET /look/1", &id, "", "");
-                    answers.lock().push(answer);
-                    thread::sleep(Duration::from_millis(20));
-                }
-            });
-        }
-    });
-    answers.into_inner()
+    platform.call_hosts(16, Duration::from_millis(20), span)
 }
 
 /// Starts hosts that leave no line out of their logs.
--- a/host/tests/route_limits.rs
+++ b/host/tests/route_limits.rs
@@ -5,15 +5,14 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
-    thread,
     time::{Duration, Instant},
 };
 
 use clementinearch_standins::scripted_server::{ReceivedRequest, Step, signed_response};
 use parking_lot::Mutex;
-use route::{Answer, Platform, send_request, wait_until};
+use route::{Answer, Platform, wait_until};
 
 /// Length of the window in which a server counts.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -67,24 +66,7 @@
 
 /// Lets callers send to all hosts for `span`. Returns the answers.
 fn call(platform: &Platform, callers: usize, span: Duration) -> Vec<Answer> {
-    let until = Instant::now() + span;
-    let number = AtomicUsize::new(0);
-    let answers = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..callers {
-            scope.spawn(|| {
-                while Instant::now() < until {
-                    let number = number.fetch_add(1, Ordering::Relaxed);
-                    let host = &platform.hosts[number % platform.hosts.len()];
-                    let id = format!("id-{number}");
-                    let answer = send_request(host, "GET /look/1", &id, "", "");
-                    answers.lock().push(answer);
-                    thread::sleep(Duration::from_millis(40));
-                }
-            });
-        }
-    });
-    answers.into_inner()
+    platform.call_hosts(callers, Duration::from_millis(40), span)
 }
 
 fn start(platform: &mut Platform, hosts: usize) {
